--- /dev/null
+++ b/crates/drill/src/settings.rs
@@ -0,0 +1,159 @@
+//! Turns the settings of the wire into those of the module.
+
+use paddleproxy::interface as house;
+use serde::Deserialize;
+
+/// The module's settings and the names that the wire uses for their rows.
+pub struct Provision {
+    pub settings: house::Settings,
+    pub workloads: Vec<String>,
+    pub customers: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Conf {
+    balancers: usize,
+    slot_no: usize,
+    my_zone: String,
+    localities: Vec<String>,
+    machine_types: Vec<String>,
+    services: Vec<Service>,
+    #[serde(default)]
+    tenants: Vec<Tenant>,
+    #[serde(default = "whole")]
+    over_share_worth: f64,
+    #[serde(default)]
+    discovery: String,
+    caps: Caps,
+    family_info: Family,
+    invariants: Invariants,
+    resolution_s: f64,
+}
+
+fn whole() -> f64 {
+    1.0
+}
+
+#[derive(Deserialize)]
+struct Service {
+    name: String,
+    slo_s: f64,
+    idempotency: String,
+    dedup_scope: String,
+    window_s: f64,
+    importance: f64,
+}
+
+#[derive(Deserialize)]
+struct Tenant {
+    name: String,
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize)]
+struct Caps {
+    cancel: bool,
+    second_copies: bool,
+    retry_after: bool,
+    max_retry_after_s: f64,
+    max_attempts: usize,
+}
+
+#[derive(Deserialize)]
+struct Family {
+    aim_us_per_1000_prompt_tokens: Vec<f64>,
+    holds_allowed: bool,
+    kv_tokens: Vec<f64>,
+    pin_limit_s: f64,
+    role_by_kind: Vec<String>,
+    self_prefill: bool,
+}
+
+#[derive(Deserialize)]
+struct Invariants {
+    #[serde(default)]
+    must_ask_in_s: f64,
+    cold_s: f64,
+    cold_share: f64,
+    fall_multiple: f64,
+    fall_s: f64,
+}
+
+pub fn parse(text: &str) -> Result<Provision, String> {
+    let conf: Conf = serde_json::from_str(text).map_err(|cause| format!("settings: {cause}"))?;
+    let mut workloads = Vec::new();
+    for (row, service) in conf.services.iter().enumerate() {
+        workloads.push(house::WorkloadSettings {
+            effect: match service.idempotency.as_str() {
+                "repeatable" => house::Effect::Idempotent,
+                "by_key" => house::Effect::Tokened,
+                "once" => house::Effect::NonIdempotent,
+                other => return Err(format!("settings: services.idempotency is '{other}'")),
+            },
+            group: match service.dedup_scope.as_str() {
+                "all" => house::Group::All,
+                "zone" => house::Group::Zone,
+                "cell" => house::Group::Cell,
+                other => return Err(format!("settings: services.dedup_scope is '{other}'")),
+            },
+            window_ms: service.window_s * 1e3,
+            value: service.importance,
+            latency_target_ms: service.slo_s * 1e3,
+            // Microseconds for a thousand tokens are millionths of a millisecond times 1000 for one.
+            target_per_token_ms: conf.family_info.aim_us_per_1000_prompt_tokens.get(row).unwrap_or(&0.0)
+                / 1e6,
+        });
+    }
+    let mut kinds = Vec::new();
+    for (row, kind) in conf.machine_types.iter().enumerate() {
+        let role = match conf.family_info.role_by_kind.get(row).map(String::as_str) {
+            Some("read") => house::Role::Reader,
+            Some("write") => house::Role::Writer,
+            Some("both") => house::Role::Mixed,
+            other => {
+                return Err(format!("settings: family_info.role_by_kind for '{kind}' is {other:?}"));
+            }
+        };
+        let memory_tokens = conf.family_info.kv_tokens.get(row).copied();
+        let memory_tokens =
+            memory_tokens.ok_or_else(|| format!("settings: family_info.kv_tokens lacks '{kind}'"))?;
+        kinds.push(house::KindSettings { role, memory_tokens });
+    }
+    let settings = house::Settings {
+        routers: conf.balancers,
+        own_number: conf.slot_no,
+        zone: conf.localities.iter().position(|zone| *zone == conf.my_zone).map(house::ZoneId),
+        workloads,
+        kinds,
+        customers: conf
+            .tenants
+            .iter()
+            .map(|tenant| house::CustomerSettings { quota_per_s: tenant.quota_per_s })
+            .collect(),
+        over_share_value: conf.over_share_worth,
+        must_subscribe: conf.discovery == "subscribe",
+        must_ask_in_ms: conf.invariants.must_ask_in_s * 1e3,
+        holds_allowed: conf.family_info.holds_allowed,
+        writers_read: conf.family_info.self_prefill,
+        cancel_allowed: conf.caps.cancel,
+        second_copies: conf.caps.second_copies,
+        retry_after: conf.caps.retry_after,
+        max_retry_after_ms: conf.caps.max_retry_after_s * 1e3,
+        max_dispatches: conf.caps.max_attempts,
+        resolution_ms: conf.resolution_s * 1e3,
+        pin_limit_ms: conf.family_info.pin_limit_s * 1e3,
+        fall_multiple: conf.invariants.fall_multiple,
+        fall_ms: conf.invariants.fall_s * 1e3,
+        cold_share: conf.invariants.cold_share,
+        cold_ms: conf.invariants.cold_s * 1e3,
+    };
+    Ok(Provision {
+        settings,
+        workloads: conf.services.into_iter().map(|service| service.name).collect(),
+        customers: conf.tenants.into_iter().map(|tenant| tenant.name).collect(),
+        zones: conf.localities,
+        kinds: conf.machine_types,
+    })
+}
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,697 @@
+//! Decides where each completion is read and written. A caller (`crates/drill` behind the simulator's wire)
+//! gives every event of one router to `Control::handle` with the clock and carries out the actions in order;
+//! `src/interface.rs` defines both. The design (docs/design.md) decides the ordinary path: `plan`, `read_at`, `write_at`.
+//! Beside it stand these mechanisms:
+//! 1. distrust: a fading score per worker; the share of sessions that pass it by follows the score.
+//! 2. turns: routers take turns at a fresh worker by their own number.
+//! 3. patience: a dispatch that hangs past its share of the latency target is tried elsewhere, within a budget.
+//! 4. effect guard: what may run again, where, and what may be rate-limited.
+
+use std::collections::BTreeMap;
+
+use crate::interface::*;
+
+/// Share of a prompt that must be kept at home for it to be read and written there. Of the design.
+const COVERED: f64 = 0.95;
+/// Uncovered tokens below which home reads by itself. Of the design.
+const SHORT_READ_TOKENS: f64 = 2000.0;
+/// Life of an entry in the table of sessions. Of the design.
+const ENTRY_LIFE_MS: f64 = 120_000.0;
+/// Entries that the table holds at most.
+const ENTRIES_MAX: usize = 1 << 16;
+/// All routers' waiting tokens at a reader that turn completions away, as a share of the reader's memory.
+const READER_BOUND: f64 = 1.0 / 8.0;
+/// Distrust halves in this share of the time in which a cold worker warms.
+const DISTRUST_HALVES: f64 = 0.33;
+/// Distrust never grows past this, so that a healed worker is tried again after a few half-lives.
+const DISTRUST_MAX: f64 = 2.0;
+/// What a good answer leaves of the distrust.
+const FORGIVEN: f64 = 0.8;
+/// A worker this many times slower than the median of its kind's others is blamed.
+const SLOW_AGAINST_PEERS: f64 = 3.0;
+/// Weight of the newest answer in a worker's mean lag.
+const LAG_WEIGHT: f64 = 0.2;
+/// Shares of the latency target that a dispatch may take before another worker is tried.
+const READ_PATIENCE: f64 = 0.6;
+const WRITE_PATIENCE: f64 = 0.8;
+/// Further dispatches after a time-out, as a share of arrivals, and how many may be saved up.
+const SPARE_SHARE: f64 = 0.1;
+const SPARE_MAX: f64 = 5.0;
+/// Part of the load that topples a cold worker which all routers together may send it.
+const FALL_MARGIN: f64 = 0.5;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Read at a reader; the state waits there.
+    Read,
+    /// Fetch the state and write.
+    Write,
+    /// Read and write at one worker.
+    Whole,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Planned,
+    Out,
+    Streaming,
+    Ended,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Answer {
+    RateLimit,
+    Abort,
+}
+
+/// Lives for one dispatch.
+struct Dispatch {
+    worker: WorkerId,
+    stage: Stage,
+    /// Wanted state: should it be out? `phase` is the present one.
+    wanted: bool,
+    phase: Phase,
+    cancel_sent: bool,
+    sent_ms: f64,
+    timeout_ms: f64,
+    /// Tokens that we count as waiting at the worker meanwhile.
+    tokens: f64,
+    /// Prompt tokens that the table held as kept there.
+    believed: f64,
+    may_have_run: bool,
+}
+
+/// Lives until a completion is answered and its last dispatch has ended.
+struct Completion {
+    facts: Arrival,
+    arrived_ms: f64,
+    target_ms: f64,
+    dispatches: Vec<Dispatch>,
+    failed_at: Vec<WorkerId>,
+    full_at: Vec<WorkerId>,
+    /// Present: the reader at which a state waits. `keep_state` is the wanted side.
+    state_at: Option<WorkerId>,
+    keep_state: bool,
+    wanted_answer: Option<Answer>,
+    over: bool,
+    /// Clock time at which to be woken, wanted and present.
+    wake_ms: f64,
+    armed_ms: f64,
+}
+
+/// Lives as long as a worker is known.
+struct Worker {
+    listing: Listing,
+    role: Role,
+    distrust: f64,
+    distrust_at_ms: f64,
+    /// Mean of the time to a read's end or a first token, as a share of the latency target.
+    lag: Option<f64>,
+    waiting_tokens: f64,
+    streams: u32,
+    /// What the table held of this worker before then is void.
+    forgot_ms: f64,
+}
+
+/// A session's entry: its tokens kept at its home.
+struct Kept {
+    home: WorkerId,
+    tokens: f64,
+    at_ms: f64,
+}
+
+/// Lives as long as the router.
+pub struct Control {
+    settings: Settings,
+    rng: fastrand::Rng,
+    now_ms: f64,
+    workers: BTreeMap<WorkerId, Worker>,
+    completions: BTreeMap<CompletionId, Completion>,
+    sessions: BTreeMap<SessionId, Kept>,
+    spare: f64,
+    subscribe_wanted: bool,
+}
+
+/// Stable in every process: FNV-1a over the name, mixed with the key.
+fn rank(worker: &WorkerId, key: u64) -> u64 {
+    let name = worker.0.bytes().fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    let mut mixed = name ^ key.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
+fn median(mut values: Vec<f64>) -> Option<f64> {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len().saturating_sub(1) / 2).copied()
+}
+
+impl Control {
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        Control {
+            subscribe_wanted: settings.must_subscribe,
+            settings,
+            rng: fastrand::Rng::with_seed(seed),
+            now_ms: 0.0,
+            workers: BTreeMap::new(),
+            completions: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            spare: SPARE_MAX,
+        }
+    }
+
+    pub fn handle(&mut self, now_ms: f64, event: &Event, actions: &mut Vec<Action>) {
+        self.now_ms = now_ms;
+        match event {
+            Event::Listed { kind, rows } => self.listed(*kind, rows, actions),
+            Event::Arrived(facts) => self.arrived(facts, actions),
+            Event::Began { completion, seq, took_ms } => self.began(*completion, *seq, *took_ms, actions),
+            Event::Ended { completion, seq, took_ms, over, outcome, kept_tokens } => {
+                self.ended(*completion, *seq, *took_ms, *over, *outcome, *kept_tokens);
+                self.reconcile(*completion, actions);
+            }
+            Event::Expired { completion } => {
+                if let Some(c) = self.completions.get_mut(completion) {
+                    c.over = true;
+                    c.keep_state = false;
+                }
+                self.reconcile(*completion, actions);
+            }
+            Event::TimerFired(Timer::Completion(completion)) => {
+                if let Some(c) = self.completions.get_mut(completion) {
+                    c.armed_ms = f64::INFINITY;
+                    let streaming = c.dispatches.iter().any(|d| d.phase == Phase::Streaming);
+                    if !c.over && !streaming && now_ms >= c.wake_ms {
+                        self.give_up(*completion);
+                    }
+                }
+                self.reconcile(*completion, actions);
+            }
+            Event::TimerFired(Timer::Subscribe) => {
+                if self.subscribe_wanted {
+                    self.subscribe_wanted = false;
+                    actions.push(Action::Subscribe);
+                }
+            }
+            Event::Probed { .. } | Event::Reported { .. } => {}
+            Event::HoldAnswered { .. } | Event::Told { .. } => {}
+        }
+    }
+
+    fn listed(&mut self, kind: ListKind, rows: &[Listing], actions: &mut Vec<Action>) {
+        if kind == ListKind::Failed {
+            self.subscribe_wanted = true;
+            let in_ms = self.settings.must_ask_in_ms * (0.1 + 0.1 * self.rng.f64());
+            actions.push(Action::Arm { in_ms, timer: Timer::Subscribe });
+            return;
+        }
+        if self.subscribe_wanted {
+            self.subscribe_wanted = false;
+            actions.push(Action::Subscribe);
+        }
+        if kind != ListKind::Changes {
+            for worker in self.workers.values_mut() {
+                worker.listing.readiness = Readiness::Gone;
+            }
+        }
+        for row in rows {
+            let Some(kind) = self.settings.kinds.get(row.kind.0) else {
+                continue;
+            };
+            let worker = self.workers.entry(row.worker.clone()).or_insert_with(|| Worker {
+                listing: row.clone(),
+                role: kind.role,
+                distrust: 0.0,
+                distrust_at_ms: self.now_ms,
+                lag: None,
+                waiting_tokens: 0.0,
+                streams: 0,
+                forgot_ms: 0.0,
+            });
+            if row.started_ms != worker.listing.started_ms {
+                // A new process has kept nothing and carries no blame.
+                worker.forgot_ms = self.now_ms;
+                worker.distrust = 0.0;
+                worker.lag = None;
+            }
+            worker.listing = row.clone();
+        }
+        self.workers
+            .retain(|_, w| w.listing.readiness != Readiness::Gone || w.streams > 0 || w.waiting_tokens > 0.0);
+    }
+
+    fn arrived(&mut self, facts: &Arrival, actions: &mut Vec<Action>) {
+        let Some(workload) = self.settings.workloads.get(facts.workload.0) else {
+            return;
+        };
+        let target_ms = workload.latency_target_ms + workload.target_per_token_ms * facts.prompt_tokens;
+        self.spare = (self.spare + SPARE_SHARE).min(SPARE_MAX);
+        let completion = Completion {
+            facts: facts.clone(),
+            arrived_ms: self.now_ms,
+            target_ms,
+            dispatches: Vec::new(),
+            failed_at: Vec::new(),
+            full_at: Vec::new(),
+            state_at: None,
+            keep_state: true,
+            wanted_answer: None,
+            over: false,
+            // The last moment at which a final answer surely is in time, if every outcome stays away.
+            wake_ms: facts.client_timeout_ms - 2.0 * self.settings.resolution_ms,
+            armed_ms: f64::INFINITY,
+        };
+        self.completions.insert(facts.completion, completion);
+        self.plan(facts.completion);
+        self.reconcile(facts.completion, actions);
+    }
+
+    fn began(&mut self, id: CompletionId, seq: Seq, took_ms: f64, actions: &mut Vec<Action>) {
+        let Some(c) = self.completions.get_mut(&id) else {
+            return;
+        };
+        let Some(d) = c.dispatches.get_mut(seq.0 as usize) else {
+            return;
+        };
+        d.phase = Phase::Streaming;
+        c.state_at = None;
+        let lag = took_ms / c.target_ms;
+        let (worker, session, tokens) = (d.worker.clone(), c.facts.session, c.facts.prompt_tokens);
+        if self.workers.get(&worker).is_some_and(|w| w.role == Role::Mixed) {
+            self.remember(session, &worker, tokens);
+        }
+        self.praise(&worker, Some(lag));
+        self.reconcile(id, actions);
+    }
+
+    fn ended(&mut self, id: CompletionId, seq: Seq, took_ms: f64, over: bool, outcome: Outcome, kept: f64) {
+        let Some(c) = self.completions.get_mut(&id) else {
+            return;
+        };
+        let Some(d) = c.dispatches.get_mut(seq.0 as usize) else {
+            return;
+        };
+        let began = d.phase == Phase::Streaming;
+        let wanted = d.wanted;
+        let (worker, stage, believed, sent_ms) = (d.worker.clone(), d.stage, d.believed, d.sent_ms);
+        d.phase = Phase::Ended;
+        d.wanted = false;
+        if matches!(
+            outcome,
+            Outcome::Full | Outcome::NoState | Outcome::ConnectFailed | Outcome::Moot | Outcome::Read
+        ) {
+            d.may_have_run = false;
+        }
+        if let Some(w) = self.workers.get_mut(&worker) {
+            match stage {
+                Stage::Read => w.waiting_tokens = (w.waiting_tokens - d.tokens).max(0.0),
+                _ => w.streams = w.streams.saturating_sub(1),
+            }
+        }
+        c.over |= over;
+        let lag = took_ms / c.target_ms;
+        match outcome {
+            Outcome::Read => {
+                c.state_at = Some(worker.clone());
+                self.praise(&worker, Some(lag));
+            }
+            Outcome::Finished => {
+                c.state_at = None;
+                // Guards against a flush, whatever emptied the worker: what else the table holds of it is
+                // void. Harm: a single session pushed out of a full memory voids the others too.
+                if stage == Stage::Whole && kept < believed / 2.0 {
+                    if let Some(w) = self.workers.get_mut(&worker) {
+                        w.forgot_ms = w.forgot_ms.max(sent_ms);
+                    }
+                }
+                self.praise(&worker, None);
+            }
+            Outcome::Full => c.full_at.push(worker.clone()),
+            Outcome::NoState => c.state_at = None,
+            Outcome::Cancelled | Outcome::Moot => {}
+            Outcome::Error | Outcome::Broken | Outcome::ConnectFailed | Outcome::TimedOut => {
+                c.failed_at.push(worker.clone());
+                let (blame, blamed) = match outcome {
+                    Outcome::ConnectFailed | Outcome::Broken => (0.6, true),
+                    Outcome::Error => (0.3, true),
+                    // A dispatch cut short by the client's own timeout says little of the worker.
+                    _ => (0.4, wanted && !c.over && self.now_ms < c.wake_ms),
+                };
+                if outcome == Outcome::TimedOut {
+                    self.spare = (self.spare - 1.0).max(0.0);
+                }
+                if blamed {
+                    self.blame(&worker, blame);
+                }
+            }
+        }
+        let Some(c) = self.completions.get_mut(&id) else {
+            return;
+        };
+        if c.over || c.wanted_answer.is_some() {
+            c.keep_state = false;
+        } else if began || outcome == Outcome::Moot || self.now_ms >= c.wake_ms {
+            self.give_up(id);
+        } else if !c.dispatches.iter().any(|d| d.phase != Phase::Ended) {
+            self.plan(id);
+        }
+    }
+
+    // ---- the design ----
+
+    /// What should be out next for a completion that has nothing out.
+    fn plan(&mut self, id: CompletionId) {
+        let Some(c) = self.completions.get(&id) else {
+            return;
+        };
+        let next = match c.state_at {
+            Some(_) => self.write_at(c).map(|worker| (worker, Stage::Write)),
+            None => self.read_at(c),
+        };
+        let dispatches = c.dispatches.len();
+        let Some((worker, stage)) = next.filter(|_| dispatches < self.settings.max_dispatches) else {
+            return self.give_up(id);
+        };
+        let believed = self.believed(c, &worker);
+        let timeout_ms = self.patience(c, stage);
+        let dispatch = Dispatch {
+            worker,
+            stage,
+            wanted: true,
+            phase: Phase::Planned,
+            cancel_sent: false,
+            sent_ms: self.now_ms,
+            timeout_ms,
+            tokens: c.facts.prompt_tokens,
+            believed,
+            may_have_run: stage != Stage::Read,
+        };
+        if let Some(c) = self.completions.get_mut(&id) {
+            c.dispatches.push(dispatch);
+        }
+    }
+
+    /// Home: a mixed server by session hash; the next in hash order stands in for one that can't be used.
+    fn home(&self, c: &Completion) -> Option<WorkerId> {
+        self.first_by_hash(c, c.facts.session.0, |w| w.role == Role::Mixed)
+    }
+
+    /// Read at home what it keeps for the most part, or what is short; else at a reader of home's cell.
+    fn read_at(&self, c: &Completion) -> Option<(WorkerId, Stage)> {
+        let home = self.home(c);
+        let home_free = home.clone().filter(|home| !c.full_at.contains(home));
+        let uncovered = c.facts.prompt_tokens - home.as_ref().map_or(0.0, |home| self.believed(c, home));
+        if let Some(home) = &home_free {
+            if uncovered < (1.0 - COVERED) * c.facts.prompt_tokens || uncovered < SHORT_READ_TOKENS {
+                return Some((home.clone(), Stage::Whole));
+            }
+        }
+        let cell = home.as_ref().and_then(|home| self.workers.get(home)).map(|w| w.listing.cell);
+        let key = c.facts.prefix.map_or(c.facts.session.0, |prefix| prefix.0);
+        let mut readers = self.by_hash(c, key, |w| w.role == Role::Reader && Some(w.listing.cell) == cell);
+        if readers.is_empty() {
+            readers = self.by_hash(c, key, |w| w.role == Role::Reader);
+        }
+        readers.retain(|reader| !c.full_at.contains(reader));
+        if let Some(reader) = readers.iter().find(|reader| !self.reader_busy(reader)) {
+            return Some((reader.clone(), Stage::Read));
+        }
+        if let Some(home) = home_free {
+            return Some((home, Stage::Whole));
+        }
+        if let Some(reader) = readers.into_iter().next() {
+            return Some((reader, Stage::Read));
+        }
+        // No reader and no home left: any worker that reads by itself.
+        let by_itself = |w: &Worker| match w.role {
+            Role::Mixed => true,
+            Role::Writer => self.settings.writers_read,
+            Role::Reader => false,
+        };
+        let mut rest = self.by_hash(c, c.facts.session.0, by_itself);
+        rest.retain(|worker| !c.full_at.contains(worker));
+        rest.into_iter().next().map(|worker| (worker, Stage::Whole))
+    }
+
+    /// Write at home; if it answered full or holds more of our streams than the median, at the pure writer
+    /// of its cell with fewest of our streams.
+    fn write_at(&self, c: &Completion) -> Option<WorkerId> {
+        let home = self.home(c);
+        let streams = |worker: &WorkerId| self.workers.get(worker).map_or(u32::MAX, |w| w.streams);
+        let fewest = |mut found: Vec<WorkerId>| {
+            found.retain(|worker| !c.full_at.contains(worker));
+            found.into_iter().min_by_key(|worker| streams(worker))
+        };
+        let cell = match &home {
+            Some(home) => self.workers.get(home).map(|w| w.listing.cell),
+            None => c.state_at.as_ref().and_then(|at| self.workers.get(at)).map(|w| w.listing.cell),
+        };
+        let key = c.facts.session.0;
+        let relay =
+            || fewest(self.by_hash(c, key, |w| w.role == Role::Writer && Some(w.listing.cell) == cell));
+        match home.filter(|home| !c.full_at.contains(home)) {
+            Some(home) if f64::from(streams(&home)) > self.median_streams() => Some(relay().unwrap_or(home)),
+            Some(home) => Some(home),
+            None => relay().or_else(|| fewest(self.by_hash(c, key, |w| w.role != Role::Reader))),
+        }
+    }
+
+    fn median_streams(&self) -> f64 {
+        let writing = self.workers.values().filter(|w| w.role != Role::Reader);
+        let ready = writing.filter(|w| w.listing.readiness == Readiness::Ready);
+        median(ready.map(|w| f64::from(w.streams)).collect()).unwrap_or(0.0)
+    }
+
+    fn reader_busy(&self, reader: &WorkerId) -> bool {
+        self.workers.get(reader).is_none_or(|w| {
+            let memory = self.settings.kinds[w.listing.kind.0].memory_tokens;
+            w.waiting_tokens > memory * READER_BOUND / self.settings.routers.max(1) as f64
+        })
+    }
+
+    /// Tokens of the prompt that the table holds as kept at a worker.
+    fn believed(&self, c: &Completion, worker: &WorkerId) -> f64 {
+        let kept = self.sessions.get(&c.facts.session).filter(|kept| kept.home == *worker);
+        let forgot_ms = self.workers.get(worker).map_or(f64::INFINITY, |w| w.forgot_ms);
+        let oldest_ms = forgot_ms.max(self.now_ms - ENTRY_LIFE_MS);
+        kept.filter(|kept| kept.at_ms >= oldest_ms).map_or(0.0, |kept| kept.tokens.min(c.facts.prompt_tokens))
+    }
+
+    fn remember(&mut self, session: SessionId, home: &WorkerId, tokens: f64) {
+        if self.sessions.len() >= ENTRIES_MAX {
+            let oldest_ms = self.now_ms - ENTRY_LIFE_MS / 4.0;
+            self.sessions.retain(|_, kept| kept.at_ms >= oldest_ms);
+        }
+        self.sessions.insert(session, Kept { home: home.clone(), tokens, at_ms: self.now_ms });
+    }
+
+    // ---- which workers may be used ----
+
+    /// Usable workers in hash order. Where distrust leaves none, the distrusted ones.
+    fn by_hash(&self, c: &Completion, key: u64, of: impl Fn(&Worker) -> bool) -> Vec<WorkerId> {
+        let usable = |trusted: bool| {
+            let mut found: Vec<_> = self
+                .workers
+                .iter()
+                .filter(|(id, w)| of(w) && self.open(c, id, w) && (!trusted || self.trusted(c, id, w)))
+                .map(|(id, _)| (std::cmp::Reverse(rank(id, key)), id.clone()))
+                .collect();
+            found.sort();
+            found.into_iter().map(|(_, id)| id).collect::<Vec<_>>()
+        };
+        let found = usable(true);
+        if found.is_empty() {
+            usable(false)
+        } else {
+            found
+        }
+    }
+
+    fn first_by_hash(&self, c: &Completion, key: u64, of: impl Fn(&Worker) -> bool) -> Option<WorkerId> {
+        self.by_hash(c, key, of).into_iter().next()
+    }
+
+    fn open(&self, c: &Completion, id: &WorkerId, w: &Worker) -> bool {
+        w.listing.readiness == Readiness::Ready
+            && !c.failed_at.contains(id)
+            && self.our_turn(w)
+            && (w.role == Role::Reader || self.may_run_again(c, w))
+    }
+
+    /// Turns at a fresh worker: by its age a share of the routers may send, changing several times within
+    /// the time in which it would fall over. Guards against pushing over what just started, for whatever
+    /// reason it did. Harm: its sessions are spread over stand-ins for that time.
+    fn our_turn(&self, w: &Worker) -> bool {
+        let Some(started_ms) = w.listing.started_ms else {
+            return true;
+        };
+        let s = &self.settings;
+        let age = (self.now_ms - started_ms).max(0.0) / s.cold_ms.max(1.0);
+        if age >= 1.0 {
+            return true;
+        }
+        let share = FALL_MARGIN * s.fall_multiple * s.cold_share * (1.0 + age);
+        let routers = s.routers.max(1);
+        let at_once = ((share * routers as f64) as usize).max(1);
+        let turn = (self.now_ms / (s.fall_ms / 4.0).max(1.0)) as usize;
+        (turn + s.own_number) % routers < at_once
+    }
+
+    /// The share of sessions that passes a worker by is its distrust beyond the median of its kind's others:
+    /// what a whole pool shares is no sign of a sick worker.
+    fn trusted(&self, c: &Completion, id: &WorkerId, w: &Worker) -> bool {
+        let peers = self.workers.iter().filter(|(other, o)| *other != id && o.listing.kind == w.listing.kind);
+        let shared = median(peers.map(|(_, o)| self.distrust(o)).collect()).unwrap_or(0.0);
+        let draw = (rank(id, !c.facts.session.0) >> 11) as f64 / (1u64 << 53) as f64;
+        self.distrust(w) - shared <= draw
+    }
+
+    fn distrust(&self, w: &Worker) -> f64 {
+        let half_ms = self.settings.cold_ms * DISTRUST_HALVES;
+        w.distrust * 0.5f64.powf((self.now_ms - w.distrust_at_ms) / half_ms.max(1.0))
+    }
+
+    fn blame(&mut self, id: &WorkerId, by: f64) {
+        let Some(w) = self.workers.get(id) else { return };
+        let distrust = (self.distrust(w) + by).min(DISTRUST_MAX);
+        let now_ms = self.now_ms;
+        if let Some(w) = self.workers.get_mut(id) {
+            w.distrust = distrust;
+            w.distrust_at_ms = now_ms;
+        }
+    }
+
+    /// A good answer lowers distrust, unless it was slow against the worker's peers.
+    fn praise(&mut self, id: &WorkerId, lag: Option<f64>) {
+        let Some(w) = self.workers.get(id) else { return };
+        let mut distrust = self.distrust(w) * FORGIVEN;
+        let mean = lag.map(|lag| w.lag.map_or(lag, |mean| mean + LAG_WEIGHT * (lag - mean)));
+        if let Some(mean) = mean {
+            let peers = self.workers.iter().filter(|(o, p)| *o != id && p.listing.kind == w.listing.kind);
+            let peers = median(peers.filter_map(|(_, p)| p.lag).collect());
+            if peers.is_some_and(|peers| mean > SLOW_AGAINST_PEERS * peers && mean > 0.3) {
+                distrust = (distrust + 0.3).min(DISTRUST_MAX);
+            }
+        }
+        let now_ms = self.now_ms;
+        if let Some(w) = self.workers.get_mut(id) {
+            w.distrust = distrust;
+            w.distrust_at_ms = now_ms;
+            w.lag = mean.or(w.lag);
+        }
+    }
+
+    // ---- further dispatches and answers ----
+
+    /// How long a dispatch may take. Guards against workers that went silent. Harm: under a jam that all
+    /// share, more tries make it worse; hence the budget.
+    fn patience(&self, c: &Completion, stage: Stage) -> f64 {
+        let left_ms = c.facts.client_timeout_ms - self.now_ms;
+        let share = if stage == Stage::Read { READ_PATIENCE } else { WRITE_PATIENCE };
+        let last = c.dispatches.len() + 2 >= self.settings.max_dispatches;
+        if last || self.spare < 1.0 || self.now_ms > c.arrived_ms + c.target_ms {
+            return left_ms;
+        }
+        (share * c.target_ms).min(left_ms)
+    }
+
+    fn ran<'a>(&self, c: &'a Completion) -> impl Iterator<Item = &'a Dispatch> {
+        c.dispatches.iter().filter(|d| d.may_have_run)
+    }
+
+    /// The rule on effects, for any worker that writes.
+    fn may_run_again(&self, c: &Completion, w: &Worker) -> bool {
+        let workload = &self.settings.workloads[c.facts.workload.0];
+        match workload.effect {
+            Effect::Idempotent => true,
+            Effect::NonIdempotent => self.ran(c).next().is_none(),
+            Effect::Tokened => self.ran(c).all(|d| {
+                let same = match (workload.group, self.workers.get(&d.worker)) {
+                    (Group::All, _) => true,
+                    (Group::Zone, Some(o)) => o.listing.zone == w.listing.zone,
+                    (Group::Cell, Some(o)) => o.listing.cell == w.listing.cell,
+                    (_, None) => false,
+                };
+                same && self.now_ms - d.sent_ms < workload.window_ms
+            }),
+        }
+    }
+
+    fn give_up(&mut self, id: CompletionId) {
+        let Some(c) = self.completions.get(&id) else {
+            return;
+        };
+        let workload = &self.settings.workloads[c.facts.workload.0];
+        let harmless = match workload.effect {
+            Effect::Idempotent => true,
+            Effect::Tokened if workload.group == Group::All => true,
+            _ => self.ran(c).next().is_none(),
+        };
+        if let Some(c) = self.completions.get_mut(&id) {
+            c.wanted_answer = Some(if harmless { Answer::RateLimit } else { Answer::Abort });
+            c.keep_state = false;
+            for d in c.dispatches.iter_mut() {
+                d.wanted = false;
+            }
+        }
+    }
+
+    // ---- wanted against present ----
+
+    /// Emits what turns the present state of a completion into the wanted one.
+    fn reconcile(&mut self, id: CompletionId, actions: &mut Vec<Action>) {
+        let Some(c) = self.completions.get_mut(&id) else {
+            return;
+        };
+        if let Some(answer) = c.wanted_answer.filter(|_| !c.over) {
+            let target_ms = self.settings.workloads[c.facts.workload.0].latency_target_ms;
+            let retry_after_ms = match self.settings.retry_after {
+                true => target_ms.min(self.settings.max_retry_after_ms),
+                false => 0.0,
+            };
+            actions.push(match answer {
+                Answer::RateLimit => Action::RateLimit { completion: id, retry_after_ms },
+                Answer::Abort => Action::Abort { completion: id },
+            });
+            c.over = true;
+        }
+        if c.over {
+            c.keep_state = false;
+        }
+        for (seq, d) in c.dispatches.iter_mut().enumerate() {
+            match d.phase {
+                Phase::Planned if d.wanted && !c.over => {
+                    let (worker, timeout_ms) = (d.worker.clone(), d.timeout_ms);
+                    actions.push(Action::Dispatch { completion: id, worker, timeout_ms });
+                    d.phase = Phase::Out;
+                    if let Some(w) = self.workers.get_mut(&d.worker) {
+                        match d.stage {
+                            Stage::Read => w.waiting_tokens += d.tokens,
+                            _ => w.streams += 1,
+                        }
+                    }
+                }
+                Phase::Planned => d.phase = Phase::Ended,
+                Phase::Out if (!d.wanted || c.over) && !d.cancel_sent && self.settings.cancel_allowed => {
+                    actions.push(Action::Cancel { completion: id, seq: Seq(seq as u32) });
+                    d.cancel_sent = true;
+                }
+                _ => {}
+            }
+        }
+        let out = c.dispatches.iter().any(|d| d.phase != Phase::Ended);
+        if c.state_at.is_some() && !c.keep_state {
+            actions.push(Action::Release { completion: id });
+            c.state_at = None;
+        }
+        if c.over && !out {
+            self.completions.remove(&id);
+        } else if !c.over && c.wake_ms < c.armed_ms {
+            c.armed_ms = c.wake_ms;
+            let in_ms = (c.wake_ms - self.now_ms).max(0.0);
+            actions.push(Action::Arm { in_ms, timer: Timer::Completion(id) });
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,8 @@
+//! paddleproxy: schedules prompts and answers over pools of model servers.
+//!
+//! `interface` holds what a caller tells the decisions and what they ask for; `control` decides.
+
+pub mod control;
+pub mod interface;
+
+pub use control::Control;
