--- a/src/control.rs
+++ b/src/control.rs
@@ -31,6 +31,11 @@
 const SLOW_AGAINST_PEERS: f64 = 3.0;
 /// Weight of the newest answer in a worker's mean lag.
 const LAG_WEIGHT: f64 = 0.2;
+/// A writer with this many times the mean of our streams, or with first tokens that take this share of the
+/// latency target, is strained; the latter fades by halves in a share of the time in which a cold one warms.
+const CROWDED: f64 = 1.5;
+const LATE: f64 = 0.5;
+const LAG_FADES: f64 = 0.1;
 /// Shares of the latency target that a dispatch may take before another worker is tried.
 const READ_PATIENCE: f64 = 0.6;
 const WRITE_PATIENCE: f64 = 0.8;
@@ -107,6 +112,7 @@
     distrust_at_ms: f64,
     /// Mean of the time to a read's end or a first token, as a share of the latency target.
     lag: Option<f64>,
+    lag_at_ms: f64,
     waiting_tokens: f64,
     streams: u32,
     /// What the table held of this worker before then is void.
@@ -137,6 +143,10 @@
     let name = worker.0.bytes().fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
     });
+    mix(name, key)
+}
+
+fn mix(name: u64, key: u64) -> u64 {
     let mut mixed = name ^ key.wrapping_mul(0x9e37_79b9_7f4a_7c15);
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
@@ -226,6 +236,7 @@
                 distrust: 0.0,
                 distrust_at_ms: self.now_ms,
                 lag: None,
+                lag_at_ms: self.now_ms,
                 waiting_tokens: 0.0,
                 streams: 0,
                 forgot_ms: 0.0,
@@ -398,30 +409,47 @@
         self.first_by_hash(c, c.facts.session.0, |w| w.role == Role::Mixed)
     }
 
-    /// Read at home what it keeps for the most part, or what is short; else at a reader of home's cell.
+    /// Read at home what it keeps for the most part, or what is short; else at a reader of home's cell, and
+    /// where that cell has none, at any. The exception: a home that is strained counts as full, and a cell
+    /// in which nothing can write unstrained hands the whole path to the next cell by session hash.
     fn read_at(&self, c: &Completion) -> Option<(WorkerId, Stage)> {
         let home = self.home(c);
         let home_free = home.clone().filter(|home| !c.full_at.contains(home));
+        let home_easy = home_free.clone().filter(|home| !self.strained(home));
         let uncovered = c.facts.prompt_tokens - home.as_ref().map_or(0.0, |home| self.believed(c, home));
-        if let Some(home) = &home_free {
+        if let Some(home) = &home_easy {
             if uncovered < (1.0 - COVERED) * c.facts.prompt_tokens || uncovered < SHORT_READ_TOKENS {
                 return Some((home.clone(), Stage::Whole));
             }
         }
-        let cell = home.as_ref().and_then(|home| self.workers.get(home)).map(|w| w.listing.cell);
         let key = c.facts.prefix.map_or(c.facts.session.0, |prefix| prefix.0);
-        let mut readers = self.by_hash(c, key, |w| w.role == Role::Reader && Some(w.listing.cell) == cell);
-        if readers.is_empty() {
-            readers = self.by_hash(c, key, |w| w.role == Role::Reader);
-        }
-        readers.retain(|reader| !c.full_at.contains(reader));
-        if let Some(reader) = readers.iter().find(|reader| !self.reader_busy(reader)) {
+        let mut all = self.by_hash(c, key, |w| w.role == Role::Reader);
+        all.retain(|reader| !c.full_at.contains(reader));
+        let home_cell = home.as_ref().and_then(|home| self.cell(home));
+        let has_reader = |cell| all.iter().any(|reader| self.cell(reader) == Some(cell));
+        let free = all.iter().filter(|reader| !self.reader_busy(reader));
+        let near = |cell: CellId| move |reader: &&&WorkerId| self.cell(reader) == Some(cell);
+        let mut cells: Vec<CellId> = free.clone().filter_map(|reader| self.cell(reader)).collect();
+        cells.sort_by_key(|cell| {
+            (Some(*cell) != home_cell, std::cmp::Reverse(mix(c.facts.session.0, cell.0.into())))
+        });
+        let found = match home_cell {
+            // The ordinary path where home's cell has no reader.
+            Some(cell) if !has_reader(cell) && self.writer_in(c, cell, home.as_ref()).is_some() => {
+                free.clone().next()
+            }
+            _ => cells
+                .into_iter()
+                .filter(|cell| self.writer_in(c, *cell, home.as_ref()).is_some())
+                .find_map(|cell| free.clone().find(|reader| near(cell)(&reader))),
+        };
+        if let Some(reader) = found {
             return Some((reader.clone(), Stage::Read));
         }
         if let Some(home) = home_free {
             return Some((home, Stage::Whole));
         }
-        if let Some(reader) = readers.into_iter().next() {
+        if let Some(reader) = all.into_iter().next() {
             return Some((reader, Stage::Read));
         }
         // No reader and no home left: any worker that reads by itself.
@@ -436,26 +464,57 @@
     }
 
     /// Write at home; if it answered full or holds more of our streams than the median, at the pure writer
-    /// of its cell with fewest of our streams.
+    /// of its cell with fewest of our streams. A state read in another cell is written there.
     fn write_at(&self, c: &Completion) -> Option<WorkerId> {
         let home = self.home(c);
-        let streams = |worker: &WorkerId| self.workers.get(worker).map_or(u32::MAX, |w| w.streams);
-        let fewest = |mut found: Vec<WorkerId>| {
-            found.retain(|worker| !c.full_at.contains(worker));
-            found.into_iter().min_by_key(|worker| streams(worker))
-        };
-        let cell = match &home {
-            Some(home) => self.workers.get(home).map(|w| w.listing.cell),
-            None => c.state_at.as_ref().and_then(|at| self.workers.get(at)).map(|w| w.listing.cell),
-        };
-        let key = c.facts.session.0;
-        let relay =
-            || fewest(self.by_hash(c, key, |w| w.role == Role::Writer && Some(w.listing.cell) == cell));
-        match home.filter(|home| !c.full_at.contains(home)) {
-            Some(home) if f64::from(streams(&home)) > self.median_streams() => Some(relay().unwrap_or(home)),
-            Some(home) => Some(home),
-            None => relay().or_else(|| fewest(self.by_hash(c, key, |w| w.role != Role::Reader))),
+        let home_cell = home.as_ref().and_then(|home| self.cell(home));
+        let at_cell = c.state_at.as_ref().and_then(|at| self.cell(at));
+        let has_reader =
+            |cell| self.workers.values().any(|w| w.role == Role::Reader && w.listing.cell == cell);
+        let cell = home_cell.filter(|cell| !has_reader(*cell)).or(at_cell)?;
+        self.writer_in(c, cell, home.as_ref())
+            .or_else(|| home.filter(|home| !c.full_at.contains(home) && self.cell(home) == Some(cell)))
+            .or_else(|| self.fewest(c, false, |w| w.role != Role::Reader && w.listing.cell == cell))
+            .or_else(|| self.fewest(c, false, |w| w.role != Role::Reader))
+    }
+
+    /// The unstrained writer that a cell offers: home by the design, else the relay.
+    fn writer_in(&self, c: &Completion, cell: CellId, home: Option<&WorkerId>) -> Option<WorkerId> {
+        let home = home.filter(|home| self.cell(home) == Some(cell));
+        let home = home.filter(|home| !c.full_at.contains(home) && !self.strained(home));
+        if let Some(home) = home.filter(|home| self.streams(home) <= self.median_streams()) {
+            return Some(home.clone());
         }
+        let relay = self.fewest(c, true, |w| w.role == Role::Writer && w.listing.cell == cell);
+        let other = || self.fewest(c, true, |w| w.role == Role::Mixed && w.listing.cell == cell);
+        relay.or_else(|| home.cloned()).or_else(other)
+    }
+
+    fn fewest(&self, c: &Completion, easy: bool, of: impl Fn(&Worker) -> bool) -> Option<WorkerId> {
+        let mut found = self.by_hash(c, c.facts.session.0, of);
+        found.retain(|id| !c.full_at.contains(id) && !(easy && self.strained(id)));
+        found.into_iter().min_by(|a, b| self.streams(a).total_cmp(&self.streams(b)))
+    }
+
+    fn cell(&self, id: &WorkerId) -> Option<CellId> {
+        self.workers.get(id).map(|w| w.listing.cell)
+    }
+
+    fn streams(&self, id: &WorkerId) -> f64 {
+        self.workers.get(id).map_or(f64::INFINITY, |w| f64::from(w.streams))
+    }
+
+    /// Guards against a writer that jams, whatever the cause: it holds far more of our streams than the mean,
+    /// or its first tokens take much of the latency target. Harm: histories are spread over more workers.
+    fn strained(&self, id: &WorkerId) -> bool {
+        let writing = self.workers.values().filter(|w| w.role != Role::Reader);
+        let ready: Vec<_> = writing.filter(|w| w.listing.readiness == Readiness::Ready).collect();
+        let mean = ready.iter().map(|w| f64::from(w.streams)).sum::<f64>() / ready.len().max(1) as f64;
+        let late = self.workers.get(id).is_some_and(|w| {
+            let age = (self.now_ms - w.lag_at_ms) / (self.settings.cold_ms * LAG_FADES);
+            w.lag.is_some_and(|lag| lag * 0.5f64.powf(age) > LATE)
+        });
+        self.streams(id) > CROWDED * mean + 1.0 || late
     }
 
     fn median_streams(&self) -> f64 {
@@ -579,7 +638,10 @@
         if let Some(w) = self.workers.get_mut(id) {
             w.distrust = distrust;
             w.distrust_at_ms = now_ms;
-            w.lag = mean.or(w.lag);
+            if mean.is_some() {
+                w.lag = mean;
+                w.lag_at_ms = now_ms;
+            }
         }
     }
 
