Late homes refuse at once; fresh workers get a budget; readers' kept beginnings count

Cause: jams that fed themselves by queued and retried work; bounced dispatches counted as load carried by peers.

--- a/src/control.rs
+++ b/src/control.rs
@@ -20,7 +20,7 @@
 /// Entries that the table holds at most.
 const ENTRIES_MAX: usize = 1 << 16;
 /// All routers' waiting tokens at a reader that turn completions away, as a share of the reader's memory.
-const READER_BOUND: f64 = 1.0 / 8.0;
+const READER_BOUND: f64 = 1.0 / 16.0;
 /// Distrust halves in this share of the time in which a cold worker warms.
 const DISTRUST_HALVES: f64 = 0.33;
 /// Distrust never grows past this, so that a healed worker is tried again after a few half-lives.
@@ -42,8 +42,9 @@
 /// Further dispatches after a time-out, as a share of arrivals, and how many may be saved up.
 const SPARE_SHARE: f64 = 0.1;
 const SPARE_MAX: f64 = 5.0;
-/// Part of the load that topples a cold worker which all routers together may send it.
-const FALL_MARGIN: f64 = 0.5;
+/// Share of the way to full capacity that a cold worker is trusted to have made as its time passes; some warm
+/// by work, not by time.
+const WARMING: f64 = 0.5;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
@@ -115,6 +116,10 @@
     lag_at_ms: f64,
     waiting_tokens: f64,
     streams: u32,
+    sent: f64,
+    sent_at_ms: f64,
+    /// Beginnings read there, and when.
+    prefixes: BTreeMap<PrefixId, f64>,
     /// What the table held of this worker before then is void.
     forgot_ms: f64,
 }
@@ -239,6 +244,9 @@
                 lag_at_ms: self.now_ms,
                 waiting_tokens: 0.0,
                 streams: 0,
+                sent: 0.0,
+                sent_at_ms: self.now_ms,
+                prefixes: BTreeMap::new(),
                 forgot_ms: 0.0,
             });
             if row.started_ms != worker.listing.started_ms {
@@ -326,20 +334,26 @@
         match outcome {
             Outcome::Read => {
                 c.state_at = Some(worker.clone());
+                let prefix = c.facts.prefix;
+                if let Some(w) = self.workers.get_mut(&worker) {
+                    w.prefixes.extend(prefix.map(|prefix| (prefix, self.now_ms)));
+                }
+                self.check_kept(&worker, kept, believed, sent_ms);
                 self.praise(&worker, Some(lag));
             }
             Outcome::Finished => {
                 c.state_at = None;
-                // Guards against a flush, whatever emptied the worker: what else the table holds of it is
-                // void. Harm: a single session pushed out of a full memory voids the others too.
-                if stage == Stage::Whole && kept < believed / 2.0 {
-                    if let Some(w) = self.workers.get_mut(&worker) {
-                        w.forgot_ms = w.forgot_ms.max(sent_ms);
-                    }
+                if stage == Stage::Whole {
+                    self.check_kept(&worker, kept, believed, sent_ms);
                 }
                 self.praise(&worker, None);
             }
-            Outcome::Full => c.full_at.push(worker.clone()),
+            Outcome::Full => {
+                c.full_at.push(worker.clone());
+                if let Some(w) = self.workers.get_mut(&worker) {
+                    w.sent = (w.sent - 1.0).max(0.0);
+                }
+            }
             Outcome::NoState => c.state_at = None,
             Outcome::Cancelled | Outcome::Moot => {}
             Outcome::Error | Outcome::Broken | Outcome::ConnectFailed | Outcome::TimedOut => {
@@ -395,7 +409,7 @@
             cancel_sent: false,
             sent_ms: self.now_ms,
             timeout_ms,
-            tokens: c.facts.prompt_tokens,
+            tokens: c.facts.prompt_tokens - believed,
             believed,
             may_have_run: stage != Stage::Read,
         };
@@ -446,11 +460,12 @@
         if let Some(reader) = found {
             return Some((reader.clone(), Stage::Read));
         }
-        if let Some(home) = home_free {
+        // Every reader exceeds the bound: home reads, unless that would only be late too.
+        if let Some(home) = home_free.filter(|home| !self.late(home)) {
             return Some((home, Stage::Whole));
         }
-        if let Some(reader) = all.into_iter().next() {
-            return Some((reader, Stage::Read));
+        if !all.is_empty() {
+            return None;
         }
         // No reader and no home left: any worker that reads by itself.
         let by_itself = |w: &Worker| match w.role {
@@ -505,16 +520,20 @@
     }
 
     /// Guards against a writer that jams, whatever the cause: it holds far more of our streams than the mean,
-    /// or its first tokens take much of the latency target. Harm: histories are spread over more workers.
+    /// or it is late. Harm: histories are spread over more workers.
     fn strained(&self, id: &WorkerId) -> bool {
         let writing = self.workers.values().filter(|w| w.role != Role::Reader);
         let ready: Vec<_> = writing.filter(|w| w.listing.readiness == Readiness::Ready).collect();
         let mean = ready.iter().map(|w| f64::from(w.streams)).sum::<f64>() / ready.len().max(1) as f64;
-        let late = self.workers.get(id).is_some_and(|w| {
+        self.streams(id) > CROWDED * mean + 1.0 || self.late(id)
+    }
+
+    /// First tokens or reads there have lately taken much of the latency target.
+    fn late(&self, id: &WorkerId) -> bool {
+        self.workers.get(id).is_some_and(|w| {
             let age = (self.now_ms - w.lag_at_ms) / (self.settings.cold_ms * LAG_FADES);
             w.lag.is_some_and(|lag| lag * 0.5f64.powf(age) > LATE)
-        });
-        self.streams(id) > CROWDED * mean + 1.0 || late
+        })
     }
 
     fn median_streams(&self) -> f64 {
@@ -532,12 +551,26 @@
 
     /// Tokens of the prompt that the table holds as kept at a worker.
     fn believed(&self, c: &Completion, worker: &WorkerId) -> f64 {
+        let Some(w) = self.workers.get(worker) else { return 0.0 };
+        let oldest_ms = w.forgot_ms.max(self.now_ms - ENTRY_LIFE_MS);
+        if w.role == Role::Reader {
+            let read_ms = c.facts.prefix.and_then(|prefix| w.prefixes.get(&prefix));
+            return read_ms.filter(|at_ms| **at_ms >= oldest_ms).map_or(0.0, |_| c.facts.prefix_tokens);
+        }
         let kept = self.sessions.get(&c.facts.session).filter(|kept| kept.home == *worker);
-        let forgot_ms = self.workers.get(worker).map_or(f64::INFINITY, |w| w.forgot_ms);
-        let oldest_ms = forgot_ms.max(self.now_ms - ENTRY_LIFE_MS);
         kept.filter(|kept| kept.at_ms >= oldest_ms).map_or(0.0, |kept| kept.tokens.min(c.facts.prompt_tokens))
     }
 
+    /// Guards against a flush, whatever emptied the worker: what else we hold as kept there is void.
+    /// Harm: a single text pushed out of a full memory voids the others too.
+    fn check_kept(&mut self, worker: &WorkerId, kept: f64, believed: f64, sent_ms: f64) {
+        if kept < believed / 2.0 {
+            if let Some(w) = self.workers.get_mut(worker) {
+                w.forgot_ms = w.forgot_ms.max(sent_ms);
+            }
+        }
+    }
+
     fn remember(&mut self, session: SessionId, home: &WorkerId, tokens: f64) {
         if self.sessions.len() >= ENTRIES_MAX {
             let oldest_ms = self.now_ms - ENTRY_LIFE_MS / 4.0;
@@ -579,23 +612,31 @@
             && (w.role == Role::Reader || self.may_run_again(c, w))
     }
 
-    /// Turns at a fresh worker: by its age a share of the routers may send, changing several times within
-    /// the time in which it would fall over. Guards against pushing over what just started, for whatever
+    /// Turns at a fresh worker: one router at a time, by its number, sends what the worker can do by its age,
+    /// judged by what we send its kind's others. Guards against pushing over what just started, for whatever
     /// reason it did. Harm: its sessions are spread over stand-ins for that time.
     fn our_turn(&self, w: &Worker) -> bool {
-        let Some(started_ms) = w.listing.started_ms else {
-            return true;
-        };
         let s = &self.settings;
-        let age = (self.now_ms - started_ms).max(0.0) / s.cold_ms.max(1.0);
-        if age >= 1.0 {
-            return true;
-        }
-        let share = FALL_MARGIN * s.fall_multiple * s.cold_share * (1.0 + age);
+        let Some(share) = self.fresh_share(w) else { return true };
         let routers = s.routers.max(1);
-        let at_once = ((share * routers as f64) as usize).max(1);
-        let turn = (self.now_ms / (s.fall_ms / 4.0).max(1.0)) as usize;
-        (turn + s.own_number) % routers < at_once
+        let turn = (self.now_ms / s.fall_ms.max(1.0)) as usize;
+        let peers = self.workers.values().filter(|o| o.listing.kind == w.listing.kind);
+        let peers: Vec<f64> = peers.filter(|o| self.fresh_share(o).is_none()).map(|o| self.sent(o)).collect();
+        let mean = peers.iter().sum::<f64>() / peers.len().max(1) as f64;
+        (turn + s.own_number).is_multiple_of(routers)
+            && self.sent(w) + 1.0 <= (mean * share * routers as f64).max(1.0)
+    }
+
+    /// The part of its capacity that a worker surely has when it started not long ago.
+    fn fresh_share(&self, w: &Worker) -> Option<f64> {
+        let s = &self.settings;
+        let age = (self.now_ms - w.listing.started_ms?) / s.cold_ms.max(1.0);
+        (age < 1.0).then(|| s.cold_share + (1.0 - s.cold_share) * age.max(0.0) * WARMING)
+    }
+
+    /// Our dispatches to a worker within about the time in which a cold one falls over.
+    fn sent(&self, w: &Worker) -> f64 {
+        w.sent * (-(self.now_ms - w.sent_at_ms) / self.settings.fall_ms.max(1.0)).exp()
     }
 
     /// The share of sessions that passes a worker by is its distrust beyond the median of its kind's others:
@@ -729,6 +770,9 @@
                     actions.push(Action::Dispatch { completion: id, worker, timeout_ms });
                     d.phase = Phase::Out;
                     if let Some(w) = self.workers.get_mut(&d.worker) {
+                        let age = (self.now_ms - w.sent_at_ms) / self.settings.fall_ms.max(1.0);
+                        w.sent = w.sent * (-age).exp() + 1.0;
+                        w.sent_at_ms = self.now_ms;
                         match d.stage {
                             Stage::Read => w.waiting_tokens += d.tokens,
                             _ => w.streams += 1,
