Homes keep the readers' bound on our waiting tokens; time-outs count as lag

Cause: after a flush homes held prompts for 5 to 10 s, and with no first token coming nothing showed it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -296,6 +296,10 @@
         };
         d.phase = Phase::Streaming;
         c.state_at = None;
+        if let Some(w) = self.workers.get_mut(&d.worker) {
+            w.waiting_tokens = (w.waiting_tokens - d.tokens).max(0.0);
+        }
+        d.tokens = 0.0;
         let lag = took_ms / c.target_ms;
         let (worker, session, tokens) = (d.worker.clone(), c.facts.session, c.facts.prompt_tokens);
         if self.workers.get(&worker).is_some_and(|w| w.role == Role::Mixed) {
@@ -324,9 +328,10 @@
             d.may_have_run = false;
         }
         if let Some(w) = self.workers.get_mut(&worker) {
-            match stage {
-                Stage::Read => w.waiting_tokens = (w.waiting_tokens - d.tokens).max(0.0),
-                _ => w.streams = w.streams.saturating_sub(1),
+            w.waiting_tokens = (w.waiting_tokens - d.tokens).max(0.0);
+            d.tokens = 0.0;
+            if stage != Stage::Read {
+                w.streams = w.streams.saturating_sub(1);
             }
         }
         c.over |= over;
@@ -366,6 +371,10 @@
                 };
                 if outcome == Outcome::TimedOut {
                     self.spare = (self.spare - 1.0).max(0.0);
+                    if let Some(w) = self.workers.get_mut(&worker) {
+                        w.lag = w.lag.map(|mean| mean.max(lag)).or(Some(lag));
+                        w.lag_at_ms = self.now_ms;
+                    }
                 }
                 if blamed {
                     self.blame(&worker, blame);
@@ -409,7 +418,7 @@
             cancel_sent: false,
             sent_ms: self.now_ms,
             timeout_ms,
-            tokens: c.facts.prompt_tokens - believed,
+            tokens: if stage == Stage::Write { 0.0 } else { c.facts.prompt_tokens - believed },
             believed,
             may_have_run: stage != Stage::Read,
         };
@@ -441,7 +450,7 @@
         all.retain(|reader| !c.full_at.contains(reader));
         let home_cell = home.as_ref().and_then(|home| self.cell(home));
         let has_reader = |cell| all.iter().any(|reader| self.cell(reader) == Some(cell));
-        let free = all.iter().filter(|reader| !self.reader_busy(reader));
+        let free = all.iter().filter(|reader| !self.busy(reader));
         let near = |cell: CellId| move |reader: &&&WorkerId| self.cell(reader) == Some(cell);
         let mut cells: Vec<CellId> = free.clone().filter_map(|reader| self.cell(reader)).collect();
         cells.sort_by_key(|cell| {
@@ -461,7 +470,7 @@
             return Some((reader.clone(), Stage::Read));
         }
         // Every reader exceeds the bound: home reads, unless that would only be late too.
-        if let Some(home) = home_free.filter(|home| !self.late(home)) {
+        if let Some(home) = home_free.filter(|home| !self.late(home) && !self.busy(home)) {
             return Some((home, Stage::Whole));
         }
         if !all.is_empty() {
@@ -525,7 +534,7 @@
         let writing = self.workers.values().filter(|w| w.role != Role::Reader);
         let ready: Vec<_> = writing.filter(|w| w.listing.readiness == Readiness::Ready).collect();
         let mean = ready.iter().map(|w| f64::from(w.streams)).sum::<f64>() / ready.len().max(1) as f64;
-        self.streams(id) > CROWDED * mean + 1.0 || self.late(id)
+        self.streams(id) > CROWDED * mean + 1.0 || self.busy(id) || self.late(id)
     }
 
     /// First tokens or reads there have lately taken much of the latency target.
@@ -542,8 +551,8 @@
         median(ready.map(|w| f64::from(w.streams)).collect()).unwrap_or(0.0)
     }
 
-    fn reader_busy(&self, reader: &WorkerId) -> bool {
-        self.workers.get(reader).is_none_or(|w| {
+    fn busy(&self, id: &WorkerId) -> bool {
+        self.workers.get(id).is_none_or(|w| {
             let memory = self.settings.kinds[w.listing.kind.0].memory_tokens;
             w.waiting_tokens > memory * READER_BOUND / self.settings.routers.max(1) as f64
         })
@@ -774,9 +783,10 @@
                         w.sent = w.sent * (-age).exp() + 1.0;
                         w.sent_at_ms = self.now_ms;
                         match d.stage {
-                            Stage::Read => w.waiting_tokens += d.tokens,
+                            Stage::Read => {}
                             _ => w.streams += 1,
                         }
+                        w.waiting_tokens += d.tokens;
                     }
                 }
                 Phase::Planned => d.phase = Phase::Ended,
