--- a/src/control.rs
+++ b/src/control.rs
@@ -450,7 +450,7 @@
         all.retain(|reader| !c.full_at.contains(reader));
         let home_cell = home.as_ref().and_then(|home| self.cell(home));
         let has_reader = |cell| all.iter().any(|reader| self.cell(reader) == Some(cell));
-        let free = all.iter().filter(|reader| !self.busy(reader));
+        let free = all.iter().filter(|reader| !self.busy(reader) && !self.late(reader));
         let near = |cell: CellId| move |reader: &&&WorkerId| self.cell(reader) == Some(cell);
         let mut cells: Vec<CellId> = free.clone().filter_map(|reader| self.cell(reader)).collect();
         cells.sort_by_key(|cell| {
