--- a/src/control.rs
+++ b/src/control.rs
@@ -31,7 +31,7 @@
 const SLOW_AGAINST_PEERS: f64 = 3.0;
 /// Weight of the newest answer in a worker's mean lag.
 const LAG_WEIGHT: f64 = 0.2;
-/// A writer with this many times the mean of our streams, or with first tokens that take this share of the
+/// A writer with this many times the median of our streams, or with first tokens that take this share of the
 /// latency target, is strained; the latter fades by halves in a share of the time in which a cold one warms.
 const CROWDED: f64 = 1.5;
 const LATE: f64 = 0.5;
@@ -528,13 +528,10 @@
         self.workers.get(id).map_or(f64::INFINITY, |w| f64::from(w.streams))
     }
 
-    /// Guards against a writer that jams, whatever the cause: it holds far more of our streams than the mean,
-    /// or it is late. Harm: histories are spread over more workers.
+    /// Guards against a writer that jams, whatever the cause: it holds far more of our streams than the
+    /// median, or it is late. Harm: histories are spread over more workers.
     fn strained(&self, id: &WorkerId) -> bool {
-        let writing = self.workers.values().filter(|w| w.role != Role::Reader);
-        let ready: Vec<_> = writing.filter(|w| w.listing.readiness == Readiness::Ready).collect();
-        let mean = ready.iter().map(|w| f64::from(w.streams)).sum::<f64>() / ready.len().max(1) as f64;
-        self.streams(id) > CROWDED * mean + 1.0 || self.busy(id) || self.late(id)
+        self.streams(id) > CROWDED * self.median_streams() + 1.0 || self.busy(id) || self.late(id)
     }
 
     /// First tokens or reads there have lately taken much of the latency target.
