--- a/src/control.rs
+++ b/src/control.rs
@@ -118,15 +118,19 @@
     streams: u32,
     sent: f64,
     sent_at_ms: f64,
-    /// Beginnings read there, and when.
-    prefixes: BTreeMap<PrefixId, f64>,
     /// What the table held of this worker before then is void.
     forgot_ms: f64,
 }
 
-/// A session's entry: its tokens kept at its home.
+/// A text that workers keep: what a session has said so far, or a beginning that sessions share.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Text {
+    Session(SessionId),
+    Prefix(PrefixId),
+}
+
+/// An entry of the table: tokens of a text kept at a worker.
 struct Kept {
-    home: WorkerId,
     tokens: f64,
     at_ms: f64,
 }
@@ -138,7 +142,7 @@
     now_ms: f64,
     workers: BTreeMap<WorkerId, Worker>,
     completions: BTreeMap<CompletionId, Completion>,
-    sessions: BTreeMap<SessionId, Kept>,
+    table: BTreeMap<(Text, WorkerId), Kept>,
     spare: f64,
     subscribe_wanted: bool,
 }
@@ -172,7 +176,7 @@
             now_ms: 0.0,
             workers: BTreeMap::new(),
             completions: BTreeMap::new(),
-            sessions: BTreeMap::new(),
+            table: BTreeMap::new(),
             spare: SPARE_MAX,
         }
     }
@@ -246,7 +250,6 @@
                 streams: 0,
                 sent: 0.0,
                 sent_at_ms: self.now_ms,
-                prefixes: BTreeMap::new(),
                 forgot_ms: 0.0,
             });
             if row.started_ms != worker.listing.started_ms {
@@ -301,9 +304,9 @@
         }
         d.tokens = 0.0;
         let lag = took_ms / c.target_ms;
-        let (worker, session, tokens) = (d.worker.clone(), c.facts.session, c.facts.prompt_tokens);
+        let (worker, facts) = (d.worker.clone(), c.facts.clone());
         if self.workers.get(&worker).is_some_and(|w| w.role == Role::Mixed) {
-            self.remember(session, &worker, tokens);
+            self.remember(&facts, &worker);
         }
         self.praise(&worker, Some(lag));
         self.reconcile(id, actions);
@@ -339,10 +342,8 @@
         match outcome {
             Outcome::Read => {
                 c.state_at = Some(worker.clone());
-                let prefix = c.facts.prefix;
-                if let Some(w) = self.workers.get_mut(&worker) {
-                    w.prefixes.extend(prefix.map(|prefix| (prefix, self.now_ms)));
-                }
+                let facts = c.facts.clone();
+                self.remember(&facts, &worker);
                 self.check_kept(&worker, kept, believed, sent_ms);
                 self.praise(&worker, Some(lag));
             }
@@ -448,14 +449,18 @@
         let key = c.facts.prefix.map_or(c.facts.session.0, |prefix| prefix.0);
         let mut all = self.by_hash(c, key, |w| w.role == Role::Reader);
         all.retain(|reader| !c.full_at.contains(reader));
+        // Guards against the relay loop: a turn that home has not kept goes first to the reader that read the
+        // session's last one, so that it is not read from its beginning. Harm: hot sessions stay together.
+        let own = |reader: &WorkerId| self.believed(c, reader) > c.facts.prefix_tokens;
+        all.sort_by_key(|reader| !own(reader));
         let home_cell = home.as_ref().and_then(|home| self.cell(home));
         let has_reader = |cell| all.iter().any(|reader| self.cell(reader) == Some(cell));
         let free = all.iter().filter(|reader| !self.busy(reader) && !self.late(reader));
         let near = |cell: CellId| move |reader: &&&WorkerId| self.cell(reader) == Some(cell);
         let mut cells: Vec<CellId> = free.clone().filter_map(|reader| self.cell(reader)).collect();
-        cells.sort_by_key(|cell| {
-            (Some(*cell) != home_cell, std::cmp::Reverse(mix(c.facts.session.0, cell.0.into())))
-        });
+        let own_cell = all.first().filter(|reader| own(reader)).and_then(|reader| self.cell(reader));
+        let by_hash = |cell: CellId| std::cmp::Reverse(mix(c.facts.session.0, cell.0.into()));
+        cells.sort_by_key(|cell| (Some(*cell) != home_cell, Some(*cell) != own_cell, by_hash(*cell)));
         let found = match home_cell {
             // The ordinary path where home's cell has no reader.
             Some(cell) if !has_reader(cell) && self.writer_in(c, cell, home.as_ref()).is_some() => {
@@ -559,12 +564,11 @@
     fn believed(&self, c: &Completion, worker: &WorkerId) -> f64 {
         let Some(w) = self.workers.get(worker) else { return 0.0 };
         let oldest_ms = w.forgot_ms.max(self.now_ms - ENTRY_LIFE_MS);
-        if w.role == Role::Reader {
-            let read_ms = c.facts.prefix.and_then(|prefix| w.prefixes.get(&prefix));
-            return read_ms.filter(|at_ms| **at_ms >= oldest_ms).map_or(0.0, |_| c.facts.prefix_tokens);
-        }
-        let kept = self.sessions.get(&c.facts.session).filter(|kept| kept.home == *worker);
-        kept.filter(|kept| kept.at_ms >= oldest_ms).map_or(0.0, |kept| kept.tokens.min(c.facts.prompt_tokens))
+        let entry = |text| self.table.get(&(text, worker.clone())).filter(|kept| kept.at_ms >= oldest_ms);
+        let session = entry(Text::Session(c.facts.session)).map_or(0.0, |kept| kept.tokens);
+        let prefix = c.facts.prefix.filter(|_| w.role == Role::Reader);
+        let prefix = prefix.and_then(|prefix| entry(Text::Prefix(prefix))).map_or(0.0, |kept| kept.tokens);
+        session.max(prefix).min(c.facts.prompt_tokens)
     }
 
     /// Guards against a flush, whatever emptied the worker: what else we hold as kept there is void.
@@ -577,12 +581,16 @@
         }
     }
 
-    fn remember(&mut self, session: SessionId, home: &WorkerId, tokens: f64) {
-        if self.sessions.len() >= ENTRIES_MAX {
-            let oldest_ms = self.now_ms - ENTRY_LIFE_MS / 4.0;
-            self.sessions.retain(|_, kept| kept.at_ms >= oldest_ms);
+    fn remember(&mut self, facts: &Arrival, worker: &WorkerId) {
+        let at_ms = self.now_ms;
+        if self.table.len() >= ENTRIES_MAX {
+            self.table.retain(|_, kept| kept.at_ms >= at_ms - ENTRY_LIFE_MS / 4.0);
+        }
+        let session = (Text::Session(facts.session), facts.prompt_tokens);
+        let prefix = facts.prefix.map(|prefix| (Text::Prefix(prefix), facts.prefix_tokens));
+        for (text, tokens) in [Some(session), prefix].into_iter().flatten() {
+            self.table.insert((text, worker.clone()), Kept { tokens, at_ms });
         }
-        self.sessions.insert(session, Kept { home: home.clone(), tokens, at_ms: self.now_ms });
     }
 
     // ---- which workers may be used ----
