--- a/src/control.rs
+++ b/src/control.rs
@@ -37,8 +37,8 @@
 const LATE: f64 = 0.5;
 const LAG_FADES: f64 = 0.1;
 /// Shares of the latency target that a dispatch may take before another worker is tried.
-const READ_PATIENCE: f64 = 1.2;
-const WRITE_PATIENCE: f64 = 1.2;
+const READ_PATIENCE: f64 = 2.0;
+const WRITE_PATIENCE: f64 = 2.0;
 /// Further dispatches after a time-out, as a share of arrivals, and how many may be saved up.
 const SPARE_SHARE: f64 = 0.1;
 const SPARE_MAX: f64 = 5.0;
