--- a/src/control.rs
+++ b/src/control.rs
@@ -36,9 +36,8 @@
 const CROWDED: f64 = 1.5;
 const LATE: f64 = 0.5;
 const LAG_FADES: f64 = 0.1;
-/// Shares of the latency target that a dispatch may take before another worker is tried.
-const READ_PATIENCE: f64 = 2.0;
-const WRITE_PATIENCE: f64 = 2.0;
+/// Latency targets that a dispatch may take before another worker is tried.
+const PATIENCE: f64 = 2.0;
 /// Further dispatches after a time-out, as a share of arrivals, and how many may be saved up.
 const SPARE_SHARE: f64 = 0.1;
 const SPARE_MAX: f64 = 5.0;
@@ -410,7 +409,7 @@
             return self.give_up(id);
         };
         let believed = self.believed(c, &worker);
-        let timeout_ms = self.patience(c, stage);
+        let timeout_ms = self.patience(c);
         let dispatch = Dispatch {
             worker,
             stage,
@@ -475,7 +474,7 @@
             return Some((reader.clone(), Stage::Read));
         }
         // Every reader exceeds the bound: home reads, unless that would only be late too.
-        if let Some(home) = home_free.filter(|home| !self.late(home) && !self.busy(home)) {
+        if let Some(home) = home_easy {
             return Some((home, Stage::Whole));
         }
         if !all.is_empty() {
@@ -704,14 +703,13 @@
 
     /// How long a dispatch may take. Guards against workers that went silent. Harm: under a jam that all
     /// share, more tries make it worse; hence the budget.
-    fn patience(&self, c: &Completion, stage: Stage) -> f64 {
+    fn patience(&self, c: &Completion) -> f64 {
         let left_ms = c.facts.client_timeout_ms - self.now_ms;
-        let share = if stage == Stage::Read { READ_PATIENCE } else { WRITE_PATIENCE };
         let last = c.dispatches.len() + 2 >= self.settings.max_dispatches;
         if last || self.spare < 1.0 || self.now_ms > c.arrived_ms + c.target_ms {
             return left_ms;
         }
-        (share * c.target_ms).min(left_ms)
+        (PATIENCE * c.target_ms).min(left_ms)
     }
 
     fn ran<'a>(&self, c: &'a Completion) -> impl Iterator<Item = &'a Dispatch> {
