--- a/src/control.rs
+++ b/src/control.rs
@@ -1,11 +1,13 @@
 //! Decides where each completion is read and written. A caller (`crates/drill` behind the simulator's wire)
 //! gives every event of one router to `Control::handle` with the clock and carries out the actions in order;
-//! `src/interface.rs` defines both. The design (docs/design.md) decides the ordinary path: `plan`, `read_at`, `write_at`.
-//! Beside it stand these mechanisms:
+//! `src/interface.rs` defines both. The design (docs/design.md) decides the ordinary path: `plan`, `read_at`
+//! and `write_at`. Beside it stand these mechanisms:
 //! 1. distrust: a fading score per worker; the share of sessions that pass it by follows the score.
-//! 2. turns: routers take turns at a fresh worker by their own number.
-//! 3. patience: a dispatch that hangs past its share of the latency target is tried elsewhere, within a budget.
-//! 4. effect guard: what may run again, where, and what may be rate-limited.
+//! 2. turns: routers take turns at a fresh worker by their own number, within a budget by its age.
+//! 3. strain: a crowded, busy or late worker is passed by; where all are, the completion is rate-limited.
+//! 4. patience: a dispatch that hangs far past its latency target is tried elsewhere, within a budget.
+//! 5. effect guard: what may run again, where, and what may be rate-limited.
+//! 6. letting go: a timer before the client timeout answers; what is over is cancelled and released.
 
 use std::collections::BTreeMap;
 
@@ -27,8 +29,10 @@
 const DISTRUST_MAX: f64 = 2.0;
 /// What a good answer leaves of the distrust.
 const FORGIVEN: f64 = 0.8;
-/// A worker this many times slower than the median of its kind's others is blamed.
+/// A worker this many times slower than the median of its kind's others is blamed, if its mean lag is also
+/// this share of the latency target.
 const SLOW_AGAINST_PEERS: f64 = 3.0;
+const SLOW_AT_LEAST: f64 = 0.3;
 /// Weight of the newest answer in a worker's mean lag.
 const LAG_WEIGHT: f64 = 0.2;
 /// A writer with this many times the median of our streams, or with first tokens that take this share of the
@@ -63,12 +67,6 @@
     Ended,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Answer {
-    RateLimit,
-    Abort,
-}
-
 /// Lives for one dispatch.
 struct Dispatch {
     worker: WorkerId,
@@ -89,38 +87,49 @@
 /// Lives until a completion is answered and its last dispatch has ended.
 struct Completion {
     facts: Arrival,
-    arrived_ms: f64,
     target_ms: f64,
     dispatches: Vec<Dispatch>,
-    failed_at: Vec<WorkerId>,
-    full_at: Vec<WorkerId>,
-    /// Present: the reader at which a state waits. `keep_state` is the wanted side.
+    /// Workers that failed it or turned it away.
+    avoid: Vec<WorkerId>,
+    /// The reader at which a state waits; wanted until the completion is over.
     state_at: Option<WorkerId>,
-    keep_state: bool,
-    wanted_answer: Option<Answer>,
+    /// The final answer, wanted and present.
+    answer: Option<Action>,
     over: bool,
-    /// Clock time at which to be woken, wanted and present.
+    /// Clock time at which to be woken, and whether that is asked for.
     wake_ms: f64,
-    armed_ms: f64,
+    armed: bool,
 }
 
 /// Lives as long as a worker is known.
 struct Worker {
     listing: Listing,
     role: Role,
-    distrust: f64,
-    distrust_at_ms: f64,
+    distrust: Fading,
     /// Mean of the time to a read's end or a first token, as a share of the latency target.
-    lag: Option<f64>,
-    lag_at_ms: f64,
+    lag: Fading,
+    /// Our dispatches of late, those turned away left out.
+    sent: Fading,
+    /// Of our dispatches out: tokens not yet read, and those that write or wait to.
     waiting_tokens: f64,
     streams: u32,
-    sent: f64,
-    sent_at_ms: f64,
     /// What the table held of this worker before then is void.
     forgot_ms: f64,
 }
 
+/// A value that halves as time passes since it was set.
+#[derive(Clone, Copy, Default)]
+struct Fading {
+    value: f64,
+    at_ms: f64,
+}
+
+impl Fading {
+    fn at(&self, now_ms: f64, half_ms: f64) -> f64 {
+        self.value * 0.5f64.powf((now_ms - self.at_ms) / half_ms.max(1.0))
+    }
+}
+
 /// A text that workers keep: what a session has said so far, or a beginning that sessions share.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Text {
@@ -143,7 +152,6 @@
     completions: BTreeMap<CompletionId, Completion>,
     table: BTreeMap<(Text, WorkerId), Kept>,
     spare: f64,
-    subscribe_wanted: bool,
 }
 
 /// Stable in every process: FNV-1a over the name, mixed with the key.
@@ -169,7 +177,6 @@
 impl Control {
     pub fn new(settings: Settings, seed: u64) -> Self {
         Control {
-            subscribe_wanted: settings.must_subscribe,
             settings,
             rng: fastrand::Rng::with_seed(seed),
             now_ms: 0.0,
@@ -193,40 +200,32 @@
             Event::Expired { completion } => {
                 if let Some(c) = self.completions.get_mut(completion) {
                     c.over = true;
-                    c.keep_state = false;
                 }
                 self.reconcile(*completion, actions);
             }
             Event::TimerFired(Timer::Completion(completion)) => {
-                if let Some(c) = self.completions.get_mut(completion) {
-                    c.armed_ms = f64::INFINITY;
-                    let streaming = c.dispatches.iter().any(|d| d.phase == Phase::Streaming);
-                    if !c.over && !streaming && now_ms >= c.wake_ms {
-                        self.give_up(*completion);
-                    }
+                let begun = |c: &Completion| c.dispatches.iter().any(|d| d.phase == Phase::Streaming);
+                if self.completions.get(completion).is_some_and(|c| !c.over && !begun(c)) {
+                    self.give_up(*completion);
                 }
                 self.reconcile(*completion, actions);
             }
-            Event::TimerFired(Timer::Subscribe) => {
-                if self.subscribe_wanted {
-                    self.subscribe_wanted = false;
-                    actions.push(Action::Subscribe);
-                }
-            }
-            Event::Probed { .. } | Event::Reported { .. } => {}
-            Event::HoldAnswered { .. } | Event::Told { .. } => {}
+            Event::TimerFired(Timer::Subscribe) => actions.push(Action::Subscribe),
+            // Nothing is probed, held or told, and reports are later than our own counts.
+            Event::Probed { .. }
+            | Event::Reported { .. }
+            | Event::HoldAnswered { .. }
+            | Event::Told { .. } => {}
         }
     }
 
     fn listed(&mut self, kind: ListKind, rows: &[Listing], actions: &mut Vec<Action>) {
         if kind == ListKind::Failed {
-            self.subscribe_wanted = true;
             let in_ms = self.settings.must_ask_in_ms * (0.1 + 0.1 * self.rng.f64());
             actions.push(Action::Arm { in_ms, timer: Timer::Subscribe });
             return;
         }
-        if self.subscribe_wanted {
-            self.subscribe_wanted = false;
+        if kind == ListKind::Saved && self.settings.must_subscribe {
             actions.push(Action::Subscribe);
         }
         if kind != ListKind::Changes {
@@ -235,27 +234,22 @@
             }
         }
         for row in rows {
-            let Some(kind) = self.settings.kinds.get(row.kind.0) else {
-                continue;
-            };
+            let Some(kind) = self.settings.kinds.get(row.kind.0) else { continue };
             let worker = self.workers.entry(row.worker.clone()).or_insert_with(|| Worker {
                 listing: row.clone(),
                 role: kind.role,
-                distrust: 0.0,
-                distrust_at_ms: self.now_ms,
-                lag: None,
-                lag_at_ms: self.now_ms,
+                distrust: Fading::default(),
+                lag: Fading::default(),
+                sent: Fading::default(),
                 waiting_tokens: 0.0,
                 streams: 0,
-                sent: 0.0,
-                sent_at_ms: self.now_ms,
                 forgot_ms: 0.0,
             });
             if row.started_ms != worker.listing.started_ms {
                 // A new process has kept nothing and carries no blame.
                 worker.forgot_ms = self.now_ms;
-                worker.distrust = 0.0;
-                worker.lag = None;
+                worker.distrust = Fading::default();
+                worker.lag = Fading::default();
             }
             worker.listing = row.clone();
         }
@@ -264,25 +258,20 @@
     }
 
     fn arrived(&mut self, facts: &Arrival, actions: &mut Vec<Action>) {
-        let Some(workload) = self.settings.workloads.get(facts.workload.0) else {
-            return;
-        };
+        let Some(workload) = self.settings.workloads.get(facts.workload.0) else { return };
         let target_ms = workload.latency_target_ms + workload.target_per_token_ms * facts.prompt_tokens;
         self.spare = (self.spare + SPARE_SHARE).min(SPARE_MAX);
         let completion = Completion {
             facts: facts.clone(),
-            arrived_ms: self.now_ms,
             target_ms,
             dispatches: Vec::new(),
-            failed_at: Vec::new(),
-            full_at: Vec::new(),
+            avoid: Vec::new(),
             state_at: None,
-            keep_state: true,
-            wanted_answer: None,
+            answer: None,
             over: false,
             // The last moment at which a final answer surely is in time, if every outcome stays away.
             wake_ms: facts.client_timeout_ms - 2.0 * self.settings.resolution_ms,
-            armed_ms: f64::INFINITY,
+            armed: false,
         };
         self.completions.insert(facts.completion, completion);
         self.plan(facts.completion);
@@ -290,105 +279,83 @@
     }
 
     fn began(&mut self, id: CompletionId, seq: Seq, took_ms: f64, actions: &mut Vec<Action>) {
-        let Some(c) = self.completions.get_mut(&id) else {
-            return;
-        };
-        let Some(d) = c.dispatches.get_mut(seq.0 as usize) else {
-            return;
-        };
+        let Some(c) = self.completions.get_mut(&id) else { return };
+        let Some(d) = c.dispatches.get_mut(seq.0 as usize) else { return };
         d.phase = Phase::Streaming;
         c.state_at = None;
-        if let Some(w) = self.workers.get_mut(&d.worker) {
-            w.waiting_tokens = (w.waiting_tokens - d.tokens).max(0.0);
-        }
-        d.tokens = 0.0;
-        let lag = took_ms / c.target_ms;
-        let (worker, facts) = (d.worker.clone(), c.facts.clone());
-        if self.workers.get(&worker).is_some_and(|w| w.role == Role::Mixed) {
-            self.remember(&facts, &worker);
+        let (lag, worker, facts) = (took_ms / c.target_ms, d.worker.clone(), c.facts.clone());
+        let tokens = std::mem::take(&mut d.tokens);
+        if let Some(w) = self.workers.get_mut(&worker) {
+            w.waiting_tokens = (w.waiting_tokens - tokens).max(0.0);
+            if w.role == Role::Mixed {
+                self.remember(&facts, &worker);
+            }
         }
         self.praise(&worker, Some(lag));
         self.reconcile(id, actions);
     }
 
     fn ended(&mut self, id: CompletionId, seq: Seq, took_ms: f64, over: bool, outcome: Outcome, kept: f64) {
-        let Some(c) = self.completions.get_mut(&id) else {
-            return;
-        };
-        let Some(d) = c.dispatches.get_mut(seq.0 as usize) else {
-            return;
-        };
-        let began = d.phase == Phase::Streaming;
-        let wanted = d.wanted;
+        let Some(c) = self.completions.get_mut(&id) else { return };
+        let Some(d) = c.dispatches.get_mut(seq.0 as usize) else { return };
+        use Outcome::*;
+        let (began, wanted) = (d.phase == Phase::Streaming, d.wanted);
         let (worker, stage, believed, sent_ms) = (d.worker.clone(), d.stage, d.believed, d.sent_ms);
-        d.phase = Phase::Ended;
-        d.wanted = false;
-        if matches!(
-            outcome,
-            Outcome::Full | Outcome::NoState | Outcome::ConnectFailed | Outcome::Moot | Outcome::Read
-        ) {
-            d.may_have_run = false;
-        }
+        (d.phase, d.wanted) = (Phase::Ended, false);
+        d.may_have_run &= !matches!(outcome, Full | NoState | ConnectFailed | Moot | Read);
+        let tokens = std::mem::take(&mut d.tokens);
+        let lag = took_ms / c.target_ms;
+        c.over |= over;
         if let Some(w) = self.workers.get_mut(&worker) {
-            w.waiting_tokens = (w.waiting_tokens - d.tokens).max(0.0);
-            d.tokens = 0.0;
-            if stage != Stage::Read {
-                w.streams = w.streams.saturating_sub(1);
+            w.waiting_tokens = (w.waiting_tokens - tokens).max(0.0);
+            w.streams = w.streams.saturating_sub(u32::from(stage != Stage::Read));
+            match outcome {
+                // What was turned away is no sign of what a worker carries.
+                Full => w.sent.value = (w.sent.value - 1.0).max(0.0),
+                TimedOut => w.lag = Fading { value: w.lag.value.max(lag), at_ms: self.now_ms },
+                _ => {}
             }
         }
-        c.over |= over;
-        let lag = took_ms / c.target_ms;
         match outcome {
-            Outcome::Read => {
+            Read => {
                 c.state_at = Some(worker.clone());
                 let facts = c.facts.clone();
                 self.remember(&facts, &worker);
                 self.check_kept(&worker, kept, believed, sent_ms);
                 self.praise(&worker, Some(lag));
             }
-            Outcome::Finished => {
+            Finished => {
                 c.state_at = None;
                 if stage == Stage::Whole {
                     self.check_kept(&worker, kept, believed, sent_ms);
                 }
                 self.praise(&worker, None);
             }
-            Outcome::Full => {
-                c.full_at.push(worker.clone());
-                if let Some(w) = self.workers.get_mut(&worker) {
-                    w.sent = (w.sent - 1.0).max(0.0);
-                }
-            }
-            Outcome::NoState => c.state_at = None,
-            Outcome::Cancelled | Outcome::Moot => {}
-            Outcome::Error | Outcome::Broken | Outcome::ConnectFailed | Outcome::TimedOut => {
-                c.failed_at.push(worker.clone());
-                let (blame, blamed) = match outcome {
-                    Outcome::ConnectFailed | Outcome::Broken => (0.6, true),
-                    Outcome::Error => (0.3, true),
+            Full => c.avoid.push(worker),
+            NoState => c.state_at = None,
+            Cancelled | Moot => {}
+            Error | Broken | ConnectFailed | TimedOut => {
+                c.avoid.push(worker.clone());
+                let blame = match outcome {
+                    ConnectFailed | Broken => 0.6,
+                    Error => 0.3,
                     // A dispatch cut short by the client's own timeout says little of the worker.
-                    _ => (0.4, wanted && !c.over && self.now_ms < c.wake_ms),
+                    _ if wanted && !c.over && self.now_ms < c.wake_ms => 0.4,
+                    _ => 0.0,
                 };
-                if outcome == Outcome::TimedOut {
+                if outcome == TimedOut {
                     self.spare = (self.spare - 1.0).max(0.0);
-                    if let Some(w) = self.workers.get_mut(&worker) {
-                        w.lag = w.lag.map(|mean| mean.max(lag)).or(Some(lag));
-                        w.lag_at_ms = self.now_ms;
-                    }
-                }
-                if blamed {
-                    self.blame(&worker, blame);
                 }
+                self.blame(&worker, blame);
             }
         }
-        let Some(c) = self.completions.get_mut(&id) else {
+        let Some(c) = self.completions.get_mut(&id) else { return };
+        if c.over || c.answer.is_some() {
             return;
-        };
-        if c.over || c.wanted_answer.is_some() {
-            c.keep_state = false;
-        } else if began || outcome == Outcome::Moot || self.now_ms >= c.wake_ms {
+        }
+        if began || outcome == Moot || self.now_ms >= c.wake_ms {
             self.give_up(id);
-        } else if !c.dispatches.iter().any(|d| d.phase != Phase::Ended) {
+        } else if c.dispatches.iter().all(|d| d.phase == Phase::Ended) {
             self.plan(id);
         }
     }
@@ -397,9 +364,7 @@
 
     /// What should be out next for a completion that has nothing out.
     fn plan(&mut self, id: CompletionId) {
-        let Some(c) = self.completions.get(&id) else {
-            return;
-        };
+        let Some(c) = self.completions.get(&id) else { return };
         let next = match c.state_at {
             Some(_) => self.write_at(c).map(|worker| (worker, Stage::Write)),
             None => self.read_at(c),
@@ -409,18 +374,17 @@
             return self.give_up(id);
         };
         let believed = self.believed(c, &worker);
-        let timeout_ms = self.patience(c);
         let dispatch = Dispatch {
-            worker,
             stage,
             wanted: true,
             phase: Phase::Planned,
             cancel_sent: false,
             sent_ms: self.now_ms,
-            timeout_ms,
+            timeout_ms: self.patience(c),
             tokens: if stage == Stage::Write { 0.0 } else { c.facts.prompt_tokens - believed },
             believed,
             may_have_run: stage != Stage::Read,
+            worker,
         };
         if let Some(c) = self.completions.get_mut(&id) {
             c.dispatches.push(dispatch);
@@ -429,7 +393,7 @@
 
     /// Home: a mixed server by session hash; the next in hash order stands in for one that can't be used.
     fn home(&self, c: &Completion) -> Option<WorkerId> {
-        self.first_by_hash(c, c.facts.session.0, |w| w.role == Role::Mixed)
+        self.by_hash(c, c.facts.session.0, |w| w.role == Role::Mixed).into_iter().next()
     }
 
     /// Read at home what it keeps for the most part, or what is short; else at a reader of home's cell, and
@@ -437,8 +401,7 @@
     /// in which nothing can write unstrained hands the whole path to the next cell by session hash.
     fn read_at(&self, c: &Completion) -> Option<(WorkerId, Stage)> {
         let home = self.home(c);
-        let home_free = home.clone().filter(|home| !c.full_at.contains(home));
-        let home_easy = home_free.clone().filter(|home| !self.strained(home));
+        let home_easy = home.clone().filter(|home| !c.avoid.contains(home) && !self.strained(home));
         let uncovered = c.facts.prompt_tokens - home.as_ref().map_or(0.0, |home| self.believed(c, home));
         if let Some(home) = &home_easy {
             if uncovered < (1.0 - COVERED) * c.facts.prompt_tokens || uncovered < SHORT_READ_TOKENS {
@@ -447,7 +410,7 @@
         }
         let key = c.facts.prefix.map_or(c.facts.session.0, |prefix| prefix.0);
         let mut all = self.by_hash(c, key, |w| w.role == Role::Reader);
-        all.retain(|reader| !c.full_at.contains(reader));
+        all.retain(|reader| !c.avoid.contains(reader));
         // Guards against the relay loop: a turn that home has not kept goes first to the reader that read the
         // session's last one, so that it is not read from its beginning. Harm: hot sessions stay together.
         let own = |reader: &WorkerId| self.believed(c, reader) > c.facts.prefix_tokens;
@@ -455,40 +418,30 @@
         let home_cell = home.as_ref().and_then(|home| self.cell(home));
         let has_reader = |cell| all.iter().any(|reader| self.cell(reader) == Some(cell));
         let free = all.iter().filter(|reader| !self.busy(reader) && !self.late(reader));
-        let near = |cell: CellId| move |reader: &&&WorkerId| self.cell(reader) == Some(cell);
-        let mut cells: Vec<CellId> = free.clone().filter_map(|reader| self.cell(reader)).collect();
         let own_cell = all.first().filter(|reader| own(reader)).and_then(|reader| self.cell(reader));
         let by_hash = |cell: CellId| std::cmp::Reverse(mix(c.facts.session.0, cell.0.into()));
+        let mut cells: Vec<CellId> = free.clone().filter_map(|reader| self.cell(reader)).collect();
         cells.sort_by_key(|cell| (Some(*cell) != home_cell, Some(*cell) != own_cell, by_hash(*cell)));
+        let writes = |cell: &CellId| self.writer_in(c, *cell, home.as_ref()).is_some();
         let found = match home_cell {
             // The ordinary path where home's cell has no reader.
-            Some(cell) if !has_reader(cell) && self.writer_in(c, cell, home.as_ref()).is_some() => {
-                free.clone().next()
-            }
-            _ => cells
-                .into_iter()
-                .filter(|cell| self.writer_in(c, *cell, home.as_ref()).is_some())
-                .find_map(|cell| free.clone().find(|reader| near(cell)(&reader))),
+            Some(cell) if !has_reader(cell) && writes(&cell) => free.clone().next(),
+            _ => cells.into_iter().filter(writes).find_map(|cell| {
+                let mut near = free.clone().filter(|reader| self.cell(reader) == Some(cell));
+                near.next()
+            }),
         };
         if let Some(reader) = found {
             return Some((reader.clone(), Stage::Read));
         }
         // Every reader exceeds the bound: home reads, unless that would only be late too.
-        if let Some(home) = home_easy {
-            return Some((home, Stage::Whole));
-        }
-        if !all.is_empty() {
-            return None;
+        if home_easy.is_some() || !all.is_empty() {
+            return home_easy.map(|home| (home, Stage::Whole));
         }
         // No reader and no home left: any worker that reads by itself.
-        let by_itself = |w: &Worker| match w.role {
-            Role::Mixed => true,
-            Role::Writer => self.settings.writers_read,
-            Role::Reader => false,
-        };
-        let mut rest = self.by_hash(c, c.facts.session.0, by_itself);
-        rest.retain(|worker| !c.full_at.contains(worker));
-        rest.into_iter().next().map(|worker| (worker, Stage::Whole))
+        let writers_read = self.settings.writers_read;
+        let by_itself = |w: &Worker| w.role == Role::Mixed || w.role == Role::Writer && writers_read;
+        self.fewest(c, false, by_itself).map(|worker| (worker, Stage::Whole))
     }
 
     /// Write at home; if it answered full or holds more of our streams than the median, at the pure writer
@@ -501,15 +454,15 @@
             |cell| self.workers.values().any(|w| w.role == Role::Reader && w.listing.cell == cell);
         let cell = home_cell.filter(|cell| !has_reader(*cell)).or(at_cell)?;
         self.writer_in(c, cell, home.as_ref())
-            .or_else(|| home.filter(|home| !c.full_at.contains(home) && self.cell(home) == Some(cell)))
+            .or_else(|| home.filter(|home| !c.avoid.contains(home) && self.cell(home) == Some(cell)))
             .or_else(|| self.fewest(c, false, |w| w.role != Role::Reader && w.listing.cell == cell))
             .or_else(|| self.fewest(c, false, |w| w.role != Role::Reader))
     }
 
     /// The unstrained writer that a cell offers: home by the design, else the relay.
     fn writer_in(&self, c: &Completion, cell: CellId, home: Option<&WorkerId>) -> Option<WorkerId> {
-        let home = home.filter(|home| self.cell(home) == Some(cell));
-        let home = home.filter(|home| !c.full_at.contains(home) && !self.strained(home));
+        let home = home.filter(|home| self.cell(home) == Some(cell) && !c.avoid.contains(home));
+        let home = home.filter(|home| !self.strained(home));
         if let Some(home) = home.filter(|home| self.streams(home) <= self.median_streams()) {
             return Some(home.clone());
         }
@@ -520,7 +473,7 @@
 
     fn fewest(&self, c: &Completion, easy: bool, of: impl Fn(&Worker) -> bool) -> Option<WorkerId> {
         let mut found = self.by_hash(c, c.facts.session.0, of);
-        found.retain(|id| !c.full_at.contains(id) && !(easy && self.strained(id)));
+        found.retain(|id| !(c.avoid.contains(id) || easy && self.strained(id)));
         found.into_iter().min_by(|a, b| self.streams(a).total_cmp(&self.streams(b)))
     }
 
@@ -540,10 +493,8 @@
 
     /// First tokens or reads there have lately taken much of the latency target.
     fn late(&self, id: &WorkerId) -> bool {
-        self.workers.get(id).is_some_and(|w| {
-            let age = (self.now_ms - w.lag_at_ms) / (self.settings.cold_ms * LAG_FADES);
-            w.lag.is_some_and(|lag| lag * 0.5f64.powf(age) > LATE)
-        })
+        let half_ms = self.settings.cold_ms * LAG_FADES;
+        self.workers.get(id).is_some_and(|w| w.lag.at(self.now_ms, half_ms) > LATE)
     }
 
     fn median_streams(&self) -> f64 {
@@ -597,30 +548,19 @@
     /// Usable workers in hash order. Where distrust leaves none, the distrusted ones.
     fn by_hash(&self, c: &Completion, key: u64, of: impl Fn(&Worker) -> bool) -> Vec<WorkerId> {
         let usable = |trusted: bool| {
-            let mut found: Vec<_> = self
-                .workers
-                .iter()
-                .filter(|(id, w)| of(w) && self.open(c, id, w) && (!trusted || self.trusted(c, id, w)))
-                .map(|(id, _)| (std::cmp::Reverse(rank(id, key)), id.clone()))
-                .collect();
+            let fits =
+                |id: &WorkerId, w: &Worker| of(w) && self.open(c, w) && (!trusted || self.trusted(c, id, w));
+            let found = self.workers.iter().filter(|(id, w)| fits(id, w));
+            let mut found: Vec<_> =
+                found.map(|(id, _)| (std::cmp::Reverse(rank(id, key)), id.clone())).collect();
             found.sort();
             found.into_iter().map(|(_, id)| id).collect::<Vec<_>>()
         };
-        let found = usable(true);
-        if found.is_empty() {
-            usable(false)
-        } else {
-            found
-        }
-    }
-
-    fn first_by_hash(&self, c: &Completion, key: u64, of: impl Fn(&Worker) -> bool) -> Option<WorkerId> {
-        self.by_hash(c, key, of).into_iter().next()
+        Some(usable(true)).filter(|found| !found.is_empty()).unwrap_or_else(|| usable(false))
     }
 
-    fn open(&self, c: &Completion, id: &WorkerId, w: &Worker) -> bool {
+    fn open(&self, c: &Completion, w: &Worker) -> bool {
         w.listing.readiness == Readiness::Ready
-            && !c.failed_at.contains(id)
             && self.our_turn(w)
             && (w.role == Role::Reader || self.may_run_again(c, w))
     }
@@ -634,10 +574,13 @@
         let routers = s.routers.max(1);
         let turn = (self.now_ms / s.fall_ms.max(1.0)) as usize;
         let peers = self.workers.values().filter(|o| o.listing.kind == w.listing.kind);
-        let peers: Vec<f64> = peers.filter(|o| self.fresh_share(o).is_none()).map(|o| self.sent(o)).collect();
+        let peers: Vec<f64> = peers
+            .filter(|o| self.fresh_share(o).is_none())
+            .map(|o| o.sent.at(self.now_ms, s.fall_ms))
+            .collect();
         let mean = peers.iter().sum::<f64>() / peers.len().max(1) as f64;
         (turn + s.own_number).is_multiple_of(routers)
-            && self.sent(w) + 1.0 <= (mean * share * routers as f64).max(1.0)
+            && w.sent.at(self.now_ms, s.fall_ms) + 1.0 <= (mean * share * routers as f64).max(1.0)
     }
 
     /// The part of its capacity that a worker surely has when it started not long ago.
@@ -647,11 +590,6 @@
         (age < 1.0).then(|| s.cold_share + (1.0 - s.cold_share) * age.max(0.0) * WARMING)
     }
 
-    /// Our dispatches to a worker within about the time in which a cold one falls over.
-    fn sent(&self, w: &Worker) -> f64 {
-        w.sent * (-(self.now_ms - w.sent_at_ms) / self.settings.fall_ms.max(1.0)).exp()
-    }
-
     /// The share of sessions that passes a worker by is its distrust beyond the median of its kind's others:
     /// what a whole pool shares is no sign of a sick worker.
     fn trusted(&self, c: &Completion, id: &WorkerId, w: &Worker) -> bool {
@@ -662,41 +600,35 @@
     }
 
     fn distrust(&self, w: &Worker) -> f64 {
-        let half_ms = self.settings.cold_ms * DISTRUST_HALVES;
-        w.distrust * 0.5f64.powf((self.now_ms - w.distrust_at_ms) / half_ms.max(1.0))
+        w.distrust.at(self.now_ms, self.settings.cold_ms * DISTRUST_HALVES)
     }
 
     fn blame(&mut self, id: &WorkerId, by: f64) {
         let Some(w) = self.workers.get(id) else { return };
-        let distrust = (self.distrust(w) + by).min(DISTRUST_MAX);
-        let now_ms = self.now_ms;
+        let value = (self.distrust(w) + by).min(DISTRUST_MAX);
+        let at_ms = self.now_ms;
         if let Some(w) = self.workers.get_mut(id) {
-            w.distrust = distrust;
-            w.distrust_at_ms = now_ms;
+            w.distrust = Fading { value, at_ms };
         }
     }
 
-    /// A good answer lowers distrust, unless it was slow against the worker's peers.
+    /// A good answer lowers distrust; one that makes the worker slow against its peers raises it.
     fn praise(&mut self, id: &WorkerId, lag: Option<f64>) {
         let Some(w) = self.workers.get(id) else { return };
-        let mut distrust = self.distrust(w) * FORGIVEN;
-        let mean = lag.map(|lag| w.lag.map_or(lag, |mean| mean + LAG_WEIGHT * (lag - mean)));
-        if let Some(mean) = mean {
+        let mut by = (FORGIVEN - 1.0) * self.distrust(w);
+        if let Some(lag) = lag {
+            let value = w.lag.value + LAG_WEIGHT * (lag - w.lag.value);
             let peers = self.workers.iter().filter(|(o, p)| *o != id && p.listing.kind == w.listing.kind);
-            let peers = median(peers.filter_map(|(_, p)| p.lag).collect());
-            if peers.is_some_and(|peers| mean > SLOW_AGAINST_PEERS * peers && mean > 0.3) {
-                distrust = (distrust + 0.3).min(DISTRUST_MAX);
+            let peers = median(peers.map(|(_, p)| p.lag.value).filter(|lag| *lag > 0.0).collect());
+            if peers.is_some_and(|peers| value > (SLOW_AGAINST_PEERS * peers).max(SLOW_AT_LEAST)) {
+                by += 0.3;
             }
-        }
-        let now_ms = self.now_ms;
-        if let Some(w) = self.workers.get_mut(id) {
-            w.distrust = distrust;
-            w.distrust_at_ms = now_ms;
-            if mean.is_some() {
-                w.lag = mean;
-                w.lag_at_ms = now_ms;
+            let at_ms = self.now_ms;
+            if let Some(w) = self.workers.get_mut(id) {
+                w.lag = Fading { value, at_ms };
             }
         }
+        self.blame(id, by);
     }
 
     // ---- further dispatches and answers ----
@@ -705,11 +637,8 @@
     /// share, more tries make it worse; hence the budget.
     fn patience(&self, c: &Completion) -> f64 {
         let left_ms = c.facts.client_timeout_ms - self.now_ms;
-        let last = c.dispatches.len() + 2 >= self.settings.max_dispatches;
-        if last || self.spare < 1.0 || self.now_ms > c.arrived_ms + c.target_ms {
-            return left_ms;
-        }
-        (PATIENCE * c.target_ms).min(left_ms)
+        let spared = self.spare >= 1.0 && c.dispatches.len() + 2 < self.settings.max_dispatches;
+        left_ms.min(if spared { PATIENCE * c.target_ms } else { f64::INFINITY })
     }
 
     fn ran<'a>(&self, c: &'a Completion) -> impl Iterator<Item = &'a Dispatch> {
@@ -735,21 +664,21 @@
     }
 
     fn give_up(&mut self, id: CompletionId) {
-        let Some(c) = self.completions.get(&id) else {
-            return;
-        };
+        let Some(c) = self.completions.get(&id) else { return };
         let workload = &self.settings.workloads[c.facts.workload.0];
         let harmless = match workload.effect {
             Effect::Idempotent => true,
             Effect::Tokened if workload.group == Group::All => true,
             _ => self.ran(c).next().is_none(),
         };
+        let limit_ms = if self.settings.retry_after { self.settings.max_retry_after_ms } else { 0.0 };
+        let retry_after_ms = workload.latency_target_ms.min(limit_ms);
         if let Some(c) = self.completions.get_mut(&id) {
-            c.wanted_answer = Some(if harmless { Answer::RateLimit } else { Answer::Abort });
-            c.keep_state = false;
-            for d in c.dispatches.iter_mut() {
-                d.wanted = false;
-            }
+            c.answer = Some(match harmless {
+                true => Action::RateLimit { completion: id, retry_after_ms },
+                false => Action::Abort { completion: id },
+            });
+            c.dispatches.iter_mut().for_each(|d| d.wanted = false);
         }
     }
 
@@ -757,24 +686,11 @@
 
     /// Emits what turns the present state of a completion into the wanted one.
     fn reconcile(&mut self, id: CompletionId, actions: &mut Vec<Action>) {
-        let Some(c) = self.completions.get_mut(&id) else {
-            return;
-        };
-        if let Some(answer) = c.wanted_answer.filter(|_| !c.over) {
-            let target_ms = self.settings.workloads[c.facts.workload.0].latency_target_ms;
-            let retry_after_ms = match self.settings.retry_after {
-                true => target_ms.min(self.settings.max_retry_after_ms),
-                false => 0.0,
-            };
-            actions.push(match answer {
-                Answer::RateLimit => Action::RateLimit { completion: id, retry_after_ms },
-                Answer::Abort => Action::Abort { completion: id },
-            });
+        let Some(c) = self.completions.get_mut(&id) else { return };
+        if let Some(answer) = c.answer.clone().filter(|_| !c.over) {
+            actions.push(answer);
             c.over = true;
         }
-        if c.over {
-            c.keep_state = false;
-        }
         for (seq, d) in c.dispatches.iter_mut().enumerate() {
             match d.phase {
                 Phase::Planned if d.wanted && !c.over => {
@@ -782,13 +698,9 @@
                     actions.push(Action::Dispatch { completion: id, worker, timeout_ms });
                     d.phase = Phase::Out;
                     if let Some(w) = self.workers.get_mut(&d.worker) {
-                        let age = (self.now_ms - w.sent_at_ms) / self.settings.fall_ms.max(1.0);
-                        w.sent = w.sent * (-age).exp() + 1.0;
-                        w.sent_at_ms = self.now_ms;
-                        match d.stage {
-                            Stage::Read => {}
-                            _ => w.streams += 1,
-                        }
+                        let value = w.sent.at(self.now_ms, self.settings.fall_ms) + 1.0;
+                        w.sent = Fading { value, at_ms: self.now_ms };
+                        w.streams += u32::from(d.stage != Stage::Read);
                         w.waiting_tokens += d.tokens;
                     }
                 }
@@ -801,14 +713,14 @@
             }
         }
         let out = c.dispatches.iter().any(|d| d.phase != Phase::Ended);
-        if c.state_at.is_some() && !c.keep_state {
+        // Again with the last outcome: a dispatch that waited for the state may have kept it from going.
+        if c.state_at.is_some() && c.over {
             actions.push(Action::Release { completion: id });
-            c.state_at = None;
         }
         if c.over && !out {
             self.completions.remove(&id);
-        } else if !c.over && c.wake_ms < c.armed_ms {
-            c.armed_ms = c.wake_ms;
+        } else if !c.over && !c.armed {
+            c.armed = true;
             let in_ms = (c.wake_ms - self.now_ms).max(0.0);
             actions.push(Action::Arm { in_ms, timer: Timer::Completion(id) });
         }
--- /dev/null
+++ b/tests/control.rs
@@ -0,0 +1,140 @@
+//! Decisions as short traces, read by people; see `tests/snapshots`.
+
+mod helpers;
+
+use helpers::{row, settings, Play};
+use insta::assert_snapshot;
+use paddleproxy::interface::{ListKind::*, Listing, Outcome::*, Readiness};
+
+/// Cell 0 and cell 1, each with a mixed server, a reader and a writer.
+const FLEET: [&str; 6] = ["m0a", "r0a", "w0a", "m1a", "r1a", "w1a"];
+const ONE_CELL: [&str; 4] = ["m0a", "r0a", "r0b", "w0a"];
+
+fn fleet(workers: &[&str]) -> Play {
+    Play::new(settings(), workers)
+}
+
+#[test]
+fn covered_turn_stays_home() {
+    let mut play = fleet(&ONE_CELL);
+    play.arrive(1, 5, 9000.0).pass(50.0).ended(1, 0, Read, 0.0).pass(50.0).began(1, 1);
+    play.pass(900.0).ended(1, 1, Finished, 0.0).pass(3000.0).arrive(2, 5, 9300.0);
+    assert_snapshot!(play.trace());
+}
+
+#[test]
+fn short_uncovered_part_is_read_at_home() {
+    assert_snapshot!(fleet(&FLEET).arrive(1, 5, 1900.0).arrive(2, 6, 2100.0).trace());
+}
+
+#[test]
+fn busy_reader_moves_on_then_home_reads_then_refused() {
+    let mut play = fleet(&ONE_CELL);
+    for id in 1..=4 {
+        play.arrive(id, 5, 6000.0);
+    }
+    assert_snapshot!(play.trace());
+}
+
+#[test]
+fn home_full_or_above_the_median_goes_to_the_relay() {
+    let mut play = fleet(&["m0a", "r0a", "w0a", "w0b"]);
+    play.arrive(1, 5, 4000.0).ended(1, 0, Read, 0.0).ended(1, 1, Full, 0.0).began(1, 2);
+    play.arrive(2, 5, 500.0).began(2, 0).arrive(3, 5, 500.0).began(3, 0);
+    play.arrive(4, 5, 4500.0).ended(4, 0, Read, 4000.0);
+    assert_snapshot!(play.trace());
+}
+
+#[test]
+fn crowded_home_cell_hands_on_to_the_next_cell() {
+    let mut play = fleet(&["m0a", "r0a", "w0a", "r1a", "w1a", "w1b", "w1c"]);
+    play.arrive(1, 5, 500.0).began(1, 0).arrive(2, 5, 500.0).began(2, 0);
+    play.arrive(3, 5, 900.0).ended(3, 0, Read, 0.0).began(3, 1);
+    play.arrive(4, 5, 900.0).ended(4, 0, Read, 0.0).began(4, 1);
+    play.arrive(5, 5, 4000.0).ended(5, 0, Read, 0.0);
+    assert_snapshot!(play.trace());
+}
+
+#[test]
+fn relayed_session_returns_to_its_reader() {
+    let mut play = fleet(&["m0a", "r0a", "r0b", "r0c", "w0a"]);
+    play.arrive(1, 5, 6000.0).arrive(2, 6, 6000.0).pass(50.0);
+    play.ended(2, 0, Read, 0.0).ended(2, 1, Full, 0.0).began(2, 2).ended(1, 0, Read, 0.0).began(1, 1);
+    play.pass(2000.0).arrive(3, 6, 7000.0).arrive(4, 7, 7000.0);
+    assert_snapshot!(play.trace());
+}
+
+#[test]
+fn flushed_home_is_no_longer_believed() {
+    let mut play = fleet(&ONE_CELL);
+    for id in [1, 2] {
+        play.arrive(id, id.into(), 1900.0).began(id, 0).ended(id, 0, Finished, 0.0);
+    }
+    play.pass(2000.0).arrive(3, 1, 1950.0).began(3, 0).ended(3, 0, Finished, 0.0).pass(50.0);
+    play.arrive(4, 2, 2050.0);
+    assert_snapshot!(play.trace());
+}
+
+#[test]
+fn lost_state_is_read_again() {
+    let mut play = fleet(&FLEET);
+    play.arrive(1, 5, 4000.0).ended(1, 0, Read, 0.0).ended(1, 1, NoState, 0.0);
+    assert_snapshot!(play.trace());
+}
+
+#[test]
+fn silence_is_answered_before_the_client_timeout() {
+    let mut play = fleet(&FLEET);
+    play.arrive(1, 5, 4000.0).pass(50.0).ended(1, 0, Read, 0.0).pass(3946.0).timer(1);
+    play.ended(1, 1, Cancelled, 0.0).pass(4.0).expire(1);
+    assert_snapshot!(play.trace());
+}
+
+#[test]
+fn late_read_of_an_answered_completion_is_released() {
+    let mut play = fleet(&FLEET);
+    play.arrive(1, 5, 4000.0).pass(3996.0).timer(1).expire(1).pass(10.0).ended(1, 0, Read, 0.0);
+    assert_snapshot!(play.trace());
+}
+
+#[test]
+fn effects_run_again_only_where_they_may() {
+    let mut play = fleet(&["m0a", "m0b", "m1a"]);
+    play.arrive_as(1, 1, 5, 500.0).pass(10.0).ended(1, 0, Broken, 0.0).ended(1, 1, Broken, 0.0);
+    play.arrive_as(2, 2, 5, 500.0).pass(10.0).ended(2, 0, ConnectFailed, 0.0).ended(2, 1, Error, 0.0);
+    play.arrive_as(1, 3, 8, 500.0).pass(5001.0).ended(3, 0, TimedOut, 0.0);
+    assert_snapshot!(play.trace());
+}
+
+#[test]
+fn draining_and_gone_workers_get_nothing_new() {
+    let mut play = fleet(&ONE_CELL);
+    let told = |name: &str, readiness| Listing { readiness, ..row(name) };
+    play.arrive(1, 5, 4000.0);
+    play.list(Changes, vec![told("m0a", Readiness::Draining), told("r0a", Readiness::Gone)]);
+    play.ended(1, 0, Read, 0.0).arrive(2, 5, 4000.0);
+    play.list(Whole, Vec::new()).arrive(3, 5, 4000.0);
+    assert_snapshot!(play.trace());
+}
+
+/// As after a restart of the router too: the saved list tells of the start.
+#[test]
+fn fresh_worker_is_sent_to_in_turns_and_by_its_age() {
+    let mut play = fleet(&[]);
+    let fresh = Listing { started_ms: Some(99_000.0), ..row("m0a") };
+    play.list(Saved, vec![fresh, row("m1a"), row("m2a")]);
+    for id in 0..12 {
+        play.arrive(id, u64::from(id), 300.0).began(id, 0).ended(id, 0, Finished, 0.0).pass(500.0);
+    }
+    assert_snapshot!(play.trace());
+}
+
+#[test]
+fn failing_worker_is_passed_by_until_distrust_fades() {
+    let mut play = fleet(&["m0a", "m1a", "m2a"]);
+    for id in 1..=3 {
+        play.arrive(id, 5, 300.0).ended(id, 0, ConnectFailed, 0.0).ended(id, 1, Finished, 0.0);
+    }
+    play.pass(30_000.0).arrive(4, 5, 300.0);
+    assert_snapshot!(play.trace());
+}
--- /dev/null
+++ b/tests/helpers/mod.rs
@@ -0,0 +1,170 @@
+//! Plays events to one router and prints what it decides.
+
+use std::sync::Arc;
+
+use paddleproxy::interface::*;
+use paddleproxy::Control;
+
+pub struct Play {
+    control: Control,
+    now_ms: f64,
+    trace: String,
+}
+
+pub fn worker(name: &str) -> WorkerId {
+    WorkerId(Arc::from(name))
+}
+
+/// A worker whose first letter tells its role (r, w or m) and whose second its cell.
+pub fn row(name: &str) -> Listing {
+    let (role, cell) = name.split_at(1);
+    let cell = cell[..1].parse().unwrap();
+    Listing {
+        worker: worker(name),
+        zone: ZoneId(cell as usize),
+        kind: KindId("rwm".find(role).unwrap()),
+        cell: CellId(cell),
+        readiness: Readiness::Ready,
+        weight: 1.0,
+        started_ms: None,
+    }
+}
+
+pub fn settings() -> Settings {
+    let workload = |effect, group| WorkloadSettings {
+        effect,
+        group,
+        window_ms: 5000.0,
+        value: 1.0,
+        latency_target_ms: 1000.0,
+        target_per_token_ms: 0.0,
+    };
+    let kind = |role| KindSettings { role, memory_tokens: 160_000.0 };
+    Settings {
+        routers: 2,
+        own_number: 0,
+        zone: Some(ZoneId(0)),
+        workloads: vec![
+            workload(Effect::Idempotent, Group::All),
+            workload(Effect::Tokened, Group::Cell),
+            workload(Effect::NonIdempotent, Group::All),
+        ],
+        kinds: vec![kind(Role::Reader), kind(Role::Writer), kind(Role::Mixed)],
+        customers: Vec::new(),
+        over_share_value: 1.0,
+        must_subscribe: false,
+        must_ask_in_ms: 0.0,
+        holds_allowed: true,
+        writers_read: false,
+        cancel_allowed: true,
+        second_copies: true,
+        retry_after: true,
+        max_retry_after_ms: 500.0,
+        max_dispatches: 5,
+        resolution_ms: 2.0,
+        pin_limit_ms: 500.0,
+        fall_multiple: 2.5,
+        fall_ms: 2000.0,
+        cold_share: 0.3,
+        cold_ms: 12_000.0,
+    }
+}
+
+impl Play {
+    /// A router that has run for a while and whose saved list names these workers.
+    pub fn new(settings: Settings, workers: &[&str]) -> Self {
+        let control = Control::new(settings, 7);
+        let mut play = Play { control, now_ms: 100_000.0, trace: String::new() };
+        play.list(ListKind::Saved, workers.iter().map(|name| row(name)).collect());
+        play
+    }
+
+    pub fn pass(&mut self, ms: f64) -> &mut Self {
+        self.now_ms += ms;
+        self
+    }
+
+    pub fn list(&mut self, kind: ListKind, rows: Vec<Listing>) -> &mut Self {
+        let names: Vec<_> = rows.iter().map(|row| format!("{} {:?}", row.worker.0, row.readiness)).collect();
+        self.play(&format!("list {}", names.join(", ")), Event::Listed { kind, rows: rows.into() })
+    }
+
+    /// A completion of workload 0; its client waits 4 s.
+    pub fn arrive(&mut self, id: u32, session: u64, prompt: f64) -> &mut Self {
+        self.arrive_as(0, id, session, prompt)
+    }
+
+    pub fn arrive_as(&mut self, workload: usize, id: u32, session: u64, prompt: f64) -> &mut Self {
+        let facts = Arrival {
+            completion: CompletionId(id),
+            workload: WorkloadId(workload),
+            session: SessionId(session),
+            prefix: Some(PrefixId(9)),
+            customer: None,
+            client_timeout_ms: self.now_ms + 4000.0,
+            prompt_tokens: prompt,
+            prefix_tokens: 1000.0,
+            max_tokens: 200.0,
+            answer_hint_ms: None,
+            client_retry: false,
+            resumed: false,
+        };
+        self.play(&format!("arrive {id}, session {session}, {prompt} tokens"), Event::Arrived(facts))
+    }
+
+    pub fn began(&mut self, id: u32, seq: u32) -> &mut Self {
+        let event = Event::Began { completion: CompletionId(id), seq: Seq(seq), took_ms: 50.0 };
+        self.play(&format!("began {id}.{seq}"), event)
+    }
+
+    pub fn ended(&mut self, id: u32, seq: u32, outcome: Outcome, kept_tokens: f64) -> &mut Self {
+        self.ended_after(id, seq, outcome, kept_tokens, 50.0)
+    }
+
+    pub fn ended_after(&mut self, id: u32, seq: u32, outcome: Outcome, kept: f64, took: f64) -> &mut Self {
+        let event = Event::Ended {
+            completion: CompletionId(id),
+            seq: Seq(seq),
+            took_ms: took,
+            over: outcome == Outcome::Finished,
+            outcome,
+            kept_tokens: kept,
+        };
+        self.play(&format!("ended {id}.{seq} {outcome:?}, {kept} kept"), event)
+    }
+
+    pub fn expire(&mut self, id: u32) -> &mut Self {
+        self.play(&format!("expired {id}"), Event::Expired { completion: CompletionId(id) })
+    }
+
+    pub fn timer(&mut self, id: u32) -> &mut Self {
+        self.play(&format!("timer {id}"), Event::TimerFired(Timer::Completion(CompletionId(id))))
+    }
+
+    fn play(&mut self, what: &str, event: Event) -> &mut Self {
+        let mut actions = Vec::new();
+        self.control.handle(self.now_ms, &event, &mut actions);
+        self.trace.push_str(&format!("{:>6} {what}\n", self.now_ms - 100_000.0));
+        for action in actions {
+            let line = match action {
+                Action::Dispatch { completion, worker, timeout_ms } => {
+                    format!("dispatch {} to {} for {timeout_ms} ms", completion.0, worker.0)
+                }
+                Action::Cancel { completion, seq } => format!("cancel {}.{}", completion.0, seq.0),
+                Action::Release { completion } => format!("release {}", completion.0),
+                Action::RateLimit { completion, retry_after_ms } => {
+                    format!("rate-limit {}, come back in {retry_after_ms} ms", completion.0)
+                }
+                Action::Abort { completion } => format!("abort {}", completion.0),
+                Action::Arm { in_ms, .. } => format!("timer in {in_ms:.0} ms"),
+                other => format!("{other:?}"),
+            };
+            self.trace.push_str(&format!("         -> {line}\n"));
+        }
+        self
+    }
+
+    pub fn trace(&self) -> &str {
+        &self.trace
+    }
+}
