--- a/src/control.rs
+++ b/src/control.rs
@@ -417,7 +417,7 @@
         all.sort_by_key(|reader| !own(reader));
         let home_cell = home.as_ref().and_then(|home| self.cell(home));
         let has_reader = |cell| all.iter().any(|reader| self.cell(reader) == Some(cell));
-        let free = all.iter().filter(|reader| !self.busy(reader) && !self.late(reader));
+        let free = all.iter().filter(|reader| !self.busy(reader));
         let own_cell = all.first().filter(|reader| own(reader)).and_then(|reader| self.cell(reader));
         let by_hash = |cell: CellId| std::cmp::Reverse(mix(c.facts.session.0, cell.0.into()));
         let mut cells: Vec<CellId> = free.clone().filter_map(|reader| self.cell(reader)).collect();
@@ -425,10 +425,14 @@
         let writes = |cell: &CellId| self.writer_in(c, *cell, home.as_ref()).is_some();
         let found = match home_cell {
             // The ordinary path where home's cell has no reader.
-            Some(cell) if !has_reader(cell) && writes(&cell) => free.clone().next(),
+            Some(cell) if !has_reader(cell) && writes(&cell) => {
+                free.clone().find(|reader| !self.late(reader))
+            }
+            // Of each cell only the reader that the design names: a late one is not passed by for its
+            // neighbours, as then each of them would read each beginning anew.
             _ => cells.into_iter().filter(writes).find_map(|cell| {
                 let mut near = free.clone().filter(|reader| self.cell(reader) == Some(cell));
-                near.next()
+                near.next().filter(|reader| !self.late(reader))
             }),
         };
         if let Some(reader) = found {
@@ -441,7 +445,7 @@
         // No reader and no home left: any worker that reads by itself.
         let writers_read = self.settings.writers_read;
         let by_itself = |w: &Worker| w.role == Role::Mixed || w.role == Role::Writer && writers_read;
-        self.fewest(c, false, by_itself).map(|worker| (worker, Stage::Whole))
+        self.fewest(c, true, by_itself).map(|worker| (worker, Stage::Whole))
     }
 
     /// Write at home; if it answered full or holds more of our streams than the median, at the pure writer
