Readers' bounds follow the share of the prompt that they keep

Cause: in a jam three reads in four found nothing kept; rare texts were admitted as readily as shared ones and blocked and evicted them.

--- a/src/control.rs
+++ b/src/control.rs
@@ -23,6 +23,10 @@
 const ENTRIES_MAX: usize = 1 << 16;
 /// All routers' waiting tokens at a reader that turn completions away, as a share of the reader's memory.
 const READER_BOUND: f64 = 1.0 / 16.0;
+/// What a reader's bounds are multiplied by: the first for a prompt of which it keeps nothing, the sum for one
+/// that it keeps.
+const EASE_COLD: f64 = 0.5;
+const EASE_KEPT: f64 = 1.5;
 /// Distrust halves in this share of the time in which a cold worker warms.
 const DISTRUST_HALVES: f64 = 0.33;
 /// Distrust never grows past this, so that a healed worker is tried again after a few half-lives.
@@ -417,7 +421,12 @@
         all.sort_by_key(|reader| !own(reader));
         let home_cell = home.as_ref().and_then(|home| self.cell(home));
         let has_reader = |cell| all.iter().any(|reader| self.cell(reader) == Some(cell));
-        let free = all.iter().filter(|reader| !self.busy(reader));
+        // What finds little kept costs the readers most and is passed on or refused first, lest the texts that
+        // many share are crowded out. Harm: under strain a text that no reader keeps waits longest.
+        let ease =
+            |reader: &WorkerId| EASE_COLD + EASE_KEPT * self.believed(c, reader) / c.facts.prompt_tokens;
+        let late = |reader: &WorkerId| self.late(reader, ease(reader));
+        let free = all.iter().filter(|reader| !self.busy(reader, ease(reader)));
         let own_cell = all.first().filter(|reader| own(reader)).and_then(|reader| self.cell(reader));
         let by_hash = |cell: CellId| std::cmp::Reverse(mix(c.facts.session.0, cell.0.into()));
         let mut cells: Vec<CellId> = free.clone().filter_map(|reader| self.cell(reader)).collect();
@@ -425,14 +434,12 @@
         let writes = |cell: &CellId| self.writer_in(c, *cell, home.as_ref()).is_some();
         let found = match home_cell {
             // The ordinary path where home's cell has no reader.
-            Some(cell) if !has_reader(cell) && writes(&cell) => {
-                free.clone().find(|reader| !self.late(reader))
-            }
+            Some(cell) if !has_reader(cell) && writes(&cell) => free.clone().find(|reader| !late(reader)),
             // Of each cell only the reader that the design names: a late one is not passed by for its
             // neighbours, as then each of them would read each beginning anew.
             _ => cells.into_iter().filter(writes).find_map(|cell| {
                 let mut near = free.clone().filter(|reader| self.cell(reader) == Some(cell));
-                near.next().filter(|reader| !self.late(reader))
+                near.next().filter(|reader| !late(reader))
             }),
         };
         if let Some(reader) = found {
@@ -492,13 +499,13 @@
     /// Guards against a writer that jams, whatever the cause: it holds far more of our streams than the
     /// median, or it is late. Harm: histories are spread over more workers.
     fn strained(&self, id: &WorkerId) -> bool {
-        self.streams(id) > CROWDED * self.median_streams() + 1.0 || self.busy(id) || self.late(id)
+        self.streams(id) > CROWDED * self.median_streams() + 1.0 || self.busy(id, 1.0) || self.late(id, 1.0)
     }
 
     /// First tokens or reads there have lately taken much of the latency target.
-    fn late(&self, id: &WorkerId) -> bool {
+    fn late(&self, id: &WorkerId, ease: f64) -> bool {
         let half_ms = self.settings.cold_ms * LAG_FADES;
-        self.workers.get(id).is_some_and(|w| w.lag.at(self.now_ms, half_ms) > LATE)
+        self.workers.get(id).is_some_and(|w| w.lag.at(self.now_ms, half_ms) > LATE * ease)
     }
 
     fn median_streams(&self) -> f64 {
@@ -507,10 +514,10 @@
         median(ready.map(|w| f64::from(w.streams)).collect()).unwrap_or(0.0)
     }
 
-    fn busy(&self, id: &WorkerId) -> bool {
+    fn busy(&self, id: &WorkerId, ease: f64) -> bool {
         self.workers.get(id).is_none_or(|w| {
             let memory = self.settings.kinds[w.listing.kind.0].memory_tokens;
-            w.waiting_tokens > memory * READER_BOUND / self.settings.routers.max(1) as f64
+            w.waiting_tokens > ease * memory * READER_BOUND / self.settings.routers.max(1) as f64
         })
     }
 
