--- a/src/control.rs
+++ b/src/control.rs
@@ -5,7 +5,7 @@
 //! 1. distrust: a fading score per worker; the share of sessions that pass it by follows the score.
 //! 2. turns: routers take turns at a fresh worker by their own number, within a budget by its age.
 //! 3. strain: a crowded, busy or late worker is passed by; where all are, the completion is rate-limited.
-//! 4. patience: a dispatch that hangs far past its latency target is tried elsewhere, within a budget.
+//! 4. patience: a dispatch that hangs far past its latency target is tried elsewhere.
 //! 5. effect guard: what may run again, where, and what may be rate-limited.
 //! 6. letting go: a timer before the client timeout answers; what is over is cancelled and released.
 
@@ -46,9 +46,6 @@
 const LAG_FADES: f64 = 0.1;
 /// Latency targets that a dispatch may take before another worker is tried.
 const PATIENCE: f64 = 2.0;
-/// Further dispatches after a time-out, as a share of arrivals, and how many may be saved up.
-const SPARE_SHARE: f64 = 0.1;
-const SPARE_MAX: f64 = 5.0;
 /// Share of the way to full capacity that a cold worker is trusted to have made as its time passes; some warm
 /// by work, not by time.
 const WARMING: f64 = 0.5;
@@ -155,7 +152,6 @@
     workers: BTreeMap<WorkerId, Worker>,
     completions: BTreeMap<CompletionId, Completion>,
     table: BTreeMap<(Text, WorkerId), Kept>,
-    spare: f64,
 }
 
 /// Stable in every process: FNV-1a over the name, mixed with the key.
@@ -187,7 +183,6 @@
             workers: BTreeMap::new(),
             completions: BTreeMap::new(),
             table: BTreeMap::new(),
-            spare: SPARE_MAX,
         }
     }
 
@@ -264,7 +259,6 @@
     fn arrived(&mut self, facts: &Arrival, actions: &mut Vec<Action>) {
         let Some(workload) = self.settings.workloads.get(facts.workload.0) else { return };
         let target_ms = workload.latency_target_ms + workload.target_per_token_ms * facts.prompt_tokens;
-        self.spare = (self.spare + SPARE_SHARE).min(SPARE_MAX);
         let completion = Completion {
             facts: facts.clone(),
             target_ms,
@@ -347,9 +341,6 @@
                     _ if wanted && !c.over && self.now_ms < c.wake_ms => 0.4,
                     _ => 0.0,
                 };
-                if outcome == TimedOut {
-                    self.spare = (self.spare - 1.0).max(0.0);
-                }
                 self.blame(&worker, blame);
             }
         }
@@ -645,11 +636,11 @@
     // ---- further dispatches and answers ----
 
     /// How long a dispatch may take. Guards against workers that went silent. Harm: under a jam that all
-    /// share, more tries make it worse; hence the budget.
+    /// share, more tries make it worse; hence so long, and no further try for the last two.
     fn patience(&self, c: &Completion) -> f64 {
+        let tries_left = c.dispatches.len() + 2 < self.settings.max_dispatches;
         let left_ms = c.facts.client_timeout_ms - self.now_ms;
-        let spared = self.spare >= 1.0 && c.dispatches.len() + 2 < self.settings.max_dispatches;
-        left_ms.min(if spared { PATIENCE * c.target_ms } else { f64::INFINITY })
+        left_ms.min(if tries_left { PATIENCE * c.target_ms } else { f64::INFINITY })
     }
 
     fn ran<'a>(&self, c: &'a Completion) -> impl Iterator<Item = &'a Dispatch> {
