--- a/src/control.rs
+++ b/src/control.rs
@@ -43,6 +43,7 @@
 /// latency target, is strained; the latter fades by halves in a share of the time in which a cold one warms.
 const CROWDED: f64 = 1.5;
 const LATE: f64 = 0.5;
+const SLOW_PACE: f64 = 2.0;
 const LAG_FADES: f64 = 0.1;
 /// Latency targets that a dispatch may take before another worker is tried.
 const PATIENCE: f64 = 2.0;
@@ -109,6 +110,8 @@
     distrust: Fading,
     /// Mean of the time to a read's end or a first token, as a share of the latency target.
     lag: Fading,
+    /// Mean time from dispatch to the end of an answer.
+    pace: Fading,
     /// Our dispatches of late, those turned away left out.
     sent: Fading,
     /// Of our dispatches out: tokens not yet read, and those that write or wait to.
@@ -239,6 +242,7 @@
                 role: kind.role,
                 distrust: Fading::default(),
                 lag: Fading::default(),
+                pace: Fading::default(),
                 sent: Fading::default(),
                 waiting_tokens: 0.0,
                 streams: 0,
@@ -310,6 +314,10 @@
             match outcome {
                 // What was turned away is no sign of what a worker carries.
                 Full => w.sent.value = (w.sent.value - 1.0).max(0.0),
+                Finished => {
+                    let value = w.pace.value + LAG_WEIGHT * (took_ms - w.pace.value);
+                    w.pace = Fading { value, at_ms: self.now_ms };
+                }
                 TimedOut => w.lag = Fading { value: w.lag.value.max(lag), at_ms: self.now_ms },
                 _ => {}
             }
@@ -465,7 +473,9 @@
     fn writer_in(&self, c: &Completion, cell: CellId, home: Option<&WorkerId>) -> Option<WorkerId> {
         let home = home.filter(|home| self.cell(home) == Some(cell) && !c.avoid.contains(home));
         let home = home.filter(|home| !self.strained(home));
-        if let Some(home) = home.filter(|home| self.streams(home) <= self.median_streams()) {
+        if let Some(home) =
+            home.filter(|home| self.streams(home) <= self.median_of_writers(|w| f64::from(w.streams)))
+        {
             return Some(home.clone());
         }
         let relay = self.fewest(c, true, |w| w.role == Role::Writer && w.listing.cell == cell);
@@ -490,7 +500,15 @@
     /// Guards against a writer that jams, whatever the cause: it holds far more of our streams than the
     /// median, or it is late. Harm: histories are spread over more workers.
     fn strained(&self, id: &WorkerId) -> bool {
-        self.streams(id) > CROWDED * self.median_streams() + 1.0 || self.busy(id, 1.0) || self.late(id, 1.0)
+        let crowded = self.streams(id) > CROWDED * self.median_of_writers(|w| f64::from(w.streams)) + 1.0;
+        crowded || self.busy(id, 1.0) || self.late(id, 1.0) || self.slow(id)
+    }
+
+    /// Answers there have lately taken far longer than at the median of those that write.
+    fn slow(&self, id: &WorkerId) -> bool {
+        let half_ms = self.settings.cold_ms * DISTRUST_HALVES;
+        let usual = self.median_of_writers(|w| w.pace.value);
+        self.workers.get(id).is_some_and(|w| w.pace.at(self.now_ms, half_ms) > SLOW_PACE * usual)
     }
 
     /// First tokens or reads there have lately taken much of the latency target.
@@ -499,10 +517,10 @@
         self.workers.get(id).is_some_and(|w| w.lag.at(self.now_ms, half_ms) > LATE * ease)
     }
 
-    fn median_streams(&self) -> f64 {
+    fn median_of_writers(&self, value: impl Fn(&Worker) -> f64) -> f64 {
         let writing = self.workers.values().filter(|w| w.role != Role::Reader);
         let ready = writing.filter(|w| w.listing.readiness == Readiness::Ready);
-        median(ready.map(|w| f64::from(w.streams)).collect()).unwrap_or(0.0)
+        median(ready.map(value).collect()).unwrap_or(0.0)
     }
 
     fn busy(&self, id: &WorkerId, ease: f64) -> bool {
