--- a/src/control.rs
+++ b/src/control.rs
@@ -26,7 +26,7 @@
 /// What a reader's bounds are multiplied by: the first for a prompt of which it keeps nothing, the sum for one
 /// that it keeps.
 const EASE_COLD: f64 = 0.5;
-const EASE_KEPT: f64 = 3.0;
+const EASE_KEPT: f64 = 1.5;
 /// Distrust halves in this share of the time in which a cold worker warms.
 const DISTRUST_HALVES: f64 = 0.33;
 /// Distrust never grows past this, so that a healed worker is tried again after a few half-lives.
