--- a/src/control.rs
+++ b/src/control.rs
@@ -33,12 +33,10 @@
 const DISTRUST_MAX: f64 = 2.0;
 /// What a good answer leaves of the distrust.
 const FORGIVEN: f64 = 0.8;
-/// A worker this many times slower than the median of its kind's others is blamed, if its mean lag is also
-/// this share of the latency target.
+/// A worker this many times slower than the median of its kind's others is blamed.
 const SLOW_AGAINST_PEERS: f64 = 3.0;
-const SLOW_AT_LEAST: f64 = 0.3;
-/// Weight of the newest answer in a worker's mean lag.
-const LAG_WEIGHT: f64 = 0.2;
+/// Weight of the newest sample in a mean.
+const SAMPLE_WEIGHT: f64 = 0.2;
 /// A writer with this many times the median of our streams, or with first tokens that take this share of the
 /// latency target, is strained; the latter fades by halves in a share of the time in which a cold one warms.
 const CROWDED: f64 = 1.5;
@@ -65,6 +63,7 @@
 enum Phase {
     Planned,
     Out,
+    Cancelled,
     Streaming,
     Ended,
 }
@@ -76,7 +75,6 @@
     /// Wanted state: should it be out? `phase` is the present one.
     wanted: bool,
     phase: Phase,
-    cancel_sent: bool,
     sent_ms: f64,
     timeout_ms: f64,
     /// Tokens that we count as waiting at the worker meanwhile.
@@ -116,7 +114,7 @@
     sent: Fading,
     /// Of our dispatches out: tokens not yet read, and those that write or wait to.
     waiting_tokens: f64,
-    streams: u32,
+    streams: f64,
     /// What the table held of this worker before then is void.
     forgot_ms: f64,
 }
@@ -132,6 +130,10 @@
     fn at(&self, now_ms: f64, half_ms: f64) -> f64 {
         self.value * 0.5f64.powf((now_ms - self.at_ms) / half_ms.max(1.0))
     }
+
+    fn with(&self, sample: f64, at_ms: f64) -> Fading {
+        Fading { value: self.value + SAMPLE_WEIGHT * (sample - self.value), at_ms }
+    }
 }
 
 /// A text that workers keep: what a session has said so far, or a beginning that sessions share.
@@ -162,10 +164,6 @@
     let name = worker.0.bytes().fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
     });
-    mix(name, key)
-}
-
-fn mix(name: u64, key: u64) -> u64 {
     let mut mixed = name ^ key.wrapping_mul(0x9e37_79b9_7f4a_7c15);
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
@@ -245,7 +243,7 @@
                 pace: Fading::default(),
                 sent: Fading::default(),
                 waiting_tokens: 0.0,
-                streams: 0,
+                streams: 0.0,
                 forgot_ms: 0.0,
             });
             if row.started_ms != worker.listing.started_ms {
@@ -256,8 +254,9 @@
             }
             worker.listing = row.clone();
         }
-        self.workers
-            .retain(|_, w| w.listing.readiness != Readiness::Gone || w.streams > 0 || w.waiting_tokens > 0.0);
+        self.workers.retain(|_, w| {
+            w.listing.readiness != Readiness::Gone || w.streams > 0.0 || w.waiting_tokens > 0.0
+        });
     }
 
     fn arrived(&mut self, facts: &Arrival, actions: &mut Vec<Action>) {
@@ -310,14 +309,11 @@
         c.over |= over;
         if let Some(w) = self.workers.get_mut(&worker) {
             w.waiting_tokens = (w.waiting_tokens - tokens).max(0.0);
-            w.streams = w.streams.saturating_sub(u32::from(stage != Stage::Read));
+            w.streams -= f64::from(u8::from(stage != Stage::Read));
             match outcome {
                 // What was turned away is no sign of what a worker carries.
                 Full => w.sent.value = (w.sent.value - 1.0).max(0.0),
-                Finished => {
-                    let value = w.pace.value + LAG_WEIGHT * (took_ms - w.pace.value);
-                    w.pace = Fading { value, at_ms: self.now_ms };
-                }
+                Finished => w.pace = w.pace.with(took_ms, self.now_ms),
                 TimedOut => w.lag = Fading { value: w.lag.value.max(lag), at_ms: self.now_ms },
                 _ => {}
             }
@@ -381,7 +377,6 @@
             stage,
             wanted: true,
             phase: Phase::Planned,
-            cancel_sent: false,
             sent_ms: self.now_ms,
             timeout_ms: self.patience(c),
             tokens: if stage == Stage::Write { 0.0 } else { c.facts.prompt_tokens - believed },
@@ -401,7 +396,7 @@
 
     /// Read at home what it keeps for the most part, or what is short; else at a reader of home's cell, and
     /// where that cell has none, at any. The exception: a home that is strained counts as full, and a cell
-    /// in which nothing can write unstrained hands the whole path to the next cell by session hash.
+    /// in which nothing can write unstrained hands the whole path to the cell of the next reader by prefix hash.
     fn read_at(&self, c: &Completion) -> Option<(WorkerId, Stage)> {
         let home = self.home(c);
         let home_easy = home.clone().filter(|home| !c.avoid.contains(home) && !self.strained(home));
@@ -417,30 +412,25 @@
         // Guards against the relay loop: a turn that home has not kept goes first to the reader that read the
         // session's last one, so that it is not read from its beginning. Harm: hot sessions stay together.
         let own = |reader: &WorkerId| self.believed(c, reader) > c.facts.prefix_tokens;
-        all.sort_by_key(|reader| !own(reader));
-        let home_cell = home.as_ref().and_then(|home| self.cell(home));
-        let has_reader = |cell| all.iter().any(|reader| self.cell(reader) == Some(cell));
+        let cell = |reader: &WorkerId| self.cell(reader);
+        let home_cell = home.as_ref().and_then(cell);
+        let home_has = all.iter().any(|reader| cell(reader) == home_cell);
+        all.sort_by_key(|reader| (cell(reader) != home_cell, !own(reader)));
         // What finds little kept costs the readers most and is passed on or refused first, lest the texts that
         // many share are crowded out. Harm: under strain a text that no reader keeps waits longest.
-        let ease =
-            |reader: &WorkerId| EASE_COLD + EASE_KEPT * self.believed(c, reader) / c.facts.prompt_tokens;
-        let late = |reader: &WorkerId| self.late(reader, ease(reader));
-        let free = all.iter().filter(|reader| !self.busy(reader, ease(reader)));
-        let own_cell = all.first().filter(|reader| own(reader)).and_then(|reader| self.cell(reader));
-        let by_hash = |cell: CellId| std::cmp::Reverse(mix(c.facts.session.0, cell.0.into()));
-        let mut cells: Vec<CellId> = free.clone().filter_map(|reader| self.cell(reader)).collect();
-        cells.sort_by_key(|cell| (Some(*cell) != home_cell, Some(*cell) != own_cell, by_hash(*cell)));
-        let writes = |cell: &CellId| self.writer_in(c, *cell, home.as_ref()).is_some();
-        let found = match home_cell {
-            // The ordinary path where home's cell has no reader.
-            Some(cell) if !has_reader(cell) && writes(&cell) => free.clone().find(|reader| !late(reader)),
-            // Of each cell only the reader that the design names: a late one is not passed by for its
-            // neighbours, as then each of them would read each beginning anew.
-            _ => cells.into_iter().filter(writes).find_map(|cell| {
-                let mut near = free.clone().filter(|reader| self.cell(reader) == Some(cell));
-                near.next().filter(|reader| !late(reader))
-            }),
-        };
+        let share = |reader: &WorkerId| self.believed(c, reader) / c.facts.prompt_tokens.max(1.0);
+        let ease = |reader: &WorkerId| EASE_COLD + EASE_KEPT * share(reader);
+        // Of each cell only the reader that the design names: a late one is not passed by for its neighbours,
+        // as then each of them would read each beginning anew.
+        let mut cells = Vec::new();
+        let mut free = all.iter().filter(|reader| !self.busy(reader, ease(reader)));
+        let found = free.find(|reader| {
+            let first = !cells.contains(&cell(reader));
+            cells.push(cell(reader));
+            let writes_in = if home_has { cell(reader) } else { home_cell.or(cell(reader)) };
+            let writer = writes_in.and_then(|cell| self.writer_in(c, cell, home.as_ref()));
+            first && writer.is_some() && !self.late(reader, ease(reader))
+        });
         if let Some(reader) = found {
             return Some((reader.clone(), Stage::Read));
         }
@@ -460,9 +450,9 @@
         let home = self.home(c);
         let home_cell = home.as_ref().and_then(|home| self.cell(home));
         let at_cell = c.state_at.as_ref().and_then(|at| self.cell(at));
-        let has_reader =
-            |cell| self.workers.values().any(|w| w.role == Role::Reader && w.listing.cell == cell);
-        let cell = home_cell.filter(|cell| !has_reader(*cell)).or(at_cell)?;
+        let mut readers = self.workers.values().filter(|w| w.role == Role::Reader);
+        let has_reader = readers.any(|w| Some(w.listing.cell) == home_cell);
+        let cell = home_cell.filter(|_| !has_reader).or(at_cell)?;
         self.writer_in(c, cell, home.as_ref())
             .or_else(|| home.filter(|home| !c.avoid.contains(home) && self.cell(home) == Some(cell)))
             .or_else(|| self.fewest(c, false, |w| w.role != Role::Reader && w.listing.cell == cell))
@@ -473,9 +463,8 @@
     fn writer_in(&self, c: &Completion, cell: CellId, home: Option<&WorkerId>) -> Option<WorkerId> {
         let home = home.filter(|home| self.cell(home) == Some(cell) && !c.avoid.contains(home));
         let home = home.filter(|home| !self.strained(home));
-        if let Some(home) =
-            home.filter(|home| self.streams(home) <= self.median_of_writers(|w| f64::from(w.streams)))
-        {
+        let median = self.median_of_writers(|w| w.streams);
+        if let Some(home) = home.filter(|home| self.streams(home) <= median) {
             return Some(home.clone());
         }
         let relay = self.fewest(c, true, |w| w.role == Role::Writer && w.listing.cell == cell);
@@ -494,20 +483,20 @@
     }
 
     fn streams(&self, id: &WorkerId) -> f64 {
-        self.workers.get(id).map_or(f64::INFINITY, |w| f64::from(w.streams))
+        self.workers.get(id).map_or(f64::INFINITY, |w| w.streams)
     }
 
     /// Guards against a writer that jams, whatever the cause: it holds far more of our streams than the
     /// median, or it is late. Harm: histories are spread over more workers.
     fn strained(&self, id: &WorkerId) -> bool {
-        let crowded = self.streams(id) > CROWDED * self.median_of_writers(|w| f64::from(w.streams)) + 1.0;
+        let crowded = self.streams(id) > CROWDED * self.median_of_writers(|w| w.streams) + 1.0;
         crowded || self.busy(id, 1.0) || self.late(id, 1.0) || self.slow(id)
     }
 
     /// Answers there have lately taken far longer than at the median of those that write.
     fn slow(&self, id: &WorkerId) -> bool {
         let half_ms = self.settings.cold_ms * DISTRUST_HALVES;
-        let usual = self.median_of_writers(|w| w.pace.value);
+        let usual = self.median_of_writers(|w| if w.pace.value > 0.0 { w.pace.value } else { f64::INFINITY });
         self.workers.get(id).is_some_and(|w| w.pace.at(self.now_ms, half_ms) > SLOW_PACE * usual)
     }
 
@@ -637,15 +626,14 @@
         let Some(w) = self.workers.get(id) else { return };
         let mut by = (FORGIVEN - 1.0) * self.distrust(w);
         if let Some(lag) = lag {
-            let value = w.lag.value + LAG_WEIGHT * (lag - w.lag.value);
+            let mean = w.lag.with(lag, self.now_ms);
             let peers = self.workers.iter().filter(|(o, p)| *o != id && p.listing.kind == w.listing.kind);
             let peers = median(peers.map(|(_, p)| p.lag.value).filter(|lag| *lag > 0.0).collect());
-            if peers.is_some_and(|peers| value > (SLOW_AGAINST_PEERS * peers).max(SLOW_AT_LEAST)) {
+            if peers.is_some_and(|peers| mean.value > SLOW_AGAINST_PEERS * peers) {
                 by += 0.3;
             }
-            let at_ms = self.now_ms;
             if let Some(w) = self.workers.get_mut(id) {
-                w.lag = Fading { value, at_ms };
+                w.lag = mean;
             }
         }
         self.blame(id, by);
@@ -720,14 +708,14 @@
                     if let Some(w) = self.workers.get_mut(&d.worker) {
                         let value = w.sent.at(self.now_ms, self.settings.fall_ms) + 1.0;
                         w.sent = Fading { value, at_ms: self.now_ms };
-                        w.streams += u32::from(d.stage != Stage::Read);
+                        w.streams += f64::from(u8::from(d.stage != Stage::Read));
                         w.waiting_tokens += d.tokens;
                     }
                 }
                 Phase::Planned => d.phase = Phase::Ended,
-                Phase::Out if (!d.wanted || c.over) && !d.cancel_sent && self.settings.cancel_allowed => {
+                Phase::Out if (!d.wanted || c.over) && self.settings.cancel_allowed => {
                     actions.push(Action::Cancel { completion: id, seq: Seq(seq as u32) });
-                    d.cancel_sent = true;
+                    d.phase = Phase::Cancelled;
                 }
                 _ => {}
             }
