--- a/src/control.rs
+++ b/src/control.rs
@@ -23,8 +23,7 @@
 const ENTRIES_MAX: usize = 1 << 16;
 /// All routers' waiting tokens at a reader that turn completions away, as a share of the reader's memory.
 const READER_BOUND: f64 = 1.0 / 16.0;
-/// What a reader's bounds are multiplied by: the first for a prompt of which it keeps nothing, the sum for one
-/// that it keeps.
+/// Factor of a reader's bounds: the first for a prompt of which it keeps nothing, the sum for one it keeps.
 const EASE_COLD: f64 = 0.5;
 const EASE_KEPT: f64 = 1.5;
 /// Distrust halves in this share of the time in which a cold worker warms.
@@ -33,7 +32,7 @@
 const DISTRUST_MAX: f64 = 2.0;
 /// What a good answer leaves of the distrust.
 const FORGIVEN: f64 = 0.8;
-/// A worker this many times slower than the median of its kind's others is blamed.
+/// A worker this many times slower than the median of its kind's others, and late, is blamed.
 const SLOW_AGAINST_PEERS: f64 = 3.0;
 /// Weight of the newest sample in a mean.
 const SAMPLE_WEIGHT: f64 = 0.2;
@@ -395,8 +394,8 @@
     }
 
     /// Read at home what it keeps for the most part, or what is short; else at a reader of home's cell, and
-    /// where that cell has none, at any. The exception: a home that is strained counts as full, and a cell
-    /// in which nothing can write unstrained hands the whole path to the cell of the next reader by prefix hash.
+    /// where that cell has none, at any. The exception: a home that is strained counts as full, and a cell in
+    /// which nothing writes unstrained hands the whole path to the cell of the next reader by prefix hash.
     fn read_at(&self, c: &Completion) -> Option<(WorkerId, Stage)> {
         let home = self.home(c);
         let home_easy = home.clone().filter(|home| !c.avoid.contains(home) && !self.strained(home));
@@ -416,8 +415,8 @@
         let home_cell = home.as_ref().and_then(cell);
         let home_has = all.iter().any(|reader| cell(reader) == home_cell);
         all.sort_by_key(|reader| (cell(reader) != home_cell, !own(reader)));
-        // What finds little kept costs the readers most and is passed on or refused first, lest the texts that
-        // many share are crowded out. Harm: under strain a text that no reader keeps waits longest.
+        // What finds little kept costs the readers most and is passed on or refused first, lest shared texts
+        // are crowded out. Harm: under strain a text that no reader keeps waits longest.
         let share = |reader: &WorkerId| self.believed(c, reader) / c.facts.prompt_tokens.max(1.0);
         let ease = |reader: &WorkerId| EASE_COLD + EASE_KEPT * share(reader);
         // Of each cell only the reader that the design names: a late one is not passed by for its neighbours,
@@ -629,7 +628,7 @@
             let mean = w.lag.with(lag, self.now_ms);
             let peers = self.workers.iter().filter(|(o, p)| *o != id && p.listing.kind == w.listing.kind);
             let peers = median(peers.map(|(_, p)| p.lag.value).filter(|lag| *lag > 0.0).collect());
-            if peers.is_some_and(|peers| mean.value > SLOW_AGAINST_PEERS * peers) {
+            if peers.is_some_and(|peers| mean.value > (SLOW_AGAINST_PEERS * peers).max(LATE)) {
                 by += 0.3;
             }
             if let Some(w) = self.workers.get_mut(id) {
