--- a/src/control.rs
+++ b/src/control.rs
@@ -163,6 +163,10 @@
     let name = worker.0.bytes().fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
     });
+    mix(name, key)
+}
+
+fn mix(name: u64, key: u64) -> u64 {
     let mut mixed = name ^ key.wrapping_mul(0x9e37_79b9_7f4a_7c15);
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
@@ -395,7 +399,7 @@
 
     /// Read at home what it keeps for the most part, or what is short; else at a reader of home's cell, and
     /// where that cell has none, at any. The exception: a home that is strained counts as full, and a cell in
-    /// which nothing writes unstrained hands the whole path to the cell of the next reader by prefix hash.
+    /// which nothing writes unstrained hands the whole path to the next cell by session hash.
     fn read_at(&self, c: &Completion) -> Option<(WorkerId, Stage)> {
         let home = self.home(c);
         let home_easy = home.clone().filter(|home| !c.avoid.contains(home) && !self.strained(home));
@@ -414,7 +418,8 @@
         let cell = |reader: &WorkerId| self.cell(reader);
         let home_cell = home.as_ref().and_then(cell);
         let home_has = all.iter().any(|reader| cell(reader) == home_cell);
-        all.sort_by_key(|reader| (cell(reader) != home_cell, !own(reader)));
+        let by_session = |reader: &WorkerId| cell(reader).map(|cell| mix(cell.0.into(), c.facts.session.0));
+        all.sort_by_key(|reader| (cell(reader) != home_cell, !own(reader), by_session(reader)));
         // What finds little kept costs the readers most and is passed on or refused first, lest shared texts
         // are crowded out. Harm: under strain a text that no reader keeps waits longest.
         let share = |reader: &WorkerId| self.believed(c, reader) / c.facts.prompt_tokens.max(1.0);
@@ -612,11 +617,9 @@
     }
 
     fn blame(&mut self, id: &WorkerId, by: f64) {
-        let Some(w) = self.workers.get(id) else { return };
-        let value = (self.distrust(w) + by).min(DISTRUST_MAX);
-        let at_ms = self.now_ms;
+        let value = self.workers.get(id).map_or(0.0, |w| (self.distrust(w) + by).min(DISTRUST_MAX));
         if let Some(w) = self.workers.get_mut(id) {
-            w.distrust = Fading { value, at_ms };
+            w.distrust = Fading { value, at_ms: self.now_ms };
         }
     }
 
@@ -673,11 +676,9 @@
     fn give_up(&mut self, id: CompletionId) {
         let Some(c) = self.completions.get(&id) else { return };
         let workload = &self.settings.workloads[c.facts.workload.0];
-        let harmless = match workload.effect {
-            Effect::Idempotent => true,
-            Effect::Tokened if workload.group == Group::All => true,
-            _ => self.ran(c).next().is_none(),
-        };
+        let harmless = workload.effect == Effect::Idempotent
+            || workload.effect == Effect::Tokened && workload.group == Group::All
+            || self.ran(c).next().is_none();
         let limit_ms = if self.settings.retry_after { self.settings.max_retry_after_ms } else { 0.0 };
         let retry_after_ms = workload.latency_target_ms.min(limit_ms);
         if let Some(c) = self.completions.get_mut(&id) {
