--- a/src/control.rs
+++ b/src/control.rs
@@ -32,8 +32,6 @@
 const DISTRUST_MAX: f64 = 2.0;
 /// What a good answer leaves of the distrust.
 const FORGIVEN: f64 = 0.8;
-/// A worker this many times slower than the median of its kind's others, and late, is blamed.
-const SLOW_AGAINST_PEERS: f64 = 3.0;
 /// Weight of the newest sample in a mean.
 const SAMPLE_WEIGHT: f64 = 0.2;
 /// A writer with this many times the median of our streams, or with first tokens that take this share of the
@@ -623,22 +621,11 @@
         }
     }
 
-    /// A good answer lowers distrust; one that makes the worker slow against its peers raises it.
+    /// A good answer lowers distrust; a slow one is for `late` and `slow` to judge.
     fn praise(&mut self, id: &WorkerId, lag: Option<f64>) {
-        let Some(w) = self.workers.get(id) else { return };
-        let mut by = (FORGIVEN - 1.0) * self.distrust(w);
-        if let Some(lag) = lag {
-            let mean = w.lag.with(lag, self.now_ms);
-            let peers = self.workers.iter().filter(|(o, p)| *o != id && p.listing.kind == w.listing.kind);
-            let peers = median(peers.map(|(_, p)| p.lag.value).filter(|lag| *lag > 0.0).collect());
-            if peers.is_some_and(|peers| mean.value > (SLOW_AGAINST_PEERS * peers).max(LATE)) {
-                by += 0.3;
-            }
-            if let Some(w) = self.workers.get_mut(id) {
-                w.lag = mean;
-            }
-        }
-        self.blame(id, by);
+        let Some(w) = self.workers.get_mut(id) else { return };
+        w.lag = lag.map_or(w.lag, |lag| w.lag.with(lag, self.now_ms));
+        w.distrust.value *= FORGIVEN;
     }
 
     // ---- further dispatches and answers ----
