--- a/src/control.rs
+++ b/src/control.rs
@@ -9,6 +9,7 @@
 //! 5. effect guard: what may run again, where, and what may be rate-limited.
 //! 6. letting go: a timer before the client timeout answers; what is over is cancelled and released.
 
+use std::cmp::{Ordering, Reverse};
 use std::collections::BTreeMap;
 
 use crate::interface::*;
@@ -42,8 +43,7 @@
 const LAG_FADES: f64 = 0.1;
 /// Latency targets that a dispatch may take before another worker is tried.
 const PATIENCE: f64 = 2.0;
-/// Share of the way to full capacity that a cold worker is trusted to have made as its time passes; some warm
-/// by work, not by time.
+/// Share of the way to full capacity that time alone is trusted to bring; some workers warm by work.
 const WARMING: f64 = 0.5;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -400,7 +400,7 @@
     /// which nothing writes unstrained hands the whole path to the next cell by session hash.
     fn read_at(&self, c: &Completion) -> Option<(WorkerId, Stage)> {
         let home = self.home(c);
-        let home_easy = home.clone().filter(|home| !c.avoid.contains(home) && !self.strained(home));
+        let home_easy = home.clone().filter(|home| !c.avoid.contains(home) && !self.strained(home, false));
         let uncovered = c.facts.prompt_tokens - home.as_ref().map_or(0.0, |home| self.believed(c, home));
         if let Some(home) = &home_easy {
             if uncovered < (1.0 - COVERED) * c.facts.prompt_tokens || uncovered < SHORT_READ_TOKENS {
@@ -424,17 +424,19 @@
         let ease = |reader: &WorkerId| EASE_COLD + EASE_KEPT * share(reader);
         // Of each cell only the reader that the design names: a late one is not passed by for its neighbours,
         // as then each of them would read each beginning anew.
+        let mut free: Vec<_> = all.iter().filter(|reader| !self.busy(reader, ease(reader))).collect();
         let mut cells = Vec::new();
-        let mut free = all.iter().filter(|reader| !self.busy(reader, ease(reader)));
-        let found = free.find(|reader| {
-            let first = !cells.contains(&cell(reader));
+        free.retain(|reader| {
             cells.push(cell(reader));
-            let writes_in = if home_has { cell(reader) } else { home_cell.or(cell(reader)) };
-            let writer = writes_in.and_then(|cell| self.writer_in(c, cell, home.as_ref()));
-            first && writer.is_some() && !self.late(reader, ease(reader))
+            !cells[..cells.len() - 1].contains(&cell(reader)) && !self.late(reader, ease(reader))
         });
-        if let Some(reader) = found {
-            return Some((reader.clone(), Stage::Read));
+        let writes = |reader: &WorkerId, crowded| {
+            let cell = if home_has { cell(reader) } else { home_cell.or(cell(reader)) };
+            cell.is_some_and(|cell| self.writer_in(c, cell, home.as_ref(), crowded).is_some())
+        };
+        let found = free.iter().find(|reader| writes(reader, false));
+        if let Some(reader) = found.or_else(|| free.iter().find(|reader| writes(reader, true))) {
+            return Some(((*reader).clone(), Stage::Read));
         }
         // Every reader exceeds the bound: home reads, unless that would only be late too.
         if home_easy.is_some() || !all.is_empty() {
@@ -443,7 +445,9 @@
         // No reader and no home left: any worker that reads by itself.
         let writers_read = self.settings.writers_read;
         let by_itself = |w: &Worker| w.role == Role::Mixed || w.role == Role::Writer && writers_read;
-        self.fewest(c, true, by_itself).map(|worker| (worker, Stage::Whole))
+        self.fewest(c, by_itself)
+            .filter(|worker| !self.strained(worker, true))
+            .map(|worker| (worker, Stage::Whole))
     }
 
     /// Write at home; if it answered full or holds more of our streams than the median, at the pure writer
@@ -455,29 +459,37 @@
         let mut readers = self.workers.values().filter(|w| w.role == Role::Reader);
         let has_reader = readers.any(|w| Some(w.listing.cell) == home_cell);
         let cell = home_cell.filter(|_| !has_reader).or(at_cell)?;
-        self.writer_in(c, cell, home.as_ref())
+        self.writer_in(c, cell, home.as_ref(), true)
             .or_else(|| home.filter(|home| !c.avoid.contains(home) && self.cell(home) == Some(cell)))
-            .or_else(|| self.fewest(c, false, |w| w.role != Role::Reader && w.listing.cell == cell))
-            .or_else(|| self.fewest(c, false, |w| w.role != Role::Reader))
+            .or_else(|| self.fewest(c, |w| w.role != Role::Reader && w.listing.cell == cell))
+            .or_else(|| self.fewest(c, |w| w.role != Role::Reader))
     }
 
     /// The unstrained writer that a cell offers: home by the design, else the relay.
-    fn writer_in(&self, c: &Completion, cell: CellId, home: Option<&WorkerId>) -> Option<WorkerId> {
+    fn writer_in(
+        &self,
+        c: &Completion,
+        cell: CellId,
+        home: Option<&WorkerId>,
+        crowded: bool,
+    ) -> Option<WorkerId> {
         let home = home.filter(|home| self.cell(home) == Some(cell) && !c.avoid.contains(home));
-        let home = home.filter(|home| !self.strained(home));
+        let home = home.filter(|home| !self.strained(home, false));
         let median = self.median_of_writers(|w| w.streams);
         if let Some(home) = home.filter(|home| self.streams(home) <= median) {
             return Some(home.clone());
         }
-        let relay = self.fewest(c, true, |w| w.role == Role::Writer && w.listing.cell == cell);
-        let other = || self.fewest(c, true, |w| w.role == Role::Mixed && w.listing.cell == cell);
+        let easy = |worker: &WorkerId| !self.strained(worker, crowded);
+        let relay = self.fewest(c, |w| w.role == Role::Writer && w.listing.cell == cell).filter(easy);
+        let other = || self.fewest(c, |w| w.role == Role::Mixed && w.listing.cell == cell).filter(easy);
         relay.or_else(|| home.cloned()).or_else(other)
     }
 
-    fn fewest(&self, c: &Completion, easy: bool, of: impl Fn(&Worker) -> bool) -> Option<WorkerId> {
+    fn fewest(&self, c: &Completion, of: impl Fn(&Worker) -> bool) -> Option<WorkerId> {
         let mut found = self.by_hash(c, c.facts.session.0, of);
-        found.retain(|id| !(c.avoid.contains(id) || easy && self.strained(id)));
-        found.into_iter().min_by(|a, b| self.streams(a).total_cmp(&self.streams(b)))
+        found.retain(|id| !c.avoid.contains(id));
+        let order = |id: &WorkerId| (self.strained(id, true), self.streams(id));
+        found.into_iter().min_by(|a, b| order(a).partial_cmp(&order(b)).unwrap_or(Ordering::Equal))
     }
 
     fn cell(&self, id: &WorkerId) -> Option<CellId> {
@@ -489,10 +501,11 @@
     }
 
     /// Guards against a writer that jams, whatever the cause: it holds far more of our streams than the
-    /// median, or it is late. Harm: histories are spread over more workers.
-    fn strained(&self, id: &WorkerId) -> bool {
+    /// median, or it is busy, late or slow. Harm: histories are spread over more workers. Being crowded only
+    /// compares: where all others are strained, it is no reason to refuse.
+    fn strained(&self, id: &WorkerId, crowded_fits: bool) -> bool {
         let crowded = self.streams(id) > CROWDED * self.median_of_writers(|w| w.streams) + 1.0;
-        crowded || self.busy(id, 1.0) || self.late(id, 1.0) || self.slow(id)
+        crowded && !crowded_fits || self.busy(id, 1.0) || self.late(id, 1.0) || self.slow(id)
     }
 
     /// Answers there have lately taken far longer than at the median of those that write.
@@ -510,7 +523,8 @@
 
     fn median_of_writers(&self, value: impl Fn(&Worker) -> f64) -> f64 {
         let writing = self.workers.values().filter(|w| w.role != Role::Reader);
-        let ready = writing.filter(|w| w.listing.readiness == Readiness::Ready);
+        let ready =
+            writing.filter(|w| w.listing.readiness == Readiness::Ready && self.fresh_share(w).is_none());
         median(ready.map(value).collect()).unwrap_or(0.0)
     }
 
@@ -562,8 +576,7 @@
             let fits =
                 |id: &WorkerId, w: &Worker| of(w) && self.open(c, w) && (!trusted || self.trusted(c, id, w));
             let found = self.workers.iter().filter(|(id, w)| fits(id, w));
-            let mut found: Vec<_> =
-                found.map(|(id, _)| (std::cmp::Reverse(rank(id, key)), id.clone())).collect();
+            let mut found: Vec<_> = found.map(|(id, _)| (Reverse(rank(id, key)), id.clone())).collect();
             found.sort();
             found.into_iter().map(|(_, id)| id).collect::<Vec<_>>()
         };
