A fresh worker's budget comes from all others where its kind is all fresh

Cause in the release incident: all readers were replaced within 10 s, no warm peer was left to judge by, and each got one read a turn. The budget is also half of the toppling load now in place of the bare capacity.

--- a/src/control.rs
+++ b/src/control.rs
@@ -29,7 +29,7 @@
 const EASE_KEPT: f64 = 1.5;
 /// Distrust halves in this share of the time in which a cold worker warms.
 const DISTRUST_HALVES: f64 = 0.33;
-/// Distrust never grows past this, so that a healed worker is tried again after a few half-lives.
+/// Distrust never grows past this, so that a healed worker is soon tried again.
 const DISTRUST_MAX: f64 = 2.0;
 /// What a good answer leaves of the distrust.
 const FORGIVEN: f64 = 0.8;
@@ -45,6 +45,8 @@
 const PATIENCE: f64 = 2.0;
 /// Share of the way to full capacity that time alone is trusted to bring; some workers warm by work.
 const WARMING: f64 = 0.5;
+/// Share of the load that topples a cold worker which all routers together may send it.
+const FALL_SHARE: f64 = 0.5;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
@@ -590,21 +592,22 @@
     }
 
     /// Turns at a fresh worker: one router at a time, by its number, sends what the worker can do by its age,
-    /// judged by what we send its kind's others. Guards against pushing over what just started, for whatever
-    /// reason it did. Harm: its sessions are spread over stand-ins for that time.
+    /// judged by what we send its kind's others, or all others where those are fresh too. Guards against
+    /// pushing over what just started. Harm: its sessions are spread over stand-ins for that time.
     fn our_turn(&self, w: &Worker) -> bool {
         let s = &self.settings;
         let Some(share) = self.fresh_share(w) else { return true };
         let routers = s.routers.max(1);
         let turn = (self.now_ms / s.fall_ms.max(1.0)) as usize;
-        let peers = self.workers.values().filter(|o| o.listing.kind == w.listing.kind);
-        let peers: Vec<f64> = peers
-            .filter(|o| self.fresh_share(o).is_none())
-            .map(|o| o.sent.at(self.now_ms, s.fall_ms))
-            .collect();
-        let mean = peers.iter().sum::<f64>() / peers.len().max(1) as f64;
+        let warm = |o: &&Worker| self.fresh_share(o).is_none() && o.listing.readiness == Readiness::Ready;
+        let peers = || self.workers.values().filter(warm);
+        let all_fresh = peers().all(|o| o.listing.kind != w.listing.kind);
+        let like = peers().filter(|o| all_fresh || o.listing.kind == w.listing.kind);
+        let sent: Vec<f64> = like.map(|o| o.sent.at(self.now_ms, s.fall_ms)).collect();
+        let mean = sent.iter().sum::<f64>() / sent.len().max(1) as f64;
+        let budget = mean * share * FALL_SHARE * s.fall_multiple * routers as f64;
         (turn + s.own_number).is_multiple_of(routers)
-            && w.sent.at(self.now_ms, s.fall_ms) + 1.0 <= (mean * share * routers as f64).max(1.0)
+            && w.sent.at(self.now_ms, s.fall_ms) + 1.0 <= budget.max(1.0)
     }
 
     /// The part of its capacity that a worker surely has when it started not long ago.
@@ -643,8 +646,7 @@
 
     // ---- further dispatches and answers ----
 
-    /// How long a dispatch may take. Guards against workers that went silent. Harm: under a jam that all
-    /// share, more tries make it worse; hence so long, and no further try for the last two.
+    /// How long a dispatch may take. Guards against workers that went silent. Harm: tries in a shared jam.
     fn patience(&self, c: &Completion) -> f64 {
         let tries_left = c.dispatches.len() + 2 < self.settings.max_dispatches;
         let left_ms = c.facts.client_timeout_ms - self.now_ms;
