--- a/src/control.rs
+++ b/src/control.rs
@@ -417,7 +417,6 @@
         let own = |reader: &WorkerId| self.believed(c, reader) > c.facts.prefix_tokens;
         let cell = |reader: &WorkerId| self.cell(reader);
         let home_cell = home.as_ref().and_then(cell);
-        let home_has = all.iter().any(|reader| cell(reader) == home_cell);
         let by_session = |reader: &WorkerId| cell(reader).map(|cell| mix(cell.0.into(), c.facts.session.0));
         all.sort_by_key(|reader| (cell(reader) != home_cell, !own(reader), by_session(reader)));
         // What finds little kept costs the readers most and is passed on or refused first, lest shared texts
@@ -432,10 +431,7 @@
             cells.push(cell(reader));
             !cells[..cells.len() - 1].contains(&cell(reader)) && !self.late(reader, ease(reader))
         });
-        let writes = |reader: &WorkerId, crowded| {
-            let cell = if home_has { cell(reader) } else { home_cell.or(cell(reader)) };
-            cell.is_some_and(|cell| self.writer_in(c, cell, home.as_ref(), crowded).is_some())
-        };
+        let writes = |reader: &&&WorkerId, fits| self.writer_near(c, reader, home.as_ref(), fits).is_some();
         let found = free.iter().find(|reader| writes(reader, false));
         if let Some(reader) = found.or_else(|| free.iter().find(|reader| writes(reader, true))) {
             return Some(((*reader).clone(), Stage::Read));
@@ -456,15 +452,27 @@
     /// of its cell with fewest of our streams. A state read in another cell is written there.
     fn write_at(&self, c: &Completion) -> Option<WorkerId> {
         let home = self.home(c);
-        let home_cell = home.as_ref().and_then(|home| self.cell(home));
-        let at_cell = c.state_at.as_ref().and_then(|at| self.cell(at));
+        let near = |at: &WorkerId, fits| self.writer_near(c, at, home.as_ref(), fits);
+        let at = c.state_at.as_ref()?;
+        near(at, false)
+            .or_else(|| near(at, true))
+            .or_else(|| self.fewest(c, |w| w.role != Role::Reader && Some(w.listing.cell) == self.cell(at)))
+            .or_else(|| self.fewest(c, |w| w.role != Role::Reader))
+    }
+
+    /// The writer for a state at a reader: of home's cell if that has no reader, else of the reader's cell.
+    fn writer_near(
+        &self,
+        c: &Completion,
+        at: &WorkerId,
+        home: Option<&WorkerId>,
+        fits: bool,
+    ) -> Option<WorkerId> {
+        let home_cell = home.and_then(|home| self.cell(home));
         let mut readers = self.workers.values().filter(|w| w.role == Role::Reader);
         let has_reader = readers.any(|w| Some(w.listing.cell) == home_cell);
-        let cell = home_cell.filter(|_| !has_reader).or(at_cell)?;
-        self.writer_in(c, cell, home.as_ref(), true)
-            .or_else(|| home.filter(|home| !c.avoid.contains(home) && self.cell(home) == Some(cell)))
-            .or_else(|| self.fewest(c, |w| w.role != Role::Reader && w.listing.cell == cell))
-            .or_else(|| self.fewest(c, |w| w.role != Role::Reader))
+        let cells = [home_cell.filter(|_| !has_reader), self.cell(at)];
+        cells.into_iter().flatten().find_map(|cell| self.writer_in(c, cell, home, fits))
     }
 
     /// The unstrained writer that a cell offers: home by the design, else the relay.
@@ -473,7 +481,7 @@
         c: &Completion,
         cell: CellId,
         home: Option<&WorkerId>,
-        crowded: bool,
+        fits: bool,
     ) -> Option<WorkerId> {
         let home = home.filter(|home| self.cell(home) == Some(cell) && !c.avoid.contains(home));
         let home = home.filter(|home| !self.strained(home, false));
@@ -481,7 +489,7 @@
         if let Some(home) = home.filter(|home| self.streams(home) <= median) {
             return Some(home.clone());
         }
-        let easy = |worker: &WorkerId| !self.strained(worker, crowded);
+        let easy = |worker: &WorkerId| !self.strained(worker, fits);
         let relay = self.fewest(c, |w| w.role == Role::Writer && w.listing.cell == cell).filter(easy);
         let other = || self.fewest(c, |w| w.role == Role::Mixed && w.listing.cell == cell).filter(easy);
         relay.or_else(|| home.cloned()).or_else(other)
