--- a/src/control.rs
+++ b/src/control.rs
@@ -201,9 +201,7 @@
                 self.reconcile(*completion, actions);
             }
             Event::Expired { completion } => {
-                if let Some(c) = self.completions.get_mut(completion) {
-                    c.over = true;
-                }
+                self.completions.get_mut(completion).into_iter().for_each(|c| c.over = true);
                 self.reconcile(*completion, actions);
             }
             Event::TimerFired(Timer::Completion(completion)) => {
@@ -215,10 +213,7 @@
             }
             Event::TimerFired(Timer::Subscribe) => actions.push(Action::Subscribe),
             // Nothing is probed, held or told, and reports are later than our own counts.
-            Event::Probed { .. }
-            | Event::Reported { .. }
-            | Event::HoldAnswered { .. }
-            | Event::Told { .. } => {}
+            _ => {}
         }
     }
 
@@ -257,9 +252,9 @@
             }
             worker.listing = row.clone();
         }
-        self.workers.retain(|_, w| {
-            w.listing.readiness != Readiness::Gone || w.streams > 0.0 || w.waiting_tokens > 0.0
-        });
+        let in_use =
+            |w: &Worker| w.listing.readiness != Readiness::Gone || w.streams + w.waiting_tokens > 0.0;
+        self.workers.retain(|_, w| in_use(w));
     }
 
     fn arrived(&mut self, facts: &Arrival, actions: &mut Vec<Action>) {
@@ -352,12 +347,10 @@
             }
         }
         let Some(c) = self.completions.get_mut(&id) else { return };
-        if c.over || c.answer.is_some() {
-            return;
-        }
-        if began || outcome == Moot || self.now_ms >= c.wake_ms {
+        let owed = !c.over && c.answer.is_none();
+        if owed && (began || outcome == Moot || self.now_ms >= c.wake_ms) {
             self.give_up(id);
-        } else if c.dispatches.iter().all(|d| d.phase == Phase::Ended) {
+        } else if owed && c.dispatches.iter().all(|d| d.phase == Phase::Ended) {
             self.plan(id);
         }
     }
@@ -371,8 +364,8 @@
             Some(_) => self.write_at(c).map(|worker| (worker, Stage::Write)),
             None => self.read_at(c),
         };
-        let dispatches = c.dispatches.len();
-        let Some((worker, stage)) = next.filter(|_| dispatches < self.settings.max_dispatches) else {
+        let tries_left = c.dispatches.len() < self.settings.max_dispatches;
+        let Some((worker, stage)) = next.filter(|_| tries_left) else {
             return self.give_up(id);
         };
         let believed = self.believed(c, &worker);
@@ -417,7 +410,9 @@
         let own = |reader: &WorkerId| self.believed(c, reader) > c.facts.prefix_tokens;
         let cell = |reader: &WorkerId| self.cell(reader);
         let home_cell = home.as_ref().and_then(cell);
-        let by_session = |reader: &WorkerId| cell(reader).map(|cell| mix(cell.0.into(), c.facts.session.0));
+        let home_has = all.iter().any(|reader| cell(reader) == home_cell);
+        let order = |cell: CellId| mix(cell.0.into(), c.facts.session.0);
+        let by_session = |reader: &WorkerId| cell(reader).filter(|_| home_has).map(order);
         all.sort_by_key(|reader| (cell(reader) != home_cell, !own(reader), by_session(reader)));
         // What finds little kept costs the readers most and is passed on or refused first, lest shared texts
         // are crowded out. Harm: under strain a text that no reader keeps waits longest.
@@ -441,11 +436,10 @@
             return home_easy.map(|home| (home, Stage::Whole));
         }
         // No reader and no home left: any worker that reads by itself.
-        let writers_read = self.settings.writers_read;
-        let by_itself = |w: &Worker| w.role == Role::Mixed || w.role == Role::Writer && writers_read;
-        self.fewest(c, by_itself)
-            .filter(|worker| !self.strained(worker, true))
-            .map(|worker| (worker, Stage::Whole))
+        let reads =
+            |w: &Worker| w.role == Role::Mixed || w.role == Role::Writer && self.settings.writers_read;
+        let alone = self.fewest(c, reads).filter(|worker| !self.strained(worker, true));
+        alone.map(|worker| (worker, Stage::Whole))
     }
 
     /// Write at home; if it answered full or holds more of our streams than the median, at the pure writer
@@ -692,10 +686,8 @@
         let limit_ms = if self.settings.retry_after { self.settings.max_retry_after_ms } else { 0.0 };
         let retry_after_ms = workload.latency_target_ms.min(limit_ms);
         if let Some(c) = self.completions.get_mut(&id) {
-            c.answer = Some(match harmless {
-                true => Action::RateLimit { completion: id, retry_after_ms },
-                false => Action::Abort { completion: id },
-            });
+            let come_back = Action::RateLimit { completion: id, retry_after_ms };
+            c.answer = Some(if harmless { come_back } else { Action::Abort { completion: id } });
             c.dispatches.iter_mut().for_each(|d| d.wanted = false);
         }
     }
