--- a/src/control.rs
+++ b/src/control.rs
@@ -35,8 +35,9 @@
 const FORGIVEN: f64 = 0.8;
 /// Weight of the newest sample in a mean.
 const SAMPLE_WEIGHT: f64 = 0.2;
-/// A writer with this many times the median of our streams, or with first tokens that take this share of the
-/// latency target, is strained; the latter fades by halves in a share of the time in which a cold one warms.
+/// A writer is strained with this many times the median of our streams, first tokens that take this share of
+/// the latency target, or answers that take this many times the median's time; lag fades by halves in the last
+/// as a share of the time in which a cold worker warms, pace with distrust.
 const CROWDED: f64 = 1.5;
 const LATE: f64 = 0.5;
 const SLOW_PACE: f64 = 2.0;
@@ -572,8 +573,6 @@
         }
     }
 
-    // ---- which workers may be used ----
-
     /// Usable workers in hash order. Where distrust leaves none, the distrusted ones.
     fn by_hash(&self, c: &Completion, key: u64, of: impl Fn(&Worker) -> bool) -> Vec<WorkerId> {
         let usable = |trusted: bool| {
@@ -646,8 +645,6 @@
         w.distrust.value *= FORGIVEN;
     }
 
-    // ---- further dispatches and answers ----
-
     /// How long a dispatch may take. Guards against workers that went silent. Harm: tries in a shared jam.
     fn patience(&self, c: &Completion) -> f64 {
         let tries_left = c.dispatches.len() + 2 < self.settings.max_dispatches;
