--- a/src/control.rs
+++ b/src/control.rs
@@ -36,8 +36,8 @@
 /// Weight of the newest sample in a mean.
 const SAMPLE_WEIGHT: f64 = 0.2;
 /// A writer is strained with this many times the median of our streams, first tokens that take this share of
-/// the latency target, or answers that take this many times the median's time; lag fades by halves in the last
-/// as a share of the time in which a cold worker warms, pace with distrust.
+/// the latency target, or answers that take this many times the median's time. Lag halves in the last, a share
+/// of the time in which a cold worker warms; pace halves as distrust does.
 const CROWDED: f64 = 1.5;
 const LATE: f64 = 0.5;
 const SLOW_PACE: f64 = 2.0;
