Readers' bounds shrink for workloads of less value

Least value first under strain: factor 1 for the workload of most value, down to a half. Harm: the worst workload counts too, and it is the one that waits.

--- a/src/control.rs
+++ b/src/control.rs
@@ -18,9 +18,8 @@
 const COVERED: f64 = 0.95;
 /// Uncovered tokens below which home reads by itself. Of the design.
 const SHORT_READ_TOKENS: f64 = 2000.0;
-/// Life of an entry in the table of sessions. Of the design.
+/// Life of an entry in the table, of the design, and how many it holds at most.
 const ENTRY_LIFE_MS: f64 = 120_000.0;
-/// Entries that the table holds at most.
 const ENTRIES_MAX: usize = 1 << 16;
 /// All routers' waiting tokens at a reader that turn completions away, as a share of the reader's memory.
 const READER_BOUND: f64 = 1.0 / 16.0;
@@ -29,15 +28,14 @@
 const EASE_KEPT: f64 = 1.5;
 /// Distrust halves in this share of the time in which a cold worker warms.
 const DISTRUST_HALVES: f64 = 0.33;
-/// Distrust never grows past this, so that a healed worker is soon tried again.
+/// Distrust never grows past this, and this much of it is left by a good answer.
 const DISTRUST_MAX: f64 = 2.0;
-/// What a good answer leaves of the distrust.
 const FORGIVEN: f64 = 0.8;
 /// Weight of the newest sample in a mean.
 const SAMPLE_WEIGHT: f64 = 0.2;
 /// A writer is strained with this many times the median of our streams, first tokens that take this share of
-/// the latency target, or answers that take this many times the median's time. Lag halves in the last, a share
-/// of the time in which a cold worker warms; pace halves as distrust does.
+/// the latency target, or answers that take this many times the median's time. Lag halves in the last, a
+/// share of the time in which a cold worker warms; pace halves as distrust does.
 const CROWDED: f64 = 1.5;
 const LATE: f64 = 0.5;
 const SLOW_PACE: f64 = 2.0;
@@ -418,7 +416,9 @@
         // What finds little kept costs the readers most and is passed on or refused first, lest shared texts
         // are crowded out. Harm: under strain a text that no reader keeps waits longest.
         let share = |reader: &WorkerId| self.believed(c, reader) / c.facts.prompt_tokens.max(1.0);
-        let ease = |reader: &WorkerId| EASE_COLD + EASE_KEPT * share(reader);
+        let value = self.settings.workloads[c.facts.workload.0].value;
+        let best = self.settings.workloads.iter().map(|workload| workload.value).fold(value, f64::max);
+        let ease = |reader: &WorkerId| (EASE_COLD + EASE_KEPT * share(reader)) * (1.0 + value / best) / 2.0;
         // Of each cell only the reader that the design names: a late one is not passed by for its neighbours,
         // as then each of them would read each beginning anew.
         let mut free: Vec<_> = all.iter().filter(|reader| !self.busy(reader, ease(reader))).collect();
