--- a/src/control.rs
+++ b/src/control.rs
@@ -42,18 +42,18 @@
 const LAG_FADES: f64 = 0.1;
 /// Latency targets that a dispatch may take before another worker is tried.
 const PATIENCE: f64 = 2.0;
+/// Times its share that a customer may seem to send before its value falls.
+const SHARE_SLACK: f64 = 1.5;
 /// Share of the way to full capacity that time alone is trusted to bring; some workers warm by work.
 const WARMING: f64 = 0.5;
 /// Share of the load that topples a cold worker which all routers together may send it.
 const FALL_SHARE: f64 = 0.5;
 
+/// Read at a reader, where the state waits; fetch it and write; or both at one worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
-    /// Read at a reader; the state waits there.
     Read,
-    /// Fetch the state and write.
     Write,
-    /// Read and write at one worker.
     Whole,
 }
 
@@ -70,7 +70,7 @@
 struct Dispatch {
     worker: WorkerId,
     stage: Stage,
-    /// Wanted state: should it be out? `phase` is the present one.
+    /// Wanted state and present one.
     wanted: bool,
     phase: Phase,
     sent_ms: f64,
@@ -86,12 +86,11 @@
 struct Completion {
     facts: Arrival,
     target_ms: f64,
+    beyond_share: bool,
     dispatches: Vec<Dispatch>,
-    /// Workers that failed it or turned it away.
     avoid: Vec<WorkerId>,
-    /// The reader at which a state waits; wanted until the completion is over.
+    /// The reader at which a state waits, and the final answer; `over` once that is given.
     state_at: Option<WorkerId>,
-    /// The final answer, wanted and present.
     answer: Option<Action>,
     over: bool,
     /// Clock time at which to be woken, and whether that is asked for.
@@ -103,13 +102,13 @@
 struct Worker {
     listing: Listing,
     role: Role,
-    distrust: Fading,
+    distrust: Stamped,
     /// Mean of the time to a read's end or a first token, as a share of the latency target.
-    lag: Fading,
+    lag: Stamped,
     /// Mean time from dispatch to the end of an answer.
-    pace: Fading,
+    pace: Stamped,
     /// Our dispatches of late, those turned away left out.
-    sent: Fading,
+    sent: Stamped,
     /// Of our dispatches out: tokens not yet read, and those that write or wait to.
     waiting_tokens: f64,
     streams: f64,
@@ -117,20 +116,20 @@
     forgot_ms: f64,
 }
 
-/// A value that halves as time passes since it was set.
+/// A value and when it was set; most halve as time passes.
 #[derive(Clone, Copy, Default)]
-struct Fading {
+struct Stamped {
     value: f64,
     at_ms: f64,
 }
 
-impl Fading {
+impl Stamped {
     fn at(&self, now_ms: f64, half_ms: f64) -> f64 {
         self.value * 0.5f64.powf((now_ms - self.at_ms) / half_ms.max(1.0))
     }
 
-    fn with(&self, sample: f64, at_ms: f64) -> Fading {
-        Fading { value: self.value + SAMPLE_WEIGHT * (sample - self.value), at_ms }
+    fn with(&self, sample: f64, at_ms: f64) -> Stamped {
+        Stamped { value: self.value + SAMPLE_WEIGHT * (sample - self.value), at_ms }
     }
 }
 
@@ -141,12 +140,6 @@
     Prefix(PrefixId),
 }
 
-/// An entry of the table: tokens of a text kept at a worker.
-struct Kept {
-    tokens: f64,
-    at_ms: f64,
-}
-
 /// Lives as long as the router.
 pub struct Control {
     settings: Settings,
@@ -154,7 +147,10 @@
     now_ms: f64,
     workers: BTreeMap<WorkerId, Worker>,
     completions: BTreeMap<CompletionId, Completion>,
-    table: BTreeMap<(Text, WorkerId), Kept>,
+    /// Tokens of a text kept at a worker.
+    table: BTreeMap<(Text, WorkerId), Stamped>,
+    /// Arrivals of late, a row a customer.
+    customers: Vec<Stamped>,
 }
 
 /// Stable in every process: FNV-1a over the name, mixed with the key.
@@ -180,6 +176,7 @@
 impl Control {
     pub fn new(settings: Settings, seed: u64) -> Self {
         Control {
+            customers: vec![Stamped::default(); settings.customers.len()],
             settings,
             rng: fastrand::Rng::with_seed(seed),
             now_ms: 0.0,
@@ -235,10 +232,10 @@
             let worker = self.workers.entry(row.worker.clone()).or_insert_with(|| Worker {
                 listing: row.clone(),
                 role: kind.role,
-                distrust: Fading::default(),
-                lag: Fading::default(),
-                pace: Fading::default(),
-                sent: Fading::default(),
+                distrust: Stamped::default(),
+                lag: Stamped::default(),
+                pace: Stamped::default(),
+                sent: Stamped::default(),
                 waiting_tokens: 0.0,
                 streams: 0.0,
                 forgot_ms: 0.0,
@@ -246,8 +243,8 @@
             if row.started_ms != worker.listing.started_ms {
                 // A new process has kept nothing and carries no blame.
                 worker.forgot_ms = self.now_ms;
-                worker.distrust = Fading::default();
-                worker.lag = Fading::default();
+                worker.distrust = Stamped::default();
+                worker.lag = Stamped::default();
             }
             worker.listing = row.clone();
         }
@@ -262,6 +259,7 @@
         let completion = Completion {
             facts: facts.clone(),
             target_ms,
+            beyond_share: facts.customer.is_some_and(|customer| self.beyond_share(customer)),
             dispatches: Vec::new(),
             avoid: Vec::new(),
             state_at: None,
@@ -276,6 +274,17 @@
         self.reconcile(facts.completion, actions);
     }
 
+    /// Whether a customer sends more than its share. Harm: a router that gets more than its part of the
+    /// customer's traffic accuses it wrongly; hence the slack.
+    fn beyond_share(&mut self, id: CustomerId) -> bool {
+        let seen = self.customers.get_mut(id.0).zip(self.settings.customers.get(id.0));
+        let Some((seen, own)) = seen else { return false };
+        let half_ms = self.settings.cold_ms * DISTRUST_HALVES;
+        *seen = Stamped { value: seen.at(self.now_ms, half_ms) + 1.0, at_ms: self.now_ms };
+        let per_s = seen.value * std::f64::consts::LN_2 / half_ms * 1e3 * self.settings.routers as f64;
+        per_s > SHARE_SLACK * own.quota_per_s
+    }
+
     fn began(&mut self, id: CompletionId, seq: Seq, took_ms: f64, actions: &mut Vec<Action>) {
         let Some(c) = self.completions.get_mut(&id) else { return };
         let Some(d) = c.dispatches.get_mut(seq.0 as usize) else { return };
@@ -311,7 +320,7 @@
                 // What was turned away is no sign of what a worker carries.
                 Full => w.sent.value = (w.sent.value - 1.0).max(0.0),
                 Finished => w.pace = w.pace.with(took_ms, self.now_ms),
-                TimedOut => w.lag = Fading { value: w.lag.value.max(lag), at_ms: self.now_ms },
+                TimedOut => w.lag = Stamped { value: w.lag.value.max(lag), at_ms: self.now_ms },
                 _ => {}
             }
         }
@@ -354,8 +363,6 @@
         }
     }
 
-    // ---- the design ----
-
     /// What should be out next for a completion that has nothing out.
     fn plan(&mut self, id: CompletionId) {
         let Some(c) = self.completions.get(&id) else { return };
@@ -412,21 +419,20 @@
         let home_has = all.iter().any(|reader| cell(reader) == home_cell);
         let order = |cell: CellId| mix(cell.0.into(), c.facts.session.0);
         let by_session = |reader: &WorkerId| cell(reader).filter(|_| home_has).map(order);
-        all.sort_by_key(|reader| (cell(reader) != home_cell, !own(reader), by_session(reader)));
+        all.sort_by_key(|reader| (cell(reader) != home_cell, by_session(reader), !own(reader)));
         // What finds little kept costs the readers most and is passed on or refused first, lest shared texts
         // are crowded out. Harm: under strain a text that no reader keeps waits longest.
         let share = |reader: &WorkerId| self.believed(c, reader) / c.facts.prompt_tokens.max(1.0);
-        let value = self.settings.workloads[c.facts.workload.0].value;
+        let part = if c.beyond_share { self.settings.over_share_value } else { 1.0 };
+        let value = self.settings.workloads[c.facts.workload.0].value * part;
         let best = self.settings.workloads.iter().map(|workload| workload.value).fold(value, f64::max);
         let ease = |reader: &WorkerId| (EASE_COLD + EASE_KEPT * share(reader)) * (1.0 + value / best) / 2.0;
         // Of each cell only the reader that the design names: a late one is not passed by for its neighbours,
         // as then each of them would read each beginning anew.
-        let mut free: Vec<_> = all.iter().filter(|reader| !self.busy(reader, ease(reader))).collect();
-        let mut cells = Vec::new();
-        free.retain(|reader| {
-            cells.push(cell(reader));
-            !cells[..cells.len() - 1].contains(&cell(reader)) && !self.late(reader, ease(reader))
-        });
+        let at = |reader: &WorkerId| &self.workers[reader];
+        let mut free: Vec<_> = all.iter().filter(|reader| !self.busy(at(reader), ease(reader))).collect();
+        free.dedup_by(|next, first| home_has && cell(next) == cell(first));
+        free.retain(|reader| !self.late(at(reader), ease(reader)));
         let writes = |reader: &&&WorkerId, fits| self.writer_near(c, reader, home.as_ref(), fits).is_some();
         let found = free.iter().find(|reader| writes(reader, false));
         if let Some(reader) = found.or_else(|| free.iter().find(|reader| writes(reader, true))) {
@@ -436,7 +442,7 @@
         if home_easy.is_some() || !all.is_empty() {
             return home_easy.map(|home| (home, Stage::Whole));
         }
-        // No reader and no home left: any worker that reads by itself.
+        // No reader, no home: any worker that reads by itself.
         let reads =
             |w: &Worker| w.role == Role::Mixed || w.role == Role::Writer && self.settings.writers_read;
         let alone = self.fewest(c, reads).filter(|worker| !self.strained(worker, true));
@@ -509,21 +515,25 @@
     /// median, or it is busy, late or slow. Harm: histories are spread over more workers. Being crowded only
     /// compares: where all others are strained, it is no reason to refuse.
     fn strained(&self, id: &WorkerId, crowded_fits: bool) -> bool {
-        let crowded = self.streams(id) > CROWDED * self.median_of_writers(|w| w.streams) + 1.0;
-        crowded && !crowded_fits || self.busy(id, 1.0) || self.late(id, 1.0) || self.slow(id)
+        let Some(w) = self.workers.get(id) else { return true };
+        let crowded = w.streams > CROWDED * self.median_of_writers(|w| w.streams) + 1.0;
+        crowded && !crowded_fits || self.busy(w, 1.0) || self.late(w, 1.0) || self.slow(w)
     }
 
     /// Answers there have lately taken far longer than at the median of those that write.
-    fn slow(&self, id: &WorkerId) -> bool {
-        let half_ms = self.settings.cold_ms * DISTRUST_HALVES;
+    fn slow(&self, w: &Worker) -> bool {
         let usual = self.median_of_writers(|w| if w.pace.value > 0.0 { w.pace.value } else { f64::INFINITY });
-        self.workers.get(id).is_some_and(|w| w.pace.at(self.now_ms, half_ms) > SLOW_PACE * usual)
+        w.pace.at(self.now_ms, self.settings.cold_ms * DISTRUST_HALVES) > SLOW_PACE * usual
     }
 
     /// First tokens or reads there have lately taken much of the latency target.
-    fn late(&self, id: &WorkerId, ease: f64) -> bool {
-        let half_ms = self.settings.cold_ms * LAG_FADES;
-        self.workers.get(id).is_some_and(|w| w.lag.at(self.now_ms, half_ms) > LATE * ease)
+    fn late(&self, w: &Worker, ease: f64) -> bool {
+        w.lag.at(self.now_ms, self.settings.cold_ms * LAG_FADES) > LATE * ease
+    }
+
+    fn busy(&self, w: &Worker, ease: f64) -> bool {
+        let memory = self.settings.kinds[w.listing.kind.0].memory_tokens;
+        w.waiting_tokens > ease * memory * READER_BOUND / self.settings.routers.max(1) as f64
     }
 
     fn median_of_writers(&self, value: impl Fn(&Worker) -> f64) -> f64 {
@@ -533,21 +543,14 @@
         median(ready.map(value).collect()).unwrap_or(0.0)
     }
 
-    fn busy(&self, id: &WorkerId, ease: f64) -> bool {
-        self.workers.get(id).is_none_or(|w| {
-            let memory = self.settings.kinds[w.listing.kind.0].memory_tokens;
-            w.waiting_tokens > ease * memory * READER_BOUND / self.settings.routers.max(1) as f64
-        })
-    }
-
     /// Tokens of the prompt that the table holds as kept at a worker.
     fn believed(&self, c: &Completion, worker: &WorkerId) -> f64 {
         let Some(w) = self.workers.get(worker) else { return 0.0 };
         let oldest_ms = w.forgot_ms.max(self.now_ms - ENTRY_LIFE_MS);
         let entry = |text| self.table.get(&(text, worker.clone())).filter(|kept| kept.at_ms >= oldest_ms);
-        let session = entry(Text::Session(c.facts.session)).map_or(0.0, |kept| kept.tokens);
+        let session = entry(Text::Session(c.facts.session)).map_or(0.0, |kept| kept.value);
         let prefix = c.facts.prefix.filter(|_| w.role == Role::Reader);
-        let prefix = prefix.and_then(|prefix| entry(Text::Prefix(prefix))).map_or(0.0, |kept| kept.tokens);
+        let prefix = prefix.and_then(|prefix| entry(Text::Prefix(prefix))).map_or(0.0, |kept| kept.value);
         session.max(prefix).min(c.facts.prompt_tokens)
     }
 
@@ -569,7 +572,7 @@
         let session = (Text::Session(facts.session), facts.prompt_tokens);
         let prefix = facts.prefix.map(|prefix| (Text::Prefix(prefix), facts.prefix_tokens));
         for (text, tokens) in [Some(session), prefix].into_iter().flatten() {
-            self.table.insert((text, worker.clone()), Kept { tokens, at_ms });
+            self.table.insert((text, worker.clone()), Stamped { value: tokens, at_ms });
         }
     }
 
@@ -634,7 +637,7 @@
     fn blame(&mut self, id: &WorkerId, by: f64) {
         let value = self.workers.get(id).map_or(0.0, |w| (self.distrust(w) + by).min(DISTRUST_MAX));
         if let Some(w) = self.workers.get_mut(id) {
-            w.distrust = Fading { value, at_ms: self.now_ms };
+            w.distrust = Stamped { value, at_ms: self.now_ms };
         }
     }
 
@@ -652,17 +655,13 @@
         left_ms.min(if tries_left { PATIENCE * c.target_ms } else { f64::INFINITY })
     }
 
-    fn ran<'a>(&self, c: &'a Completion) -> impl Iterator<Item = &'a Dispatch> {
-        c.dispatches.iter().filter(|d| d.may_have_run)
-    }
-
     /// The rule on effects, for any worker that writes.
     fn may_run_again(&self, c: &Completion, w: &Worker) -> bool {
         let workload = &self.settings.workloads[c.facts.workload.0];
         match workload.effect {
             Effect::Idempotent => true,
-            Effect::NonIdempotent => self.ran(c).next().is_none(),
-            Effect::Tokened => self.ran(c).all(|d| {
+            Effect::NonIdempotent => c.dispatches.iter().all(|d| !d.may_have_run),
+            Effect::Tokened => c.dispatches.iter().filter(|d| d.may_have_run).all(|d| {
                 let same = match (workload.group, self.workers.get(&d.worker)) {
                     (Group::All, _) => true,
                     (Group::Zone, Some(o)) => o.listing.zone == w.listing.zone,
@@ -679,7 +678,7 @@
         let workload = &self.settings.workloads[c.facts.workload.0];
         let harmless = workload.effect == Effect::Idempotent
             || workload.effect == Effect::Tokened && workload.group == Group::All
-            || self.ran(c).next().is_none();
+            || c.dispatches.iter().all(|d| !d.may_have_run);
         let limit_ms = if self.settings.retry_after { self.settings.max_retry_after_ms } else { 0.0 };
         let retry_after_ms = workload.latency_target_ms.min(limit_ms);
         if let Some(c) = self.completions.get_mut(&id) {
@@ -689,8 +688,6 @@
         }
     }
 
-    // ---- wanted against present ----
-
     /// Emits what turns the present state of a completion into the wanted one.
     fn reconcile(&mut self, id: CompletionId, actions: &mut Vec<Action>) {
         let Some(c) = self.completions.get_mut(&id) else { return };
@@ -706,7 +703,7 @@
                     d.phase = Phase::Out;
                     if let Some(w) = self.workers.get_mut(&d.worker) {
                         let value = w.sent.at(self.now_ms, self.settings.fall_ms) + 1.0;
-                        w.sent = Fading { value, at_ms: self.now_ms };
+                        w.sent = Stamped { value, at_ms: self.now_ms };
                         w.streams += f64::from(u8::from(d.stage != Stage::Read));
                         w.waiting_tokens += d.tokens;
                     }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -4,7 +4,7 @@
 
 use helpers::{row, settings, Play};
 use insta::assert_snapshot;
-use paddleproxy::interface::{ListKind::*, Listing, Outcome::*, Readiness};
+use paddleproxy::interface::{CustomerSettings, ListKind::*, Listing, Outcome::*, Readiness};
 
 /// Cell 0 and cell 1, each with a mixed server, a reader and a writer.
 const FLEET: [&str; 6] = ["m0a", "r0a", "w0a", "m1a", "r1a", "w1a"];
@@ -138,3 +138,18 @@
     play.pass(30_000.0).arrive(4, 5, 300.0);
     assert_snapshot!(play.trace());
 }
+
+/// Under strain the customer beyond its share and the workload of less value are refused first.
+#[test]
+fn customer_beyond_its_share_is_refused_first() {
+    let mut settings = settings();
+    settings.over_share_value = 0.0;
+    settings.customers = [2.0, 100.0].map(|quota_per_s| CustomerSettings { quota_per_s }).to_vec();
+    let mut play = Play::new(settings, &["m0a", "r0a", "w0a"]);
+    for id in 0..8 {
+        play.pass(50.0).arrive_from(0, id, 5, 300.0).began(id, 0).ended(id, 0, Finished, 0.0);
+    }
+    play.arrive_from(1, 8, 5, 4000.0).arrive_from(1, 9, 6, 2500.0).arrive_from(0, 10, 7, 2500.0);
+    play.arrive_from(1, 11, 7, 2500.0);
+    assert_snapshot!(play.trace());
+}
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -95,12 +95,27 @@
     }
 
     pub fn arrive_as(&mut self, workload: usize, id: u32, session: u64, prompt: f64) -> &mut Self {
+        self.arrival(workload, None, id, session, prompt)
+    }
+
+    pub fn arrive_from(&mut self, customer: usize, id: u32, session: u64, prompt: f64) -> &mut Self {
+        self.arrival(0, Some(CustomerId(customer)), id, session, prompt)
+    }
+
+    fn arrival(
+        &mut self,
+        workload: usize,
+        customer: Option<CustomerId>,
+        id: u32,
+        session: u64,
+        prompt: f64,
+    ) -> &mut Self {
         let facts = Arrival {
             completion: CompletionId(id),
             workload: WorkloadId(workload),
             session: SessionId(session),
             prefix: Some(PrefixId(9)),
-            customer: None,
+            customer,
             client_timeout_ms: self.now_ms + 4000.0,
             prompt_tokens: prompt,
             prefix_tokens: 1000.0,
