--- a/src/control.rs
+++ b/src/control.rs
@@ -33,10 +33,9 @@
 const FORGIVEN: f64 = 0.8;
 /// Weight of the newest sample in a mean.
 const SAMPLE_WEIGHT: f64 = 0.2;
-/// A writer is strained with this many times the median of our streams, first tokens that take this share of
-/// the latency target, or answers that take this many times the median's time. Lag halves in the last, a
-/// share of the time in which a cold worker warms; pace halves as distrust does.
-const CROWDED: f64 = 1.5;
+/// A writer is strained with first tokens that take this share of the latency target, or with answers that take
+/// this many times the median's time. Lag halves in the last, a share of the time in which a cold worker
+/// warms; pace halves as distrust does.
 const LATE: f64 = 0.5;
 const SLOW_PACE: f64 = 2.0;
 const LAG_FADES: f64 = 0.1;
@@ -511,12 +510,12 @@
         self.workers.get(id).map_or(f64::INFINITY, |w| w.streams)
     }
 
-    /// Guards against a writer that jams, whatever the cause: it holds far more of our streams than the
-    /// median, or it is busy, late or slow. Harm: histories are spread over more workers. Being crowded only
+    /// Guards against a writer that jams, whatever the cause: it holds more of our streams than the
+    /// median and one, or it is busy, late or slow. Harm: histories are spread over more workers. Being crowded only
     /// compares: where all others are strained, it is no reason to refuse.
     fn strained(&self, id: &WorkerId, crowded_fits: bool) -> bool {
         let Some(w) = self.workers.get(id) else { return true };
-        let crowded = w.streams > CROWDED * self.median_of_writers(|w| w.streams) + 1.0;
+        let crowded = w.streams > self.median_of_writers(|w| w.streams) + 1.0;
         crowded && !crowded_fits || self.busy(w, 1.0) || self.late(w, 1.0) || self.slow(w)
     }
 
