--- a/src/control.rs
+++ b/src/control.rs
@@ -33,9 +33,9 @@
 const FORGIVEN: f64 = 0.8;
 /// Weight of the newest sample in a mean.
 const SAMPLE_WEIGHT: f64 = 0.2;
-/// A writer is strained with first tokens that take this share of the latency target, or with answers that take
-/// this many times the median's time. Lag halves in the last, a share of the time in which a cold worker
-/// warms; pace halves as distrust does.
+/// A writer is strained when first tokens take this share of the latency target, or answers this many times
+/// the median's time. Lag halves in the last, a share of the time in which a cold worker warms; pace halves
+/// as distrust does.
 const LATE: f64 = 0.5;
 const SLOW_PACE: f64 = 2.0;
 const LAG_FADES: f64 = 0.1;
@@ -510,8 +510,8 @@
         self.workers.get(id).map_or(f64::INFINITY, |w| w.streams)
     }
 
-    /// Guards against a writer that jams, whatever the cause: it holds more of our streams than the
-    /// median and one, or it is busy, late or slow. Harm: histories are spread over more workers. Being crowded only
+    /// Guards against a writer that jams, whatever the cause: it holds more of our streams than the median
+    /// and one, or it is busy, late or slow. Harm: histories are spread over more workers. Being crowded only
     /// compares: where all others are strained, it is no reason to refuse.
     fn strained(&self, id: &WorkerId, crowded_fits: bool) -> bool {
         let Some(w) = self.workers.get(id) else { return true };
