Workers are asked before a dispatch, reports are read, a text spills to two readers

Cause: with hundreds of routers each one's own counts say nothing; its few tokens times the routers turned idle readers away and sent jams to retry, and homes and lone readers of a cell stayed saturated beside idle ones. Change: a worker that said nothing of late is probed first (a silent one is passed by, nothing is sent blindly), the waiting tokens and memory in reports decide strain, spill goes by prefix hash to two readers.

--- a/crates/drill/src/settings.rs
+++ b/crates/drill/src/settings.rs
@@ -54,6 +54,8 @@
 
 #[derive(Deserialize)]
 struct Caps {
+    #[serde(default)]
+    probes: bool,
     cancel: bool,
     second_copies: bool,
     retry_after: bool,
@@ -137,6 +139,7 @@
         must_ask_in_ms: conf.invariants.must_ask_in_s * 1e3,
         holds_allowed: conf.family_info.holds_allowed,
         writers_read: conf.family_info.self_prefill,
+        probes_allowed: conf.caps.probes,
         cancel_allowed: conf.caps.cancel,
         second_copies: conf.caps.second_copies,
         retry_after: conf.caps.retry_after,
--- a/src/control.rs
+++ b/src/control.rs
@@ -4,7 +4,8 @@
 //! and `write_at`. Beside it stand these mechanisms:
 //! 1. distrust: a fading score per worker; the share of sessions that pass it by follows the score.
 //! 2. turns: routers take turns at a fresh worker by their own number, within a budget by its age.
-//! 3. strain: a crowded, busy or late worker is passed by; where all are, the completion is rate-limited.
+//! 3. strain: a crowded or busy worker, by our own counts and by what it says, is passed by; where all are,
+//!    the completion is rate-limited. A worker that was not heard from of late is asked first.
 //! 4. patience: a dispatch that hangs far past its latency target is tried elsewhere.
 //! 5. effect guard: what may run again, where, and what may be rate-limited.
 //! 6. letting go: a timer before the client timeout answers; what is over is cancelled and released.
@@ -14,9 +15,9 @@
 
 use crate::interface::*;
 
-/// Share of a prompt that must be kept at home for it to be read and written there. Of the design.
+/// Of the design: the share of a prompt that must be kept at home for it to be read and written there, and
+/// the uncovered tokens below which home reads by itself.
 const COVERED: f64 = 0.95;
-/// Uncovered tokens below which home reads by itself. Of the design.
 const SHORT_READ_TOKENS: f64 = 2000.0;
 /// Life of an entry in the table, of the design, and how many it holds at most.
 const ENTRY_LIFE_MS: f64 = 120_000.0;
@@ -26,25 +27,29 @@
 /// Factor of a reader's bounds: the first for a prompt of which it keeps nothing, the sum for one it keeps.
 const EASE_COLD: f64 = 0.5;
 const EASE_KEPT: f64 = 1.5;
-/// Distrust halves in this share of the time in which a cold worker warms.
+/// Distrust halves in this share of the time in which a cold worker warms, never grows past the second, and
+/// the third part of it is left by a good answer.
 const DISTRUST_HALVES: f64 = 0.33;
-/// Distrust never grows past this, and this much of it is left by a good answer.
 const DISTRUST_MAX: f64 = 2.0;
 const FORGIVEN: f64 = 0.8;
-/// Weight of the newest sample in a mean.
-const SAMPLE_WEIGHT: f64 = 0.2;
-/// A writer is strained when first tokens take this share of the latency target, or answers this many times
-/// the median's time. Lag halves in the last, a share of the time in which a cold worker warms; pace halves
-/// as distrust does.
-const LATE: f64 = 0.5;
-const SLOW_PACE: f64 = 2.0;
-const LAG_FADES: f64 = 0.1;
 /// Latency targets that a dispatch may take before another worker is tried.
 const PATIENCE: f64 = 2.0;
-/// Times its share that a customer may seem to send before its value falls.
-const SHARE_SLACK: f64 = 1.5;
 /// Share of the way to full capacity that time alone is trusted to bring; some workers warm by work.
 const WARMING: f64 = 0.5;
+/// What a worker said of its load halves in this share of the time in which a cold one falls over, and it is
+/// asked anew once less than the second is left of it.
+const SAID_HALVES: f64 = 0.5;
+const ASK_BELOW: f64 = 0.7;
+/// The bound at a mixed server, as a share of a reader's: it reads among its streams.
+const MIXED_BOUND: f64 = 0.1;
+/// Share of the latency target that an answer to a probe may take, and times the most dispatches that a
+/// completion may ask.
+const ASKING: f64 = 0.04;
+const ASKED_MAX: usize = 2;
+/// Readers of other cells that a text may go to.
+const SPILL: usize = 2;
+/// Share of its memory held at which a worker that writes counts as full.
+const MEMORY_FULL: f64 = 0.9;
 /// Share of the load that topples a cold worker which all routers together may send it.
 const FALL_SHARE: f64 = 0.5;
 
@@ -69,7 +74,6 @@
 struct Dispatch {
     worker: WorkerId,
     stage: Stage,
-    /// Wanted state and present one.
     wanted: bool,
     phase: Phase,
     sent_ms: f64,
@@ -85,16 +89,19 @@
 struct Completion {
     facts: Arrival,
     target_ms: f64,
-    beyond_share: bool,
     dispatches: Vec<Dispatch>,
     avoid: Vec<WorkerId>,
     /// The reader at which a state waits, and the final answer; `over` once that is given.
     state_at: Option<WorkerId>,
     answer: Option<Action>,
     over: bool,
-    /// Clock time at which to be woken, and whether that is asked for.
+    /// Workers asked before the next dispatch, how many were in all, and until when an answer counts.
+    asking: Vec<WorkerId>,
+    asked: usize,
+    ask_until_ms: f64,
+    /// Clock time at which a final answer is due, and for which a timer was last asked.
     wake_ms: f64,
-    armed: bool,
+    armed_ms: f64,
 }
 
 /// Lives as long as a worker is known.
@@ -102,15 +109,14 @@
     listing: Listing,
     role: Role,
     distrust: Stamped,
-    /// Mean of the time to a read's end or a first token, as a share of the latency target.
-    lag: Stamped,
-    /// Mean time from dispatch to the end of an answer.
-    pace: Stamped,
     /// Our dispatches of late, those turned away left out.
     sent: Stamped,
     /// Of our dispatches out: tokens not yet read, and those that write or wait to.
     waiting_tokens: f64,
     streams: f64,
+    /// What it last said of its load, as a share of the bound, and whether a probe is out.
+    said: Stamped,
+    probed: bool,
     /// What the table held of this worker before then is void.
     forgot_ms: f64,
 }
@@ -126,10 +132,6 @@
     fn at(&self, now_ms: f64, half_ms: f64) -> f64 {
         self.value * 0.5f64.powf((now_ms - self.at_ms) / half_ms.max(1.0))
     }
-
-    fn with(&self, sample: f64, at_ms: f64) -> Stamped {
-        Stamped { value: self.value + SAMPLE_WEIGHT * (sample - self.value), at_ms }
-    }
 }
 
 /// A text that workers keep: what a session has said so far, or a beginning that sessions share.
@@ -148,8 +150,6 @@
     completions: BTreeMap<CompletionId, Completion>,
     /// Tokens of a text kept at a worker.
     table: BTreeMap<(Text, WorkerId), Stamped>,
-    /// Arrivals of late, a row a customer.
-    customers: Vec<Stamped>,
 }
 
 /// Stable in every process: FNV-1a over the name, mixed with the key.
@@ -157,25 +157,15 @@
     let name = worker.0.bytes().fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
     });
-    mix(name, key)
-}
-
-fn mix(name: u64, key: u64) -> u64 {
     let mut mixed = name ^ key.wrapping_mul(0x9e37_79b9_7f4a_7c15);
     mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     mixed ^ (mixed >> 31)
 }
 
-fn median(mut values: Vec<f64>) -> Option<f64> {
-    values.sort_by(f64::total_cmp);
-    values.get(values.len().saturating_sub(1) / 2).copied()
-}
-
 impl Control {
     pub fn new(settings: Settings, seed: u64) -> Self {
         Control {
-            customers: vec![Stamped::default(); settings.customers.len()],
             settings,
             rng: fastrand::Rng::with_seed(seed),
             now_ms: 0.0,
@@ -190,9 +180,9 @@
         match event {
             Event::Listed { kind, rows } => self.listed(*kind, rows, actions),
             Event::Arrived(facts) => self.arrived(facts, actions),
-            Event::Began { completion, seq, took_ms } => self.began(*completion, *seq, *took_ms, actions),
-            Event::Ended { completion, seq, took_ms, over, outcome, kept_tokens } => {
-                self.ended(*completion, *seq, *took_ms, *over, *outcome, *kept_tokens);
+            Event::Began { completion, seq, .. } => self.began(*completion, *seq, actions),
+            Event::Ended { completion, seq, over, outcome, kept_tokens, .. } => {
+                self.ended(*completion, *seq, *over, *outcome, *kept_tokens);
                 self.reconcile(*completion, actions);
             }
             Event::Expired { completion } => {
@@ -200,14 +190,30 @@
                 self.reconcile(*completion, actions);
             }
             Event::TimerFired(Timer::Completion(completion)) => {
-                let begun = |c: &Completion| c.dispatches.iter().any(|d| d.phase == Phase::Streaming);
-                if self.completions.get(completion).is_some_and(|c| !c.over && !begun(c)) {
+                let Some(c) = self.completions.get(completion) else { return };
+                let early_ms = self.settings.resolution_ms / 2.0;
+                let begun = c.dispatches.iter().any(|d| d.phase == Phase::Streaming);
+                if now_ms >= c.wake_ms - early_ms && !c.over && !begun {
                     self.give_up(*completion);
+                } else if now_ms >= c.ask_until_ms - early_ms && !c.asking.is_empty() {
+                    self.heard_back(*completion, None, false);
                 }
                 self.reconcile(*completion, actions);
             }
+            Event::Reported { worker, load } => self.reported(worker, load),
+            Event::Probed { worker, answered, .. } => {
+                if let Some(w) = self.workers.get_mut(worker) {
+                    w.probed = false;
+                    w.said.at_ms = if *answered { now_ms } else { w.said.at_ms };
+                }
+                let waits = |(id, c): (&CompletionId, &Completion)| c.asking.contains(worker).then_some(*id);
+                for id in self.completions.iter().filter_map(waits).collect::<Vec<_>>() {
+                    self.heard_back(id, Some(worker), *answered);
+                    self.reconcile(id, actions);
+                }
+                self.judge(worker, if *answered { 0.0 } else { 0.6 }, false);
+            }
             Event::TimerFired(Timer::Subscribe) => actions.push(Action::Subscribe),
-            // Nothing is probed, held or told, and reports are later than our own counts.
             _ => {}
         }
     }
@@ -232,24 +238,22 @@
                 listing: row.clone(),
                 role: kind.role,
                 distrust: Stamped::default(),
-                lag: Stamped::default(),
-                pace: Stamped::default(),
                 sent: Stamped::default(),
                 waiting_tokens: 0.0,
                 streams: 0.0,
+                said: Stamped { value: 0.0, at_ms: f64::NEG_INFINITY },
+                probed: false,
                 forgot_ms: 0.0,
             });
             if row.started_ms != worker.listing.started_ms {
                 // A new process has kept nothing and carries no blame.
                 worker.forgot_ms = self.now_ms;
                 worker.distrust = Stamped::default();
-                worker.lag = Stamped::default();
             }
             worker.listing = row.clone();
         }
-        let in_use =
-            |w: &Worker| w.listing.readiness != Readiness::Gone || w.streams + w.waiting_tokens > 0.0;
-        self.workers.retain(|_, w| in_use(w));
+        let gone = |w: &Worker| w.listing.readiness == Readiness::Gone;
+        self.workers.retain(|_, w| !gone(w) || w.streams + w.waiting_tokens > 0.0);
     }
 
     fn arrived(&mut self, facts: &Arrival, actions: &mut Vec<Action>) {
@@ -258,38 +262,55 @@
         let completion = Completion {
             facts: facts.clone(),
             target_ms,
-            beyond_share: facts.customer.is_some_and(|customer| self.beyond_share(customer)),
             dispatches: Vec::new(),
             avoid: Vec::new(),
             state_at: None,
+            asking: Vec::new(),
+            asked: 0,
+            ask_until_ms: 0.0,
             answer: None,
             over: false,
             // The last moment at which a final answer surely is in time, if every outcome stays away.
             wake_ms: facts.client_timeout_ms - 2.0 * self.settings.resolution_ms,
-            armed: false,
+            armed_ms: 0.0,
         };
         self.completions.insert(facts.completion, completion);
         self.plan(facts.completion);
         self.reconcile(facts.completion, actions);
     }
 
-    /// Whether a customer sends more than its share. Harm: a router that gets more than its part of the
-    /// customer's traffic accuses it wrongly; hence the slack.
-    fn beyond_share(&mut self, id: CustomerId) -> bool {
-        let seen = self.customers.get_mut(id.0).zip(self.settings.customers.get(id.0));
-        let Some((seen, own)) = seen else { return false };
-        let half_ms = self.settings.cold_ms * DISTRUST_HALVES;
-        *seen = Stamped { value: seen.at(self.now_ms, half_ms) + 1.0, at_ms: self.now_ms };
-        let per_s = seen.value * std::f64::consts::LN_2 / half_ms * 1e3 * self.settings.routers as f64;
-        per_s > SHARE_SLACK * own.quota_per_s
+    /// What waits there to be read, or the memory held where it writes, as a share of what makes it strained.
+    fn reported(&mut self, id: &WorkerId, load: &LoadReport) {
+        let Some(w) = self.workers.get_mut(id) else { return };
+        let memory = self.settings.kinds[w.listing.kind.0].memory_tokens;
+        let queued = load.queue.map(|queue| queue * SHORT_READ_TOKENS);
+        let tokens = load.waiting_kilotokens.map(|thousands| thousands * 1e3).or(queued).unwrap_or(0.0);
+        let part = if w.role == Role::Mixed { MIXED_BOUND } else { 1.0 };
+        let held = load.memory_share.filter(|_| w.role != Role::Reader).unwrap_or(0.0) / MEMORY_FULL;
+        let reading = tokens / (memory * READER_BOUND * part).max(1.0);
+        w.said = Stamped { value: reading.max(held), at_ms: self.now_ms };
     }
 
-    fn began(&mut self, id: CompletionId, seq: Seq, took_ms: f64, actions: &mut Vec<Action>) {
+    /// An answer, or none in time: who gave none is passed by, and with the last the decision goes on.
+    fn heard_back(&mut self, id: CompletionId, worker: Option<&WorkerId>, answered: bool) {
+        let Some(c) = self.completions.get_mut(&id) else { return };
+        let (done, left): (Vec<_>, Vec<_>) =
+            c.asking.drain(..).partition(|asked| worker.is_none_or(|worker| worker == asked));
+        c.asking = left;
+        if !answered {
+            c.avoid.extend(done);
+        }
+        if c.asking.is_empty() && !c.over && c.answer.is_none() {
+            self.plan(id);
+        }
+    }
+
+    fn began(&mut self, id: CompletionId, seq: Seq, actions: &mut Vec<Action>) {
         let Some(c) = self.completions.get_mut(&id) else { return };
         let Some(d) = c.dispatches.get_mut(seq.0 as usize) else { return };
         d.phase = Phase::Streaming;
         c.state_at = None;
-        let (lag, worker, facts) = (took_ms / c.target_ms, d.worker.clone(), c.facts.clone());
+        let (worker, facts) = (d.worker.clone(), c.facts.clone());
         let tokens = std::mem::take(&mut d.tokens);
         if let Some(w) = self.workers.get_mut(&worker) {
             w.waiting_tokens = (w.waiting_tokens - tokens).max(0.0);
@@ -297,11 +318,11 @@
                 self.remember(&facts, &worker);
             }
         }
-        self.praise(&worker, Some(lag));
+        self.judge(&worker, 0.0, true);
         self.reconcile(id, actions);
     }
 
-    fn ended(&mut self, id: CompletionId, seq: Seq, took_ms: f64, over: bool, outcome: Outcome, kept: f64) {
+    fn ended(&mut self, id: CompletionId, seq: Seq, over: bool, outcome: Outcome, kept: f64) {
         let Some(c) = self.completions.get_mut(&id) else { return };
         let Some(d) = c.dispatches.get_mut(seq.0 as usize) else { return };
         use Outcome::*;
@@ -310,54 +331,40 @@
         (d.phase, d.wanted) = (Phase::Ended, false);
         d.may_have_run &= !matches!(outcome, Full | NoState | ConnectFailed | Moot | Read);
         let tokens = std::mem::take(&mut d.tokens);
-        let lag = took_ms / c.target_ms;
         c.over |= over;
         if let Some(w) = self.workers.get_mut(&worker) {
             w.waiting_tokens = (w.waiting_tokens - tokens).max(0.0);
             w.streams -= f64::from(u8::from(stage != Stage::Read));
-            match outcome {
-                // What was turned away is no sign of what a worker carries.
-                Full => w.sent.value = (w.sent.value - 1.0).max(0.0),
-                Finished => w.pace = w.pace.with(took_ms, self.now_ms),
-                TimedOut => w.lag = Stamped { value: w.lag.value.max(lag), at_ms: self.now_ms },
-                _ => {}
-            }
+            // What was turned away is no sign of what a worker carries.
+            w.sent.value = (w.sent.value - f64::from(u8::from(outcome == Full))).max(0.0);
         }
-        match outcome {
-            Read => {
-                c.state_at = Some(worker.clone());
-                let facts = c.facts.clone();
-                self.remember(&facts, &worker);
-                self.check_kept(&worker, kept, believed, sent_ms);
-                self.praise(&worker, Some(lag));
-            }
-            Finished => {
-                c.state_at = None;
-                if stage == Stage::Whole {
-                    self.check_kept(&worker, kept, believed, sent_ms);
-                }
-                self.praise(&worker, None);
-            }
-            Full => c.avoid.push(worker),
-            NoState => c.state_at = None,
-            Cancelled | Moot => {}
-            Error | Broken | ConnectFailed | TimedOut => {
-                c.avoid.push(worker.clone());
-                let blame = match outcome {
-                    ConnectFailed | Broken => 0.6,
-                    Error => 0.3,
-                    // A dispatch cut short by the client's own timeout says little of the worker.
-                    _ if wanted && !c.over && self.now_ms < c.wake_ms => 0.4,
-                    _ => 0.0,
-                };
-                self.blame(&worker, blame);
-            }
+        c.state_at = match outcome {
+            Read => Some(worker.clone()),
+            Finished | NoState => None,
+            _ => c.state_at.take(),
+        };
+        if matches!(outcome, Full | Error | Broken | ConnectFailed | TimedOut) {
+            c.avoid.push(worker.clone());
         }
-        let Some(c) = self.completions.get_mut(&id) else { return };
+        let blame = match outcome {
+            ConnectFailed | Broken => 0.6,
+            // A dispatch cut short by the client's own timeout says little of the worker.
+            TimedOut if wanted && !c.over && self.now_ms < c.wake_ms => 0.4,
+            Error => 0.3,
+            _ => 0.0,
+        };
         let owed = !c.over && c.answer.is_none();
-        if owed && (began || outcome == Moot || self.now_ms >= c.wake_ms) {
+        let lost = began || outcome == Moot || self.now_ms >= c.wake_ms;
+        let none_out = c.dispatches.iter().all(|d| d.phase == Phase::Ended);
+        let facts = Some(c.facts.clone()).filter(|_| outcome == Read);
+        facts.into_iter().for_each(|facts| self.remember(&facts, &worker));
+        if outcome == Read || outcome == Finished && stage == Stage::Whole {
+            self.check_kept(&worker, kept, believed, sent_ms);
+        }
+        self.judge(&worker, blame, matches!(outcome, Read | Finished));
+        if owed && lost {
             self.give_up(id);
-        } else if owed && c.dispatches.iter().all(|d| d.phase == Phase::Ended) {
+        } else if owed && none_out {
             self.plan(id);
         }
     }
@@ -373,13 +380,30 @@
         let Some((worker, stage)) = next.filter(|_| tries_left) else {
             return self.give_up(id);
         };
+        let asking = self.to_ask(c, &worker, stage);
+        if !asking.is_empty() {
+            if c.asked >= ASKED_MAX * self.settings.max_dispatches {
+                return self.give_up(id);
+            }
+            let each_ms = self.settings.pin_limit_ms / (2.0 * self.settings.max_dispatches.max(1) as f64);
+            let until_ms = self.now_ms + each_ms.min(ASKING * c.target_ms);
+            if let Some(c) = self.completions.get_mut(&id) {
+                c.ask_until_ms = until_ms;
+                c.asked += asking.len();
+                c.asking = asking;
+            }
+            return;
+        }
         let believed = self.believed(c, &worker);
+        // Guards against workers that went silent. Harm: tries in a shared jam.
+        let patience =
+            if c.dispatches.len() + 2 < self.settings.max_dispatches { PATIENCE } else { f64::INFINITY };
         let dispatch = Dispatch {
             stage,
             wanted: true,
             phase: Phase::Planned,
             sent_ms: self.now_ms,
-            timeout_ms: self.patience(c),
+            timeout_ms: (patience * c.target_ms).min(c.facts.client_timeout_ms - self.now_ms),
             tokens: if stage == Stage::Write { 0.0 } else { c.facts.prompt_tokens - believed },
             believed,
             may_have_run: stage != Stage::Read,
@@ -390,6 +414,21 @@
         }
     }
 
+    /// Those of whom the decision should be sure and who were not heard from of late.
+    fn to_ask(&self, c: &Completion, worker: &WorkerId, stage: Stage) -> Vec<WorkerId> {
+        if !self.settings.probes_allowed || stage == Stage::Write && c.asked > self.settings.max_dispatches {
+            return Vec::new();
+        }
+        let writer = (stage == Stage::Read).then(|| self.writer_near(c, worker, false)).flatten();
+        let unsure = |id: &WorkerId| self.workers.get(id).is_some_and(|w| self.heard(w) < ASK_BELOW);
+        [Some(worker.clone()), writer].into_iter().flatten().filter(unsure).collect()
+    }
+
+    /// How far what a worker said still counts.
+    fn heard(&self, w: &Worker) -> f64 {
+        Stamped { value: 1.0, at_ms: w.said.at_ms }.at(self.now_ms, self.settings.fall_ms * SAID_HALVES)
+    }
+
     /// Home: a mixed server by session hash; the next in hash order stands in for one that can't be used.
     fn home(&self, c: &Completion) -> Option<WorkerId> {
         self.by_hash(c, c.facts.session.0, |w| w.role == Role::Mixed).into_iter().next()
@@ -413,28 +452,22 @@
         // Guards against the relay loop: a turn that home has not kept goes first to the reader that read the
         // session's last one, so that it is not read from its beginning. Harm: hot sessions stay together.
         let own = |reader: &WorkerId| self.believed(c, reader) > c.facts.prefix_tokens;
-        let cell = |reader: &WorkerId| self.cell(reader);
-        let home_cell = home.as_ref().and_then(cell);
-        let home_has = all.iter().any(|reader| cell(reader) == home_cell);
-        let order = |cell: CellId| mix(cell.0.into(), c.facts.session.0);
-        let by_session = |reader: &WorkerId| cell(reader).filter(|_| home_has).map(order);
-        all.sort_by_key(|reader| (cell(reader) != home_cell, by_session(reader), !own(reader)));
+        let home_cell = home.as_ref().and_then(|home| self.cell(home));
+        all.sort_by_key(|reader| (self.cell(reader) != home_cell, !own(reader)));
+        // Guards against thrashing: in a jam each text would spill everywhere, pushing out what readers keep.
+        // Harm: a completion can be refused while a reader elsewhere is idle.
+        let near = all.iter().filter(|reader| self.cell(reader) == home_cell).count();
+        all.truncate(near + SPILL);
         // What finds little kept costs the readers most and is passed on or refused first, lest shared texts
         // are crowded out. Harm: under strain a text that no reader keeps waits longest.
         let share = |reader: &WorkerId| self.believed(c, reader) / c.facts.prompt_tokens.max(1.0);
-        let part = if c.beyond_share { self.settings.over_share_value } else { 1.0 };
-        let value = self.settings.workloads[c.facts.workload.0].value * part;
-        let best = self.settings.workloads.iter().map(|workload| workload.value).fold(value, f64::max);
-        let ease = |reader: &WorkerId| (EASE_COLD + EASE_KEPT * share(reader)) * (1.0 + value / best) / 2.0;
-        // Of each cell only the reader that the design names: a late one is not passed by for its neighbours,
-        // as then each of them would read each beginning anew.
-        let at = |reader: &WorkerId| &self.workers[reader];
-        let mut free: Vec<_> = all.iter().filter(|reader| !self.busy(at(reader), ease(reader))).collect();
-        free.dedup_by(|next, first| home_has && cell(next) == cell(first));
-        free.retain(|reader| !self.late(at(reader), ease(reader)));
-        let writes = |reader: &&&WorkerId, fits| self.writer_near(c, reader, home.as_ref(), fits).is_some();
+        let ease = |reader: &WorkerId| EASE_COLD + EASE_KEPT * share(reader);
+        let free = |reader: &&WorkerId| !self.busy(&self.workers[*reader], ease(reader));
+        let free: Vec<_> = all.iter().filter(free).collect();
+        let writes = |reader: &&&WorkerId, fits| self.writer_near(c, reader, fits).is_some();
         let found = free.iter().find(|reader| writes(reader, false));
-        if let Some(reader) = found.or_else(|| free.iter().find(|reader| writes(reader, true))) {
+        let found = found.or_else(|| free.iter().find(|reader| writes(reader, true)));
+        if let Some(reader) = found {
             return Some(((*reader).clone(), Stage::Read));
         }
         // Every reader exceeds the bound: home reads, unless that would only be late too.
@@ -451,48 +484,28 @@
     /// Write at home; if it answered full or holds more of our streams than the median, at the pure writer
     /// of its cell with fewest of our streams. A state read in another cell is written there.
     fn write_at(&self, c: &Completion) -> Option<WorkerId> {
-        let home = self.home(c);
-        let near = |at: &WorkerId, fits| self.writer_near(c, at, home.as_ref(), fits);
         let at = c.state_at.as_ref()?;
-        near(at, false)
-            .or_else(|| near(at, true))
+        self.writer_near(c, at, false)
+            .or_else(|| self.writer_near(c, at, true))
             .or_else(|| self.fewest(c, |w| w.role != Role::Reader && Some(w.listing.cell) == self.cell(at)))
             .or_else(|| self.fewest(c, |w| w.role != Role::Reader))
     }
 
     /// The writer for a state at a reader: of home's cell if that has no reader, else of the reader's cell.
-    fn writer_near(
-        &self,
-        c: &Completion,
-        at: &WorkerId,
-        home: Option<&WorkerId>,
-        fits: bool,
-    ) -> Option<WorkerId> {
-        let home_cell = home.and_then(|home| self.cell(home));
+    fn writer_near(&self, c: &Completion, at: &WorkerId, fits: bool) -> Option<WorkerId> {
+        let home = self.home(c);
+        let home_cell = home.as_ref().and_then(|home| self.cell(home));
         let mut readers = self.workers.values().filter(|w| w.role == Role::Reader);
         let has_reader = readers.any(|w| Some(w.listing.cell) == home_cell);
         let cells = [home_cell.filter(|_| !has_reader), self.cell(at)];
-        cells.into_iter().flatten().find_map(|cell| self.writer_in(c, cell, home, fits))
-    }
-
-    /// The unstrained writer that a cell offers: home by the design, else the relay.
-    fn writer_in(
-        &self,
-        c: &Completion,
-        cell: CellId,
-        home: Option<&WorkerId>,
-        fits: bool,
-    ) -> Option<WorkerId> {
-        let home = home.filter(|home| self.cell(home) == Some(cell) && !c.avoid.contains(home));
-        let home = home.filter(|home| !self.strained(home, false));
-        let median = self.median_of_writers(|w| w.streams);
-        if let Some(home) = home.filter(|home| self.streams(home) <= median) {
-            return Some(home.clone());
-        }
-        let easy = |worker: &WorkerId| !self.strained(worker, fits);
-        let relay = self.fewest(c, |w| w.role == Role::Writer && w.listing.cell == cell).filter(easy);
-        let other = || self.fewest(c, |w| w.role == Role::Mixed && w.listing.cell == cell).filter(easy);
-        relay.or_else(|| home.cloned()).or_else(other)
+        let home = home.filter(|home| !c.avoid.contains(home) && !self.strained(home, false));
+        cells.into_iter().flatten().find_map(|cell| {
+            let home = home.as_ref().filter(|home| self.cell(home) == Some(cell));
+            let first = home.filter(|home| self.streams(home) <= self.median_streams()).cloned();
+            let easy = |worker: &WorkerId| !self.strained(worker, fits);
+            let of = |role| self.fewest(c, |w| w.role == role && w.listing.cell == cell).filter(easy);
+            first.or_else(|| of(Role::Writer)).or_else(|| home.cloned()).or_else(|| of(Role::Mixed))
+        })
     }
 
     fn fewest(&self, c: &Completion, of: impl Fn(&Worker) -> bool) -> Option<WorkerId> {
@@ -511,35 +524,28 @@
     }
 
     /// Guards against a writer that jams, whatever the cause: it holds more of our streams than the median
-    /// and one, or it is busy, late or slow. Harm: histories are spread over more workers. Being crowded only
-    /// compares: where all others are strained, it is no reason to refuse.
+    /// and one, or is busy. Harm: histories spread. Crowded only compares: it is no reason to refuse.
     fn strained(&self, id: &WorkerId, crowded_fits: bool) -> bool {
         let Some(w) = self.workers.get(id) else { return true };
-        let crowded = w.streams > self.median_of_writers(|w| w.streams) + 1.0;
-        crowded && !crowded_fits || self.busy(w, 1.0) || self.late(w, 1.0) || self.slow(w)
-    }
-
-    /// Answers there have lately taken far longer than at the median of those that write.
-    fn slow(&self, w: &Worker) -> bool {
-        let usual = self.median_of_writers(|w| if w.pace.value > 0.0 { w.pace.value } else { f64::INFINITY });
-        w.pace.at(self.now_ms, self.settings.cold_ms * DISTRUST_HALVES) > SLOW_PACE * usual
-    }
-
-    /// First tokens or reads there have lately taken much of the latency target.
-    fn late(&self, w: &Worker, ease: f64) -> bool {
-        w.lag.at(self.now_ms, self.settings.cold_ms * LAG_FADES) > LATE * ease
+        let crowded = w.streams > self.median_streams() + 1.0;
+        crowded && !crowded_fits || self.busy(w, 1.0)
     }
 
     fn busy(&self, w: &Worker, ease: f64) -> bool {
         let memory = self.settings.kinds[w.listing.kind.0].memory_tokens;
-        w.waiting_tokens > ease * memory * READER_BOUND / self.settings.routers.max(1) as f64
+        let own = w.waiting_tokens / (memory * READER_BOUND).max(1.0);
+        let heard = self.heard(w);
+        let guess = (1.0 - heard / 2.0) * own * self.settings.routers.max(1) as f64;
+        (heard * w.said.value).max(guess) > ease
     }
 
-    fn median_of_writers(&self, value: impl Fn(&Worker) -> f64) -> f64 {
-        let writing = self.workers.values().filter(|w| w.role != Role::Reader);
-        let ready =
-            writing.filter(|w| w.listing.readiness == Readiness::Ready && self.fresh_share(w).is_none());
-        median(ready.map(value).collect()).unwrap_or(0.0)
+    /// Of those that write and are not fresh.
+    fn median_streams(&self) -> f64 {
+        let ready = |w: &&Worker| w.role != Role::Reader && w.listing.readiness == Readiness::Ready;
+        let ready = self.workers.values().filter(ready).filter(|w| self.fresh_share(w).is_none());
+        let mut streams: Vec<_> = ready.map(|w| w.streams).collect();
+        streams.sort_by(f64::total_cmp);
+        streams.get(streams.len().saturating_sub(1) / 2).copied().unwrap_or(0.0)
     }
 
     /// Tokens of the prompt that the table holds as kept at a worker.
@@ -556,10 +562,8 @@
     /// Guards against a flush, whatever emptied the worker: what else we hold as kept there is void.
     /// Harm: a single text pushed out of a full memory voids the others too.
     fn check_kept(&mut self, worker: &WorkerId, kept: f64, believed: f64, sent_ms: f64) {
-        if kept < believed / 2.0 {
-            if let Some(w) = self.workers.get_mut(worker) {
-                w.forgot_ms = w.forgot_ms.max(sent_ms);
-            }
+        if let Some(w) = self.workers.get_mut(worker).filter(|_| kept < believed / 2.0) {
+            w.forgot_ms = w.forgot_ms.max(sent_ms);
         }
     }
 
@@ -603,10 +607,12 @@
         let routers = s.routers.max(1);
         let turn = (self.now_ms / s.fall_ms.max(1.0)) as usize;
         let warm = |o: &&Worker| self.fresh_share(o).is_none() && o.listing.readiness == Readiness::Ready;
-        let peers = || self.workers.values().filter(warm);
-        let all_fresh = peers().all(|o| o.listing.kind != w.listing.kind);
-        let like = peers().filter(|o| all_fresh || o.listing.kind == w.listing.kind);
-        let sent: Vec<f64> = like.map(|o| o.sent.at(self.now_ms, s.fall_ms)).collect();
+        let of = |same: bool| {
+            let peers = self.workers.values().filter(warm);
+            let peers = peers.filter(|o| !same || o.listing.kind == w.listing.kind);
+            peers.map(|o| o.sent.at(self.now_ms, s.fall_ms)).collect::<Vec<_>>()
+        };
+        let sent = Some(of(true)).filter(|sent| !sent.is_empty()).unwrap_or_else(|| of(false));
         let mean = sent.iter().sum::<f64>() / sent.len().max(1) as f64;
         let budget = mean * share * FALL_SHARE * s.fall_multiple * routers as f64;
         (turn + s.own_number).is_multiple_of(routers)
@@ -620,40 +626,23 @@
         (age < 1.0).then(|| s.cold_share + (1.0 - s.cold_share) * age.max(0.0) * WARMING)
     }
 
-    /// The share of sessions that passes a worker by is its distrust beyond the median of its kind's others:
-    /// what a whole pool shares is no sign of a sick worker.
+    /// The share of sessions that passes a worker by is its distrust.
     fn trusted(&self, c: &Completion, id: &WorkerId, w: &Worker) -> bool {
-        let peers = self.workers.iter().filter(|(other, o)| *other != id && o.listing.kind == w.listing.kind);
-        let shared = median(peers.map(|(_, o)| self.distrust(o)).collect()).unwrap_or(0.0);
-        let draw = (rank(id, !c.facts.session.0) >> 11) as f64 / (1u64 << 53) as f64;
-        self.distrust(w) - shared <= draw
+        self.distrust(w) <= (rank(id, !c.facts.session.0) >> 11) as f64 / (1u64 << 53) as f64
     }
 
     fn distrust(&self, w: &Worker) -> f64 {
         w.distrust.at(self.now_ms, self.settings.cold_ms * DISTRUST_HALVES)
     }
 
-    fn blame(&mut self, id: &WorkerId, by: f64) {
-        let value = self.workers.get(id).map_or(0.0, |w| (self.distrust(w) + by).min(DISTRUST_MAX));
+    /// Blame adds to distrust; a good answer takes of it.
+    fn judge(&mut self, id: &WorkerId, blame: f64, good: bool) {
+        let value = self.workers.get(id).map_or(0.0, |w| (self.distrust(w) + blame).min(DISTRUST_MAX));
         if let Some(w) = self.workers.get_mut(id) {
-            w.distrust = Stamped { value, at_ms: self.now_ms };
+            w.distrust = Stamped { value: value * if good { FORGIVEN } else { 1.0 }, at_ms: self.now_ms };
         }
     }
 
-    /// A good answer lowers distrust; a slow one is for `late` and `slow` to judge.
-    fn praise(&mut self, id: &WorkerId, lag: Option<f64>) {
-        let Some(w) = self.workers.get_mut(id) else { return };
-        w.lag = lag.map_or(w.lag, |lag| w.lag.with(lag, self.now_ms));
-        w.distrust.value *= FORGIVEN;
-    }
-
-    /// How long a dispatch may take. Guards against workers that went silent. Harm: tries in a shared jam.
-    fn patience(&self, c: &Completion) -> f64 {
-        let tries_left = c.dispatches.len() + 2 < self.settings.max_dispatches;
-        let left_ms = c.facts.client_timeout_ms - self.now_ms;
-        left_ms.min(if tries_left { PATIENCE * c.target_ms } else { f64::INFINITY })
-    }
-
     /// The rule on effects, for any worker that writes.
     fn may_run_again(&self, c: &Completion, w: &Worker) -> bool {
         let workload = &self.settings.workloads[c.facts.workload.0];
@@ -661,11 +650,11 @@
             Effect::Idempotent => true,
             Effect::NonIdempotent => c.dispatches.iter().all(|d| !d.may_have_run),
             Effect::Tokened => c.dispatches.iter().filter(|d| d.may_have_run).all(|d| {
-                let same = match (workload.group, self.workers.get(&d.worker)) {
-                    (Group::All, _) => true,
-                    (Group::Zone, Some(o)) => o.listing.zone == w.listing.zone,
-                    (Group::Cell, Some(o)) => o.listing.cell == w.listing.cell,
-                    (_, None) => false,
+                let there = self.workers.get(&d.worker).map(|o| &o.listing);
+                let same = match workload.group {
+                    Group::All => true,
+                    Group::Zone => there.is_some_and(|o| o.zone == w.listing.zone),
+                    Group::Cell => there.is_some_and(|o| o.cell == w.listing.cell),
                 };
                 same && self.now_ms - d.sent_ms < workload.window_ms
             }),
@@ -678,8 +667,8 @@
         let harmless = workload.effect == Effect::Idempotent
             || workload.effect == Effect::Tokened && workload.group == Group::All
             || c.dispatches.iter().all(|d| !d.may_have_run);
-        let limit_ms = if self.settings.retry_after { self.settings.max_retry_after_ms } else { 0.0 };
-        let retry_after_ms = workload.latency_target_ms.min(limit_ms);
+        let limit_ms = Some(self.settings.max_retry_after_ms).filter(|_| self.settings.retry_after);
+        let retry_after_ms = workload.latency_target_ms.min(limit_ms.unwrap_or(0.0));
         if let Some(c) = self.completions.get_mut(&id) {
             let come_back = Action::RateLimit { completion: id, retry_after_ms };
             c.answer = Some(if harmless { come_back } else { Action::Abort { completion: id } });
@@ -720,11 +709,18 @@
         if c.state_at.is_some() && c.over {
             actions.push(Action::Release { completion: id });
         }
+        for id in c.asking.iter().filter(|_| !c.over) {
+            if let Some(w) = self.workers.get_mut(id).filter(|w| !w.probed) {
+                actions.push(Action::Probe { worker: id.clone() });
+                w.probed = true;
+            }
+        }
+        let wake_ms = if c.asking.is_empty() { c.wake_ms } else { c.wake_ms.min(c.ask_until_ms) };
         if c.over && !out {
             self.completions.remove(&id);
-        } else if !c.over && !c.armed {
-            c.armed = true;
-            let in_ms = (c.wake_ms - self.now_ms).max(0.0);
+        } else if !c.over && c.armed_ms != wake_ms {
+            c.armed_ms = wake_ms;
+            let in_ms = (wake_ms - self.now_ms).max(0.0);
             actions.push(Action::Arm { in_ms, timer: Timer::Completion(id) });
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -90,6 +90,7 @@
     pub must_ask_in_ms: f64,
     pub holds_allowed: bool,
     pub writers_read: bool,
+    pub probes_allowed: bool,
     pub cancel_allowed: bool,
     pub second_copies: bool,
     pub retry_after: bool,
