--- a/src/control.rs
+++ b/src/control.rs
@@ -41,7 +41,7 @@
 const SAID_HALVES: f64 = 0.5;
 const ASK_BELOW: f64 = 0.7;
 /// The bound at a mixed server, as a share of a reader's: it reads among its streams.
-const MIXED_BOUND: f64 = 0.1;
+const MIXED_BOUND: f64 = 0.25;
 /// Share of the latency target that an answer to a probe may take, and times the most dispatches that a
 /// completion may ask.
 const ASKING: f64 = 0.04;
@@ -49,7 +49,7 @@
 /// Readers of other cells that a text may go to.
 const SPILL: usize = 2;
 /// Share of its memory held at which a worker that writes counts as full.
-const MEMORY_FULL: f64 = 0.9;
+const MEMORY_FULL: f64 = 0.75;
 /// Share of the load that topples a cold worker which all routers together may send it.
 const FALL_SHARE: f64 = 0.5;
 
