Many routers take their turn at a fresh worker at once, as far as its age allows

Change: as many routers at once as half the share of the fleet's load that is allowed by age; with few routers that is one, as before.

--- a/src/control.rs
+++ b/src/control.rs
@@ -53,7 +53,7 @@
 /// Share of the load that topples a cold worker which all routers together may send it.
 const FALL_SHARE: f64 = 0.5;
 
-/// Read at a reader, where the state waits; fetch it and write; or both at one worker.
+/// Read at a reader; fetch the state and write; or both at one worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
     Read,
@@ -78,9 +78,8 @@
     phase: Phase,
     sent_ms: f64,
     timeout_ms: f64,
-    /// Tokens that we count as waiting at the worker meanwhile.
+    /// Tokens that we count as waiting at the worker meanwhile, and those held to be kept there.
     tokens: f64,
-    /// Prompt tokens that the table held as kept there.
     believed: f64,
     may_have_run: bool,
 }
@@ -291,7 +290,7 @@
         w.said = Stamped { value: reading.max(held), at_ms: self.now_ms };
     }
 
-    /// An answer, or none in time: who gave none is passed by, and with the last the decision goes on.
+    /// Who gave no answer in time is passed by; with the last one the decision goes on.
     fn heard_back(&mut self, id: CompletionId, worker: Option<&WorkerId>, answered: bool) {
         let Some(c) = self.completions.get_mut(&id) else { return };
         let (done, left): (Vec<_>, Vec<_>) =
@@ -414,7 +413,7 @@
         }
     }
 
-    /// Those of whom the decision should be sure and who were not heard from of late.
+    /// Those named that were not heard from of late.
     fn to_ask(&self, c: &Completion, worker: &WorkerId, stage: Stage) -> Vec<WorkerId> {
         if !self.settings.probes_allowed || stage == Stage::Write && c.asked > self.settings.max_dispatches {
             return Vec::new();
@@ -424,7 +423,6 @@
         [Some(worker.clone()), writer].into_iter().flatten().filter(unsure).collect()
     }
 
-    /// How far what a worker said still counts.
     fn heard(&self, w: &Worker) -> f64 {
         Stamped { value: 1.0, at_ms: w.said.at_ms }.at(self.now_ms, self.settings.fall_ms * SAID_HALVES)
     }
@@ -598,9 +596,9 @@
             && (w.role == Role::Reader || self.may_run_again(c, w))
     }
 
-    /// Turns at a fresh worker: one router at a time, by its number, sends what the worker can do by its age,
-    /// judged by what we send its kind's others, or all others where those are fresh too. Guards against
-    /// pushing over what just started. Harm: its sessions are spread over stand-ins for that time.
+    /// Turns at a fresh worker: routers, by their number, send together what it can do by its age, judged by
+    /// what its kind's others get, or all where those are fresh too; half that share of all routers at once.
+    /// Guards against pushing over what just started. Harm: stand-ins spread its sessions.
     fn our_turn(&self, w: &Worker) -> bool {
         let s = &self.settings;
         let Some(share) = self.fresh_share(w) else { return true };
@@ -614,9 +612,11 @@
         };
         let sent = Some(of(true)).filter(|sent| !sent.is_empty()).unwrap_or_else(|| of(false));
         let mean = sent.iter().sum::<f64>() / sent.len().max(1) as f64;
-        let budget = mean * share * FALL_SHARE * s.fall_multiple * routers as f64;
-        (turn + s.own_number).is_multiple_of(routers)
-            && w.sent.at(self.now_ms, s.fall_ms) + 1.0 <= budget.max(1.0)
+        let allowed = share * FALL_SHARE * s.fall_multiple;
+        let budget = mean * allowed * routers as f64;
+        let at_once = (allowed / 2.0 * routers as f64).max(1.0).floor();
+        (turn * at_once as usize + s.own_number) % routers < at_once as usize
+            && w.sent.at(self.now_ms, s.fall_ms) + 1.0 <= (budget / at_once).max(1.0)
     }
 
     /// The part of its capacity that a worker surely has when it started not long ago.
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -193,3 +193,18 @@
     play.probed("w4a", 0.0).probed("r4a", 30.0).probed("w3a", 0.0).probed("r3a", 30.0);
     assert_snapshot!(play.trace());
 }
+
+/// With hundreds of routers a ring of single turns would leave what just started idle until it is warm.
+#[test]
+fn many_routers_take_their_turn_at_once() {
+    let used = |own_number| {
+        let mut play = Play::new(Settings { routers: 200, own_number, ..settings() }, &[]);
+        play.list(Saved, vec![Listing { started_ms: Some(99_000.0), ..row("m0a") }, row("m1a")]);
+        for id in 0..8 {
+            play.pass(500.0).arrive(id, u64::from(id), 300.0).began(id, 0).ended(id, 0, Finished, 0.0);
+        }
+        let trace = play.trace();
+        format!("router {own_number}: {} of 8 to the fresh one\n", trace.matches("to m0a").count())
+    };
+    assert_snapshot!([0, 50, 75, 125, 199].map(used).concat());
+}
