Fresh workers count as strained earlier and meet fewer routers at once

Change: a quarter of it at once, and the bound on what a fresh worker says is waiting follows its age.

--- a/src/control.rs
+++ b/src/control.rs
@@ -534,7 +534,7 @@
         let own = w.waiting_tokens / (memory * READER_BOUND).max(1.0);
         let heard = self.heard(w);
         let guess = (1.0 - heard / 2.0) * own * self.settings.routers.max(1) as f64;
-        (heard * w.said.value).max(guess) > ease
+        (heard * w.said.value).max(guess) > ease * self.fresh_share(w).unwrap_or(1.0)
     }
 
     /// Of those that write and are not fresh.
@@ -597,7 +597,7 @@
     }
 
     /// Turns at a fresh worker: routers, by their number, send together what it can do by its age, judged by
-    /// what its kind's others get, or all where those are fresh too; half that share of all routers at once.
+    /// what its kind's others get, or all where those are fresh too; a quarter of it at once.
     /// Guards against pushing over what just started. Harm: stand-ins spread its sessions.
     fn our_turn(&self, w: &Worker) -> bool {
         let s = &self.settings;
@@ -614,7 +614,7 @@
         let mean = sent.iter().sum::<f64>() / sent.len().max(1) as f64;
         let allowed = share * FALL_SHARE * s.fall_multiple;
         let budget = mean * allowed * routers as f64;
-        let at_once = (allowed / 2.0 * routers as f64).max(1.0).floor();
+        let at_once = (allowed / 4.0 * routers as f64).max(1.0).floor();
         (turn * at_once as usize + s.own_number) % routers < at_once as usize
             && w.sent.at(self.now_ms, s.fall_ms) + 1.0 <= (budget / at_once).max(1.0)
     }
