--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,84 @@
+//! The program `paddleproxy`.
+
+mod run;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand, ValueEnum};
+
+/// Routes completions over readers, writers and mixed model servers.
+#[derive(Parser)]
+#[command(version, about)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+    /// Log lines on standard error: one JSON object each, or readable text.
+    #[arg(long, global = true, value_enum, default_value_t = LogFormat::Text)]
+    log_format: LogFormat,
+    /// What is logged, as `level` or `target=level,...`.
+    #[arg(long, global = true, default_value = "warn")]
+    log: String,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogFormat {
+    Text,
+    Json,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum Format {
+    Text,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs one router until it is told to stop.
+    Serve {
+        #[arg(long)]
+        config: PathBuf,
+    },
+    /// Checks KDL documents of any kind and explains what is wrong.
+    Check {
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
+    /// Runs stand-in model servers and their list service until it is told to stop.
+    Fleet {
+        #[arg(long)]
+        config: PathBuf,
+    },
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let filter = match tracing_subscriber::EnvFilter::try_new(&arguments.log) {
+        Ok(filter) => filter,
+        Err(cause) => {
+            eprintln!("paddleproxy: --log: {cause}");
+            return ExitCode::from(2);
+        }
+    };
+    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    match arguments.log_format {
+        LogFormat::Text => logs.init(),
+        LogFormat::Json => logs.json().init(),
+    }
+    let done = match arguments.command {
+        Command::Serve { config } => run::serve(&config),
+        Command::Check { files, format } => run::check(&files, format == Format::Json),
+        Command::Fleet { config } => run::fleet(&config),
+    };
+    match done {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(cause) => {
+            eprintln!("paddleproxy: {cause:#}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/run.rs
@@ -0,0 +1,97 @@
+//! What each sub-command does. `Ok(false)`: what was judged fell short.
+
+use std::future::Future;
+use std::io::Write;
+use std::path::{Path, PathBuf};
+
+use anyhow::{Context, Result};
+use paddleproxy_fleet::record::Record;
+use paddleproxy_fleet::Fleet;
+use paddleproxy_settings as settings;
+use serde_json::json;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
+
+/// Runs on one thread, tasks on a `LocalSet`.
+pub fn on_one_thread<T>(work: impl Future<Output = Result<T>>) -> Result<T> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    tokio::task::LocalSet::new().block_on(&runtime, work)
+}
+
+/// Turns true at SIGTERM or SIGINT.
+fn stopped() -> Result<watch::Receiver<bool>> {
+    let (sender, receiver) = watch::channel(false);
+    let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    tokio::task::spawn_local(async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        sender.send_replace(true);
+    });
+    Ok(receiver)
+}
+
+/// One line on standard output that says where a started program listens.
+fn say(line: &serde_json::Value) {
+    let mut out = std::io::stdout().lock();
+    let _ = writeln!(out, "{line}").and_then(|()| out.flush());
+}
+
+pub fn serve(config: &Path) -> Result<bool> {
+    let text = settings::text_of(config)?;
+    let settings = settings::router::parse(&config.display().to_string(), &text)?;
+    on_one_thread(async move {
+        let stop = stopped()?;
+        let ready = |at: paddleproxy_router::Listening| {
+            say(&json!({ "listening": at.clients, "admin": at.admin }));
+        };
+        paddleproxy_router::serve(settings, ready, stop).await
+    })?;
+    Ok(true)
+}
+
+pub fn check(files: &[PathBuf], as_json: bool) -> Result<bool> {
+    let mut good = true;
+    let mut rows = Vec::new();
+    for file in files {
+        let checked = settings::check(file);
+        good &= checked.is_ok();
+        if as_json {
+            let problems = match &checked {
+                Ok(_) => Vec::new(),
+                Err(settings::Error::Wrong(problems)) => {
+                    let row = |p: &settings::Problem| json!({ "line": p.line, "column": p.column, "message": p.message });
+                    problems.list.iter().map(row).collect()
+                }
+                Err(cause) => vec![json!({ "message": cause.to_string() })],
+            };
+            rows.push(json!({ "file": file, "good": checked.is_ok(), "problems": problems }));
+        } else {
+            match checked {
+                Ok(kind) => {
+                    println!("{}: a good {} document", file.display(), format!("{kind:?}").to_lowercase())
+                }
+                Err(cause) => println!("{cause}"),
+            }
+        }
+    }
+    if as_json {
+        println!("{}", json!({ "files": rows }));
+    }
+    // A wrong document is wrong settings, as for the command that would use it.
+    anyhow::ensure!(good, "not all documents are good");
+    Ok(true)
+}
+
+pub fn fleet(config: &Path) -> Result<bool> {
+    let text = settings::text_of(config)?;
+    let settings = settings::fleet::parse(&config.display().to_string(), &text)?;
+    on_one_thread(async move {
+        let mut stop = stopped()?;
+        let fleet = Fleet::start(settings, Record::default()).await.context("starting the fleet")?;
+        say(&json!({ "list": fleet.list_address, "servers": fleet.names().count() }));
+        while !*stop.borrow_and_update() && stop.changed().await.is_ok() {}
+        Ok(true)
+    })
+}
--- /dev/null
+++ b/crates/fleet/src/http.rs
@@ -0,0 +1,416 @@
+//! The sockets of a stand-in: its listener, its connections and the calls it answers.
+
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Frame, Incoming};
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use paddleproxy::interface::Role;
+use paddleproxy_engine::*;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+use crate::record::What;
+use crate::server::{completion_of, Server, Slot, TOKEN_BYTES};
+
+/// Largest body that a stand-in reads.
+const BODY_BYTES: usize = 64 << 20;
+
+/// The open connections and running work of one server's process.
+pub type Tasks = Rc<RefCell<JoinSet<()>>>;
+
+pub enum Reply {
+    Whole(Option<Bytes>),
+    Pieces(mpsc::Receiver<Bytes>, Option<Open>),
+}
+
+impl Body for Reply {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        match self.get_mut() {
+            Reply::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            // An empty piece stands for an answer that breaks off.
+            Reply::Pieces(pieces, _) => pieces.poll_recv(cx).map(|piece| match piece {
+                Some(bytes) if bytes.is_empty() => Some(Err(std::io::Error::other("broken off"))),
+                piece => piece.map(|bytes| Ok(Frame::data(bytes))),
+            }),
+        }
+    }
+}
+
+/// Notes when a dispatch's connection is done with it.
+pub struct Open {
+    server: Rc<Server>,
+    request: String,
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.server
+            .record(What::Ended { server: self.server.name(), request: std::mem::take(&mut self.request) });
+    }
+}
+
+/// Serves connections as long as the server's process lives.
+pub async fn listen(server: Rc<Server>, listener: TcpListener, tasks: Tasks) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let mut set = tasks.borrow_mut();
+        while set.try_join_next().is_some() {}
+        set.spawn_local(serve(server.clone(), stream, tasks.clone()));
+    }
+}
+
+async fn serve(server: Rc<Server>, stream: TcpStream, tasks: Tasks) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let (server, tasks) = (server.clone(), tasks.clone());
+        async move { answer(server, tasks, request).await.map_err(|()| std::io::Error::other("broken off")) }
+    });
+    let builder = hyper::server::conn::http1::Builder::new();
+    let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+}
+
+fn json(server: &Server, status: u16, body: String) -> Response<Reply> {
+    let built = Response::builder()
+        .status(status)
+        .header("content-type", "application/json")
+        .header(LOAD_HEADER, server.load().to_header())
+        .body(Reply::Whole(Some(Bytes::from(body))));
+    built.unwrap_or_else(|_| Response::new(Reply::Whole(None)))
+}
+
+fn turned(server: &Server, request: &str, refusal: Refusal) -> Response<Reply> {
+    let (name, code) = (server.name(), refusal.code().to_owned());
+    server.record(What::Turned { server: name, request: request.to_owned(), code });
+    json(server, refusal.status(), refusal.body())
+}
+
+/// An `Err` breaks the connection.
+async fn answer(server: Rc<Server>, tasks: Tasks, request: Request<Incoming>) -> Result<Response<Reply>, ()> {
+    if server.state.borrow().trouble.silent {
+        std::future::pending::<()>().await;
+    }
+    let (head, body) = request.into_parts();
+    let body = Limited::new(body, BODY_BYTES).collect().await.map_err(|_| ())?.to_bytes();
+    let text =
+        |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("").to_owned();
+    let wrong =
+        |server: &Server| json(server, 400, error_body("invalid_request_error", "not understood", None));
+    Ok(match head.uri.path() {
+        COMPLETIONS => {
+            let Ok(asked) = serde_json::from_slice::<CompletionRequest>(&body) else {
+                return Ok(wrong(&server));
+            };
+            let names = Names { request: text(REQUEST_ID), client: text(CLIENT_ID), key: text(EFFECT_KEY) };
+            return completion(server, tasks, asked, names).await;
+        }
+        PROBE => {
+            server.arrives(0.3);
+            json(&server, 200, "{}".into())
+        }
+        RELEASE => match serde_json::from_slice::<ReleaseRequest>(&body) {
+            Ok(asked) => {
+                server.release(&asked.request_id);
+                json(&server, 200, "{}".into())
+            }
+            Err(_) => wrong(&server),
+        },
+        HOLD => match serde_json::from_slice::<HoldRequest>(&body) {
+            Ok(asked) => {
+                let slot = server.slot_now(asked.tokens as f64);
+                let held = slot.is_some();
+                let completion = completion_of(&asked.request_id).to_owned();
+                let old = slot.and_then(|slot| server.state.borrow_mut().places.insert(completion, slot));
+                drop(old);
+                json(&server, 200, serde_json::to_string(&HoldReply { held }).unwrap_or_default())
+            }
+            Err(_) => wrong(&server),
+        },
+        TAKE => match serde_json::from_slice::<TakeRequest>(&body) {
+            Ok(asked) => take(&server, asked.block, &text("x-cell")).await,
+            Err(_) => wrong(&server),
+        },
+        _ => json(&server, 404, error_body("not_found", "no such path", None)),
+    })
+}
+
+/// Moves a state over the links, after which it is let go here.
+async fn take(server: &Rc<Server>, block: u64, cell: &str) -> Response<Reply> {
+    let tokens = {
+        let mut state = server.state.borrow_mut();
+        let kept = state.states.get_mut(&block).filter(|kept| !kept.moving);
+        kept.map(|kept| {
+            kept.moving = true;
+            kept.tokens
+        })
+    };
+    let Some(tokens) = tokens else {
+        return json(server, 404, error_body("not_found", "no such state", None));
+    };
+    let s = &server.shared.settings;
+    let near = cell == server.row.cell.to_string();
+    let rate = if near { s.near_tokens_per_s } else { s.far_tokens_per_s };
+    let slow = server.shared.links.borrow().get(&server.row.cell).copied().unwrap_or(1.0);
+    tokio::time::sleep(std::time::Duration::from_secs_f64(tokens / rate * slow)).await;
+    server.drop_state(block, "taken");
+    json(server, 200, serde_json::to_string(&TakeReply { tokens: tokens as u64 }).unwrap_or_default())
+}
+
+async fn fetch(server: &Server, state: &StateReference) -> Option<()> {
+    let host = state.remote_host.as_deref()?;
+    let address: SocketAddr = format!("{host}:{}", state.remote_port?).parse().ok()?;
+    let block = *state.remote_block_ids.as_ref()?.first()?;
+    let stream = TcpStream::connect(address).await.ok()?;
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::task::spawn_local(async move { drop(connection.await) });
+    let body = serde_json::to_vec(&TakeRequest { block }).ok()?;
+    let request = Request::post(TAKE).header("host", address.to_string()).header("x-cell", server.row.cell);
+    let response = sender.send_request(request.body(Full::new(Bytes::from(body))).ok()?).await.ok()?;
+    response.status().is_success().then_some(())
+}
+
+struct Names {
+    request: String,
+    client: String,
+    key: String,
+}
+
+/// What a dispatch's work comes to, before its answer streams.
+enum Done {
+    Refused(Refusal),
+    Read { block: u64, kept: f64 },
+    Answer { slot: Slot, kept: f64 },
+}
+
+/// Tells running work whether anybody waits for it.
+struct Asker {
+    gone: Rc<std::cell::Cell<bool>>,
+    abort: Option<tokio::task::AbortHandle>,
+}
+
+impl Drop for Asker {
+    fn drop(&mut self) {
+        self.gone.set(true);
+        if let Some(abort) = &self.abort {
+            abort.abort();
+        }
+    }
+}
+
+async fn completion(
+    server: Rc<Server>,
+    tasks: Tasks,
+    asked: CompletionRequest,
+    names: Names,
+) -> Result<Response<Reply>, ()> {
+    let tokens = (asked.prompt.len().div_ceil(TOKEN_BYTES)) as f64;
+    let reads = server.kind.role == Role::Reader;
+    let reference = asked.kv_transfer_params.clone().filter(|state| state.do_remote_prefill);
+    let answer_tokens = answer_length(&asked);
+    let work_ms = server.work_ms(tokens, answer_tokens as f64, reference.is_none());
+    let open = Open { server: server.clone(), request: names.request.clone() };
+    server.record(What::Dispatch {
+        server: server.name(),
+        request: names.request.clone(),
+        client: names.client.clone(),
+        model: asked.model.clone(),
+        work_ms,
+        writes: !reads,
+    });
+    if server.arrives(work_ms) {
+        server.record(What::FellOver { server: server.name() });
+        server.state.borrow_mut().trouble.silent = true;
+        std::future::pending::<()>().await;
+    }
+    let trouble = server.state.borrow().trouble.clone();
+    if trouble.draining {
+        return Ok(turned(&server, &names.request, Refusal::Draining));
+    }
+    let of_model = trouble.erring_model.as_ref().is_none_or(|model| *model == asked.model);
+    if of_model && server.shared.by_chance(trouble.erring) {
+        return Ok(json(&server, 500, error_body("server_error", "it failed", None)));
+    }
+    let (gone, words) = (Rc::new(std::cell::Cell::new(false)), (asked.prompt.clone(), names.request.clone()));
+    let job = prepare(server.clone(), words, tokens, reads, reference, gone.clone());
+    let (sender, result) = tokio::sync::oneshot::channel();
+    let handle = tasks.borrow_mut().spawn_local(async move {
+        // Where nobody waits any more, what was done is dropped, and its slot with it.
+        drop(sender.send(job.await));
+    });
+    let asker = Asker { gone, abort: server.shared.settings.cancel_stops.then_some(handle) };
+    let done = result.await.map_err(|_| ())?;
+    drop(asker);
+    match done {
+        Done::Refused(refusal) => Ok(turned(&server, &names.request, refusal)),
+        Done::Read { block, kept } => {
+            let state = StateReference {
+                do_remote_prefill: true,
+                remote_engine_id: Some(server.name()),
+                remote_block_ids: Some(vec![block]),
+                remote_host: Some(server.address.get().ip().to_string()),
+                remote_port: Some(server.address.get().port()),
+                ..StateReference::default()
+            };
+            let usage = Some(usage(tokens, kept, 1));
+            let choices = vec![Choice::default()];
+            let done =
+                Completion { id: names.request.clone(), choices, usage, kv_transfer_params: Some(state) };
+            drop(open);
+            Ok(json(&server, 200, serde_json::to_string(&done).unwrap_or_default()))
+        }
+        Done::Answer { slot, kept } => {
+            server.effect(&names.request, &names.key, &asked.model);
+            let lost = server.shared.by_chance(trouble.answer_lost);
+            let (sender, pieces) = mpsc::channel(8);
+            let usage = usage(tokens, kept, answer_tokens);
+            let writer = write(server.clone(), slot, sender, usage, names.request, lost);
+            tasks.borrow_mut().spawn_local(writer);
+            let built = Response::builder()
+                .header("content-type", "text/event-stream")
+                .header(LOAD_HEADER, server.load().to_header())
+                .body(Reply::Pieces(pieces, Some(open)));
+            built.map_err(|_| ())
+        }
+    }
+}
+
+async fn prepare(
+    server: Rc<Server>,
+    (prompt, request): (String, String),
+    tokens: f64,
+    reads: bool,
+    reference: Option<StateReference>,
+    gone: Rc<std::cell::Cell<bool>>,
+) -> Done {
+    let place = server.state.borrow_mut().places.remove(completion_of(&request));
+    let slot = match place {
+        Some(slot) => Some(slot),
+        None => server.slot(if reads { 0.0 } else { tokens }).await,
+    };
+    let Some(slot) = slot else { return Done::Refused(Refusal::Full) };
+    let kept = match reference {
+        Some(reference) if !reads => match fetch(&server, &reference).await {
+            Some(()) => tokens,
+            None => return Done::Refused(Refusal::StateGone),
+        },
+        _ if server.kind.role == Role::Writer => return Done::Refused(Refusal::StateGone),
+        _ => server.read(&prompt, tokens).await,
+    };
+    if !reads {
+        return Done::Answer { slot, kept };
+    }
+    let block = server.keep_state(&request, tokens);
+    if gone.get() || server.state.borrow().released.contains_key(&request) {
+        server.drop_state(block, "unwanted");
+    }
+    Done::Read { block, kept }
+}
+
+async fn write(
+    server: Rc<Server>,
+    slot: Slot,
+    pieces: mpsc::Sender<Bytes>,
+    usage: Usage,
+    id: String,
+    lost: bool,
+) {
+    let mut chunk = Completion { id, ..Completion::default() };
+    for row in 0..usage.completion_tokens {
+        server.work(server.kind.token_ms).await;
+        let last = row + 1 == usage.completion_tokens;
+        let finish_reason = last.then(|| "stop".to_owned());
+        chunk.choices = vec![Choice { index: 0, text: " wort".into(), finish_reason }];
+        chunk.usage = last.then_some(usage);
+        let mut event = format!("data: {}\n\n", serde_json::to_string(&chunk).unwrap_or_default());
+        if last {
+            event.push_str("data: [DONE]\n\n");
+        }
+        if !lost && pieces.send(Bytes::from(event)).await.is_err() {
+            break;
+        }
+    }
+    if lost {
+        let _ = pieces.send(Bytes::new()).await;
+    }
+    drop(slot);
+}
+
+fn usage(tokens: f64, kept: f64, written: u64) -> Usage {
+    Usage {
+        prompt_tokens: tokens as u64,
+        completion_tokens: written,
+        prompt_tokens_details: Some(PromptDetails { cached_tokens: kept as u64 }),
+    }
+}
+
+/// The true length of an answer: from half of what is allowed to all, by its prompt.
+fn answer_length(asked: &CompletionRequest) -> u64 {
+    let most = u64::from(asked.max_tokens).max(1);
+    let draw =
+        asked.prompt.bytes().rev().take(64).fold(7u64, |sum, byte| sum.wrapping_mul(31) + u64::from(byte));
+    (most / 2 + draw % (most / 2 + 1)).max(1)
+}
+
+/// The list service's port.
+pub async fn listen_list(list: Rc<crate::list::ListService>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        if list.down.get() {
+            continue;
+        }
+        let list = list.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let list = list.clone();
+                async move {
+                    if list.down.get() {
+                        return Err(std::io::Error::other("down"));
+                    }
+                    let query = request.uri().query().unwrap_or("").to_owned();
+                    let part = |name: &str| {
+                        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+                        pairs.filter(|(key, _)| *key == name).map(|(_, value)| value.to_owned()).next()
+                    };
+                    let router = part("router").and_then(|text| text.parse().ok()).unwrap_or(0);
+                    let wait_ms = part("wait_ms").and_then(|text| text.parse().ok()).unwrap_or(0.0);
+                    let after = part("after").and_then(|text| text.parse().ok());
+                    let answer = list.poll(router, after, wait_ms).await;
+                    let body = serde_json::to_vec(&answer).unwrap_or_default();
+                    Ok::<_, std::io::Error>(Response::new(Full::new(Bytes::from(body))))
+                }
+            });
+            let builder = hyper::server::conn::http1::Builder::new();
+            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+/// For tests that need an answer which no stand-in gives: the same bytes to every request.
+pub async fn listen_raw(listener: TcpListener, bytes: Vec<u8>) -> Result<(), Infallible> {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    loop {
+        let Ok((mut stream, _)) = listener.accept().await else { continue };
+        let bytes = bytes.clone();
+        tokio::task::spawn_local(async move {
+            let mut buffer = [0; 4096];
+            let _ = stream.read(&mut buffer).await;
+            let _ = stream.write_all(&bytes).await;
+            let _ = stream.shutdown().await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,157 @@
+//! Stand-in model servers and a list service on local sockets, with troubles on command. Simulated: they take the
+//! time of such servers, not their work.
+
+pub mod http;
+pub mod list;
+pub mod record;
+pub mod server;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+
+use anyhow::{Context, Result};
+use paddleproxy_settings::day::Dead;
+use paddleproxy_settings::fleet::FleetSettings;
+use socket2::{Domain, Socket, Type};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinHandle, JoinSet};
+
+use crate::http::Tasks;
+use crate::list::ListService;
+use crate::record::Record;
+use crate::server::{Server, Shared};
+
+/// A server with its sockets.
+struct Post {
+    server: Rc<Server>,
+    tasks: Tasks,
+    listening: RefCell<Option<JoinHandle<()>>>,
+}
+
+pub struct Fleet {
+    pub shared: Rc<Shared>,
+    pub list_address: SocketAddr,
+    posts: BTreeMap<String, Post>,
+}
+
+/// Opens a listening socket that may be taken over right after its process ended.
+fn bind(address: SocketAddr, backlog: i32) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(backlog)?;
+    socket.set_nonblocking(true)?;
+    TcpListener::from_std(socket.into())
+}
+
+impl Fleet {
+    /// Starts all servers warm, each on a loopback address of its own so that nothing else can take its port.
+    ///
+    /// # Errors
+    /// An address that can't be listened on.
+    pub async fn start(settings: FleetSettings, record: Record) -> Result<Self> {
+        let listener = bind(settings.list, 64).with_context(|| format!("listening on {}", settings.list))?;
+        let list_address = listener.local_addr()?;
+        let list = ListService::new(record.clone(), settings.list_delay_ms, settings.list_hold_ms);
+        tokio::task::spawn_local(http::listen_list(list.clone(), listener));
+        let shared = Rc::new(Shared::new(settings, record, list.clone()));
+        let net = fastrand::Rng::with_seed(u64::from(std::process::id()) ^ u64::from(list_address.port()))
+            .u8(2..250);
+        let mut posts = BTreeMap::new();
+        for (row, server) in shared.settings.servers.iter().enumerate() {
+            let ip = Ipv4Addr::new(127, net, (row / 200) as u8, (row % 200 + 1) as u8);
+            let listener =
+                bind(SocketAddr::from((ip, 0)), 1024).with_context(|| format!("listening on {ip}"))?;
+            let server = Server::new(shared.clone(), server.clone(), listener.local_addr()?);
+            let tasks: Tasks = Rc::new(RefCell::new(JoinSet::new()));
+            let listening = tokio::task::spawn_local(http::listen(server.clone(), listener, tasks.clone()));
+            server.begin(false);
+            let post = Post { server: server.clone(), tasks, listening: RefCell::new(Some(listening)) };
+            posts.insert(server.row.name.clone(), post);
+        }
+        list.settle();
+        Ok(Fleet { shared, list_address, posts })
+    }
+
+    /// A server by its first name.
+    pub fn server(&self, name: &str) -> Option<&Rc<Server>> {
+        self.posts.get(name).map(|post| &post.server)
+    }
+
+    pub fn names(&self) -> impl Iterator<Item = &String> {
+        self.posts.keys()
+    }
+
+    pub fn in_zone(&self, zone: &str) -> Vec<String> {
+        let inside = self.posts.iter().filter(|(_, post)| post.server.row.zone == zone);
+        inside.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// A server's process ends; the list hears of it as late as of anything.
+    pub async fn kill(&self, name: &str, how: Dead) {
+        let Some(post) = self.posts.get(name) else { return };
+        if !post.server.up.get() {
+            return;
+        }
+        let listening = post.listening.borrow_mut().take();
+        listening.iter().for_each(JoinHandle::abort);
+        post.server.end();
+        post.tasks.borrow_mut().abort_all();
+        post.server.list("gone");
+        // The listener goes with its task; its address is free once that has ended.
+        if let Some(listening) = listening {
+            let _ = listening.await;
+        }
+        let address = post.server.address.get();
+        let dead = match how {
+            Dead::Refuse => None,
+            Dead::Reset => bind(address, 64).ok().map(|listener| tokio::task::spawn_local(reset(listener))),
+            // A full backlog that nobody takes from: connections are never made.
+            Dead::Unreachable => {
+                bind(address, 0).ok().map(|listener| tokio::task::spawn_local(fill(listener)))
+            }
+        };
+        *post.listening.borrow_mut() = dead;
+    }
+
+    /// A new process at the same place: cold, and under another name if wanted.
+    pub async fn back(&self, name: &str, as_new: bool) -> Result<()> {
+        let Some(post) = self.posts.get(name).filter(|post| !post.server.up.get()) else { return Ok(()) };
+        let listening = post.listening.borrow_mut().take();
+        if let Some(listening) = listening {
+            listening.abort();
+            let _ = listening.await;
+        }
+        if as_new {
+            let next = format!("{name}-{}", post.server.start.get());
+            *post.server.name.borrow_mut() = next;
+        }
+        let address = post.server.address.get();
+        let listener = bind(address, 1024).with_context(|| format!("{name} back on {address}"))?;
+        let task = http::listen(post.server.clone(), listener, post.tasks.clone());
+        *post.listening.borrow_mut() = Some(tokio::task::spawn_local(task));
+        post.server.begin(true);
+        Ok(())
+    }
+}
+
+async fn reset(listener: TcpListener) {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            let _ = socket2::SockRef::from(&stream).set_linger(Some(std::time::Duration::ZERO));
+        }
+    }
+}
+
+async fn fill(listener: TcpListener) {
+    let Ok(address) = listener.local_addr() else { return };
+    let mut kept = Vec::new();
+    for _ in 0..4 {
+        let stream =
+            tokio::time::timeout(std::time::Duration::from_millis(50), TcpStream::connect(address)).await;
+        kept.extend(stream.ok().and_then(Result::ok));
+    }
+    std::future::pending::<()>().await;
+}
--- /dev/null
+++ b/crates/router/src/core.rs
@@ -0,0 +1,419 @@
+//! The core: one task that owns the ledger with its `Control`, the list and the timers. Everything else sends it
+//! what happened over one bounded channel.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use hyper::Method;
+use paddleproxy::interface::*;
+use paddleproxy_engine as wire;
+use paddleproxy_engine::Load;
+use paddleproxy_messages::{ApiError, ErrorKind};
+use paddleproxy_routing::{Counts, Due, Effect, Facts, Heard, Input, Ledger, Membership, Saved, Sending};
+use paddleproxy_settings::router::RouterSettings;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio_util::time::DelayQueue;
+use tracing::{debug, info, warn};
+
+use crate::answer::Owed;
+use crate::clock::{duration, Clock};
+use crate::dispatch::{request_id, Ask, Dispatch, End, Whole, Word};
+use crate::engines::Engines;
+use crate::list::ListWord;
+
+/// What the core is told.
+pub enum Told {
+    Arrived {
+        completion: CompletionId,
+        facts: Facts,
+        received_ms: f64,
+        ask: Rc<Ask>,
+        owed: Owed,
+    },
+    Began {
+        completion: CompletionId,
+        seq: Seq,
+        took_ms: f64,
+    },
+    Ended {
+        completion: CompletionId,
+        seq: Seq,
+        took_ms: f64,
+        end: End,
+    },
+    Left {
+        completion: CompletionId,
+    },
+    Reported {
+        worker: WorkerId,
+        load: Load,
+    },
+    Probed {
+        worker: WorkerId,
+        load: Option<Load>,
+        answered: bool,
+        took_ms: f64,
+    },
+    HoldAnswered {
+        completion: CompletionId,
+        seq: Seq,
+        worker: WorkerId,
+        held: bool,
+    },
+    /// An answer of the list service; the version to ask on from goes back, none for the whole.
+    List {
+        list: wire::ServerList,
+        next: oneshot::Sender<Option<u64>>,
+    },
+    ListFailed,
+    /// All completions still open are aborted.
+    Stop,
+    Ask {
+        status: oneshot::Sender<Status>,
+    },
+}
+
+pub type ToCore = mpsc::Sender<Told>;
+
+/// Figures for the admin port.
+pub struct Status {
+    pub counts: Counts,
+    pub open: usize,
+    pub servers: usize,
+    pub version: Option<u64>,
+}
+
+pub struct Core {
+    settings: Rc<RouterSettings>,
+    clock: Clock,
+    boot: u64,
+    ledger: Ledger,
+    membership: Membership,
+    engines: Rc<Engines>,
+    timers: DelayQueue<Due>,
+    owed: BTreeMap<CompletionId, Owed>,
+    asks: BTreeMap<CompletionId, Rc<Ask>>,
+    words: BTreeMap<(CompletionId, Seq), mpsc::Sender<Word>>,
+    /// Whole answers that wait for the ledger's word.
+    wholes: BTreeMap<(CompletionId, Seq), Whole>,
+    own: ToCore,
+    list: mpsc::Sender<ListWord>,
+    saves: watch::Sender<Option<Saved>>,
+}
+
+impl Core {
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        settings: Rc<RouterSettings>,
+        clock: Clock,
+        boot: u64,
+        seed: u64,
+        engines: Rc<Engines>,
+        own: ToCore,
+        list: mpsc::Sender<ListWord>,
+        saves: watch::Sender<Option<Saved>>,
+    ) -> Self {
+        let decisions = &settings.decisions;
+        let roles = decisions.kinds.iter().map(|kind| kind.role);
+        let kinds = settings.names.kinds.iter().cloned().zip(roles).collect();
+        Core {
+            ledger: Ledger::new(decisions.clone(), settings.front.answer_slack_ms, seed),
+            membership: Membership::new(settings.names.zones.clone(), kinds),
+            clock,
+            boot,
+            engines,
+            timers: DelayQueue::new(),
+            owed: BTreeMap::new(),
+            asks: BTreeMap::new(),
+            words: BTreeMap::new(),
+            wholes: BTreeMap::new(),
+            own,
+            list,
+            saves,
+            settings,
+        }
+    }
+
+    /// Takes in the list of an earlier run; the version to ask on from.
+    pub fn recover(&mut self, saved: Option<Saved>) -> Option<u64> {
+        let saved = saved?;
+        match self.membership.recover(self.clock.now_ms(), wall_ms(), &saved) {
+            Ok(Heard::Listed { kind, rows }) => {
+                info!(version = saved.version, servers = rows.len(), "saved list taken");
+                self.handle(Input::Listed { kind, rows });
+            }
+            Ok(_) => {}
+            Err(cause) => warn!(%cause, "saved list refused; starting without one"),
+        }
+        self.membership.version()
+    }
+
+    pub async fn run(mut self, mut told: mpsc::Receiver<Told>) {
+        loop {
+            tokio::select! {
+                biased;
+                Some(due) = self.timers.next(), if !self.timers.is_empty() => {
+                    self.handle(Input::Due(due.into_inner()));
+                }
+                next = told.recv() => match next {
+                    Some(next) => self.take(next),
+                    None => return,
+                },
+            }
+        }
+    }
+
+    fn take(&mut self, told: Told) {
+        match told {
+            Told::Arrived { completion, facts, received_ms, ask, owed } => {
+                let arrival = facts.arrival(completion, received_ms);
+                let streamed = ask.streamed;
+                self.owed.insert(completion, owed);
+                self.asks.insert(completion, ask);
+                self.handle(Input::Arrived { arrival, streamed });
+            }
+            Told::Began { completion, seq, took_ms } => {
+                self.handle(Input::Began { completion, seq, took_ms })
+            }
+            Told::Ended { completion, seq, took_ms, end } => {
+                debug!(completion = completion.0, seq = seq.0, end = ?end.end, took_ms, "dispatch ended");
+                self.words.remove(&(completion, seq));
+                if let Some(whole) = end.whole {
+                    self.wholes.insert((completion, seq), whole);
+                }
+                let End { end, kept_tokens, state, .. } = end;
+                self.handle(Input::Ended { completion, seq, took_ms, end, kept_tokens, state });
+                self.wholes.remove(&(completion, seq));
+            }
+            Told::Left { completion } => {
+                self.handle(Input::Left { completion });
+                if let Some(owed) = self.owed.remove(&completion) {
+                    owed.void();
+                }
+            }
+            Told::Reported { worker, load } => self.reported(worker, &load),
+            Told::Probed { worker, load, answered, took_ms } => {
+                if let Some(load) = load {
+                    self.reported(worker.clone(), &load);
+                }
+                self.handle(Input::Probed { worker, answered, took_ms });
+            }
+            Told::HoldAnswered { completion, seq, worker, held } => {
+                self.handle(Input::HoldAnswered { completion, seq, worker, held });
+            }
+            Told::List { list, next } => {
+                let _ = next.send(self.hear(&list));
+            }
+            Told::ListFailed => self.handle(Input::Listed { kind: ListKind::Failed, rows: [].into() }),
+            Told::Stop => {
+                for (_, owed) in std::mem::take(&mut self.owed) {
+                    owed.refuse(ApiError::new(ErrorKind::Api, "the router stops"));
+                }
+                for (_, words) in std::mem::take(&mut self.words) {
+                    let _ = words.try_send(Word::Stop);
+                }
+            }
+            Told::Ask { status } => {
+                let _ = status.send(Status {
+                    counts: self.ledger.counts(),
+                    open: self.ledger.open(),
+                    servers: self.membership.len(),
+                    version: self.membership.version(),
+                });
+            }
+        }
+    }
+
+    fn hear(&mut self, list: &wire::ServerList) -> Option<u64> {
+        let now_ms = self.clock.now_ms();
+        match self.membership.hear(now_ms, list) {
+            Ok(Heard::Listed { kind, rows }) => {
+                info!(version = list.version, ?kind, rows = rows.len(), "list taken");
+                self.handle(Input::Listed { kind, rows });
+                self.saves.send_replace(self.membership.save(now_ms, wall_ms()));
+            }
+            Ok(Heard::Same) => {}
+            Ok(Heard::AskWhole) => return None,
+            Err(cause) => warn!(%cause, version = list.version, "list refused"),
+        }
+        self.membership.version()
+    }
+
+    fn reported(&mut self, worker: WorkerId, load: &Load) {
+        let load = LoadReport {
+            in_hand: load.metric(wire::IN_HAND),
+            queue: load.metric(wire::QUEUE),
+            slots_share: load.application_utilization,
+            latency_ms: None,
+            memory_share: load.mem_utilization,
+            waiting_kilotokens: load.metric(wire::WAITING_TOKENS).map(|tokens| tokens / 1e3),
+        };
+        self.handle(Input::Reported { worker, load });
+    }
+
+    fn handle(&mut self, input: Input) {
+        let mut effects = Vec::new();
+        self.ledger.handle(self.clock.now_ms(), input, &mut effects);
+        for effect in effects {
+            self.carry_out(effect);
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Send(sending) => self.send(sending),
+            Effect::Stop { completion, seq } => {
+                if let Some(words) = self.words.get(&(completion, seq)) {
+                    // Room for one grant and one stop; a second stop says nothing new.
+                    let _ = words.try_send(Word::Stop);
+                }
+            }
+            Effect::Grant { completion, seq } => {
+                let Some(owed) = self.owed.remove(&completion) else { return };
+                if let Some(words) = self.words.get(&(completion, seq)) {
+                    let _ = words.try_send(Word::Grant(owed.begin()));
+                }
+            }
+            Effect::Deliver { completion, seq } => {
+                let whole = self.wholes.remove(&(completion, seq));
+                if let (Some(owed), Some(whole)) = (self.owed.remove(&completion), whole) {
+                    owed.whole(whole.text, whole.stop, whole.usage);
+                }
+            }
+            Effect::RateLimit { completion, retry_after_ms } => {
+                let mut error =
+                    ApiError::new(ErrorKind::Overloaded, "no server can take this now; it did not run");
+                error.retry_after_ms = (retry_after_ms > 0.0).then_some(retry_after_ms);
+                self.refuse(completion, error);
+            }
+            Effect::Abort { completion } => {
+                self.refuse(
+                    completion,
+                    ApiError::new(ErrorKind::Api, "the answer was lost; it may have run"),
+                );
+            }
+            Effect::Forget { completion } => {
+                self.owed.remove(&completion);
+                self.asks.remove(&completion);
+            }
+            Effect::Arm { in_ms, due } => {
+                self.timers.insert(due, duration(in_ms));
+            }
+            Effect::Release { worker, completion, seq } => self.release(worker, completion, seq),
+            Effect::Hold { worker, completion, seq, tokens } => self.hold(worker, completion, seq, tokens),
+            Effect::Probe { worker } => self.probe(worker),
+            Effect::CloseIdle { worker } => {
+                self.membership
+                    .address(&worker)
+                    .into_iter()
+                    .for_each(|address| self.engines.close_idle(address));
+            }
+            Effect::Subscribe => self.list_word(ListWord::Subscribe),
+            Effect::FetchList => self.list_word(ListWord::Fetch),
+            Effect::Note(text) => debug!(text, "decisions"),
+        }
+    }
+
+    fn list_word(&self, word: ListWord) {
+        // A list task with that many words waiting is about to ask anyway.
+        let _ = self.list.try_send(word);
+    }
+
+    fn refuse(&mut self, completion: CompletionId, error: ApiError) {
+        debug!(completion = completion.0, error = %error, "refused");
+        if let Some(owed) = self.owed.remove(&completion) {
+            owed.refuse(error);
+        }
+    }
+
+    fn name(&self, completion: CompletionId, seq: Seq) -> String {
+        request_id(self.settings.decisions.own_number, self.boot, completion, seq)
+    }
+
+    fn send(&mut self, sending: Sending) {
+        let (completion, seq) = (sending.completion, sending.seq);
+        let Some(ask) = self.asks.get(&completion).cloned() else { return };
+        let (sender, words) = mpsc::channel(2);
+        self.words.insert((completion, seq), sender);
+        debug!(completion = completion.0, seq = seq.0, worker = %sending.worker.0, stage = ?sending.stage, "dispatch");
+        let dispatch = Dispatch {
+            address: self.membership.address(&sending.worker),
+            request_id: self.name(completion, seq),
+            sending,
+            ask,
+            words,
+            engines: self.engines.clone(),
+            clock: self.clock,
+            core: self.own.clone(),
+        };
+        tokio::task::spawn_local(dispatch.run());
+    }
+
+    /// Told a few times if need be: a state that is not let go of costs its reader memory.
+    fn release(&self, worker: WorkerId, completion: CompletionId, seq: Seq) {
+        let Some(address) = self.membership.address(&worker) else { return };
+        let request_id = self.name(completion, seq);
+        let (engines, pin_ms) = (self.engines.clone(), self.settings.decisions.pin_limit_ms);
+        tokio::task::spawn_local(async move {
+            let body = serde_json::to_string(&wire::ReleaseRequest { request_id }).unwrap_or_default();
+            let tries = engines.settings.release_tries.max(1);
+            let each_ms = pin_ms / tries as f64;
+            for _ in 0..tries {
+                let began = tokio::time::Instant::now();
+                let answer =
+                    engines.call(address, Method::POST, wire::RELEASE, body.clone(), each_ms, 4096).await;
+                match answer {
+                    Ok((status, _, _)) if status < 500 => return,
+                    _ => tokio::time::sleep_until(began + duration(each_ms / 2.0)).await,
+                }
+            }
+            debug!(worker = %worker.0, "a release was not heard");
+        });
+    }
+
+    fn hold(&self, worker: WorkerId, completion: CompletionId, seq: Seq, tokens: f64) {
+        let Some(address) = self.membership.address(&worker) else { return };
+        let request = wire::HoldRequest { request_id: self.name(completion, seq), tokens: tokens as u64 };
+        let (engines, core) = (self.engines.clone(), self.own.clone());
+        tokio::task::spawn_local(async move {
+            let body = serde_json::to_string(&request).unwrap_or_default();
+            let within_ms = engines.settings.probe_ms;
+            let answer = engines.call(address, Method::POST, wire::HOLD, body, within_ms, 4096).await;
+            // A server that can't be heard gives no answer, as on the bench.
+            if let Ok((200, _, body)) = answer {
+                if let Ok(reply) = serde_json::from_slice::<wire::HoldReply>(&body) {
+                    let told = Told::HoldAnswered { completion, seq, worker, held: reply.held };
+                    let _ = core.send(told).await;
+                }
+            }
+        });
+    }
+
+    fn probe(&self, worker: WorkerId) {
+        let address = self.membership.address(&worker);
+        let (engines, core) = (self.engines.clone(), self.own.clone());
+        tokio::task::spawn_local(async move {
+            let began = tokio::time::Instant::now();
+            let answer = match address {
+                Some(address) => {
+                    let within_ms = engines.settings.probe_ms;
+                    engines.call(address, Method::GET, wire::PROBE, String::new(), within_ms, 4096).await.ok()
+                }
+                None => None,
+            };
+            let took_ms = began.elapsed().as_secs_f64() * 1e3;
+            let answered = matches!(answer, Some((200, _, _)));
+            let load = answer.and_then(|(_, load, _): (u16, Option<Load>, Bytes)| load);
+            let _ = core.send(Told::Probed { worker, load, answered, took_ms }).await;
+        });
+    }
+}
+
+/// Wall clock in ms since 1970; for files and names only.
+pub fn wall_ms() -> f64 {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0.0, |since| since.as_secs_f64() * 1e3)
+}
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,122 @@
+//! The running router: HTTP in front, model servers behind, `Control` in between. One current-thread runtime, tasks
+//! on a `LocalSet`, bounded channels, no locks. Decides nothing: `paddleproxy-routing` and `paddleproxy` do.
+
+mod admin;
+mod answer;
+mod clock;
+mod core;
+mod dispatch;
+mod engines;
+mod front;
+mod list;
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use anyhow::{Context, Result};
+use paddleproxy_routing::{Admission, Requests};
+use paddleproxy_settings::router::RouterSettings;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tracing::info;
+
+use crate::clock::{duration, Clock};
+use crate::core::{wall_ms, Core, Told};
+use crate::engines::Engines;
+use crate::front::Front;
+
+/// Where a running router listens.
+#[derive(Clone, Copy, Debug)]
+pub struct Listening {
+    pub clients: SocketAddr,
+    pub admin: Option<SocketAddr>,
+}
+
+/// Words that may wait for the core.
+const CORE_QUEUE: usize = 4096;
+
+/// Runs a router until `stop` turns true, then lets open answers end. Must run on a `LocalSet`.
+///
+/// # Errors
+/// A state directory that can't be made, or an address that can't be listened on.
+pub async fn serve(
+    settings: RouterSettings,
+    ready: impl FnOnce(Listening),
+    mut stop: watch::Receiver<bool>,
+) -> Result<()> {
+    let settings = Rc::new(settings);
+    let dir = settings.state_dir.clone();
+    std::fs::create_dir_all(&dir).with_context(|| format!("state directory {}", dir.display()))?;
+    let bind = |address: SocketAddr| async move {
+        TcpListener::bind(address).await.with_context(|| format!("listening on {address}"))
+    };
+    let clients = bind(settings.listen).await?;
+    let admin = match settings.admin {
+        Some(address) => Some(bind(address).await?),
+        None => None,
+    };
+    let listening = Listening {
+        clients: clients.local_addr()?,
+        admin: admin.as_ref().map(TcpListener::local_addr).transpose()?,
+    };
+    let clock = Clock::start();
+    // Names this start on the wire; the seed of chance is its own where the settings give none.
+    let boot = wall_ms() as u64;
+    let seed =
+        settings.seed.unwrap_or(boot.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ u64::from(std::process::id()));
+    let engines = Rc::new(Engines::new(settings.engines.clone()));
+    let (core, told) = mpsc::channel(CORE_QUEUE);
+    let (list, list_words) = mpsc::channel(8);
+    let (saves, lists) = watch::channel(None);
+    let mut state =
+        Core::new(settings.clone(), clock, boot, seed, engines.clone(), core.clone(), list, saves);
+    let after = state.recover(list::saved(&dir));
+    let quotas: Vec<_> = settings.decisions.customers.iter().map(|customer| customer.quota_per_s).collect();
+    let admission = Rc::new(RefCell::new(Admission::new(settings.front.open_completions, &quotas)));
+    let front = Rc::new(Front {
+        settings: settings.front.clone(),
+        requests: Requests::new(settings.names.clone(), settings.rules.clone()),
+        admission: admission.clone(),
+        clock,
+        core: core.clone(),
+        next: Cell::new(0),
+        connections: Cell::new(0),
+        prefix: format!("{}.{boot:x}", settings.decisions.own_number),
+        dropped: Rc::default(),
+        turned_away: Cell::new(0),
+    });
+    tokio::task::spawn_local(state.run(told));
+    tokio::task::spawn_local(list::save(dir, lists));
+    tokio::task::spawn_local(list::follow(settings.clone(), engines, core.clone(), list_words, after));
+    if let Some(listener) = admin {
+        tokio::task::spawn_local(admin::listen(listener, front.clone()));
+    }
+    info!(clients = %listening.clients, admin = ?listening.admin, number = settings.decisions.own_number, "ready");
+    ready(listening);
+    let (closing, closed) = watch::channel(false);
+    let accepting = tokio::task::spawn_local(front.clone().listen(clients, closed));
+    while !*stop.borrow_and_update() {
+        if stop.changed().await.is_err() {
+            break;
+        }
+    }
+    info!(open = admission.borrow().open(), "stopping");
+    admission.borrow_mut().stop();
+    closing.send_replace(true);
+    let _ = accepting.await;
+    let until = tokio::time::Instant::now() + duration(settings.front.stop_ms);
+    let open = || admission.borrow().open() > 0 || front.connections.get() > 0;
+    while open() && tokio::time::Instant::now() < until {
+        tokio::time::sleep(duration(5.0)).await;
+    }
+    if admission.borrow().open() > 0 {
+        let _ = core.send(Told::Stop).await;
+        let until = tokio::time::Instant::now() + duration(settings.front.slow_client_ms);
+        while open() && tokio::time::Instant::now() < until {
+            tokio::time::sleep(duration(5.0)).await;
+        }
+    }
+    info!(open = admission.borrow().open(), "stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/routing/src/facts.rs
@@ -0,0 +1,138 @@
+//! What a request asks for, by the rules in the settings. Hashes are xxh3 and equal at all routers.
+
+use paddleproxy::interface::{Arrival, CompletionId, CustomerId, PrefixId, SessionId, WorkloadId};
+use paddleproxy_messages::{ApiError, ErrorKind, Request};
+use paddleproxy_settings::router::{Names, Rules};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Seeds that keep the kinds of key apart.
+const SESSION: u64 = 1;
+const PREFIX: u64 = 2;
+/// Sessions and beginnings are numbers below this.
+const KEYS: u64 = 1 << 53;
+
+/// The rows and rules by which requests are read.
+pub struct Requests {
+    names: Names,
+    rules: Rules,
+}
+
+/// What one request's headers say.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Headers<'a> {
+    pub api_key: Option<&'a str>,
+    pub session: Option<&'a str>,
+    pub timeout: Option<&'a str>,
+}
+
+/// A request in the terms of the decisions, but for its id and clock.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Facts {
+    pub workload: WorkloadId,
+    pub customer: Option<CustomerId>,
+    pub session: SessionId,
+    pub prefix: Option<PrefixId>,
+    pub prompt_tokens: f64,
+    pub prefix_tokens: f64,
+    pub max_tokens: f64,
+    /// Time that the client waits, in ms.
+    pub client_timeout_ms: f64,
+}
+
+fn key(text: &str, seed: u64) -> u64 {
+    xxh3_64_with_seed(text.as_bytes(), seed) % (KEYS - 1) + 1
+}
+
+impl Requests {
+    pub fn new(names: Names, rules: Rules) -> Self {
+        Requests { names, rules }
+    }
+
+    pub fn rules(&self) -> &Rules {
+        &self.rules
+    }
+
+    /// Whose key this is; known before a body is read.
+    ///
+    /// # Errors
+    /// `authentication_error` where a key is required and none that is known was given.
+    pub fn customer(&self, api_key: Option<&str>) -> Result<Option<CustomerId>, ApiError> {
+        let known =
+            |given: &str| self.names.customers.iter().position(|row| row.keys.iter().any(|key| key == given));
+        match api_key.and_then(known) {
+            Some(row) => Ok(Some(CustomerId(row))),
+            None if !self.rules.keys_required => Ok(None),
+            None if api_key.is_none() => {
+                Err(ApiError::new(ErrorKind::Authentication, "x-api-key: header is required"))
+            }
+            None => Err(ApiError::new(ErrorKind::Authentication, "x-api-key: this key is not known")),
+        }
+    }
+
+    /// Reads the facts of one request.
+    ///
+    /// # Errors
+    /// `not_found_error` for a model of no workload, `invalid_request_error` for a time that is none.
+    pub fn facts(
+        &self,
+        request: &Request,
+        customer: Option<CustomerId>,
+        headers: &Headers,
+    ) -> Result<Facts, ApiError> {
+        let row = self.names.workloads.iter().position(|row| row.models.contains(&request.model));
+        let row = row.ok_or_else(|| {
+            ApiError::new(ErrorKind::NotFound, format!("model: '{:.128}' is not served here", request.model))
+        })?;
+        let longest_ms = self.names.workloads[row].client_timeout_ms;
+        let client_timeout_ms = match headers.timeout {
+            None => longest_ms,
+            Some(text) => match text.trim().parse::<f64>() {
+                Ok(ms) if ms.is_finite() && ms > 0.0 => ms.min(longest_ms),
+                _ => {
+                    let header = &self.rules.timeout_header;
+                    return Err(ApiError::invalid(format!("{header}: not a time in ms above 0")));
+                }
+            },
+        };
+        let tokens = |bytes: usize| (bytes as f64 / self.rules.bytes_per_token).ceil();
+        let prefix_tokens = tokens(request.system.len());
+        let shared = prefix_tokens >= self.rules.shared_from_tokens && !request.system.is_empty();
+        // A session that nobody names is known by how it began.
+        let session = headers.session.or(request.user_id.as_deref()).map(|name| key(name, SESSION));
+        let session = session.unwrap_or_else(|| {
+            let begun = request.turns.first().map_or("", |turn| turn.text.as_str());
+            key(begun, key(&request.system, SESSION))
+        });
+        let turns: usize = request.turns.iter().map(|turn| turn.text.len()).sum();
+        Ok(Facts {
+            workload: WorkloadId(row),
+            customer,
+            session: SessionId(session),
+            prefix: shared.then(|| PrefixId(key(&request.system, PREFIX))),
+            prompt_tokens: tokens(request.system.len() + turns).max(1.0),
+            prefix_tokens: if shared { prefix_tokens } else { 0.0 },
+            max_tokens: f64::from(request.max_tokens),
+            client_timeout_ms,
+        })
+    }
+}
+
+impl Facts {
+    /// The arrival that the decisions are told.
+    pub fn arrival(&self, completion: CompletionId, now_ms: f64) -> Arrival {
+        Arrival {
+            completion,
+            workload: self.workload,
+            session: self.session,
+            prefix: self.prefix,
+            customer: self.customer,
+            client_timeout_ms: now_ms + self.client_timeout_ms,
+            prompt_tokens: self.prompt_tokens,
+            prefix_tokens: self.prefix_tokens,
+            max_tokens: self.max_tokens,
+            answer_hint_ms: None,
+            client_retry: false,
+            resumed: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/ledger.rs
@@ -0,0 +1,603 @@
+//! The book of a router: completions, their dispatches, states that wait. Turns what the sockets saw into the
+//! events of the decisions, and their actions into effects for the sockets.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use paddleproxy::interface::*;
+use paddleproxy::Control;
+use paddleproxy_engine::StateReference;
+
+use crate::outcomes::{never_ran, outcome, SocketEnd};
+
+/// What a dispatch asks of its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Read the prompt and keep the state.
+    Read,
+    /// Fetch the state and answer.
+    Write,
+    /// Read and answer.
+    Whole,
+}
+
+/// What happened, as a socket, a list or the clock tells.
+#[derive(Debug)]
+pub enum Input {
+    Arrived {
+        arrival: Arrival,
+        streamed: bool,
+    },
+    /// The first event of a streamed answer is there; the dispatch waits for `Effect::Grant` or `Effect::Stop`.
+    Began {
+        completion: CompletionId,
+        seq: Seq,
+        took_ms: f64,
+    },
+    Ended {
+        completion: CompletionId,
+        seq: Seq,
+        took_ms: f64,
+        end: SocketEnd,
+        kept_tokens: f64,
+        state: Option<StateReference>,
+    },
+    /// The client is gone.
+    Left {
+        completion: CompletionId,
+    },
+    Reported {
+        worker: WorkerId,
+        load: LoadReport,
+    },
+    Listed {
+        kind: ListKind,
+        rows: Arc<[Listing]>,
+    },
+    Probed {
+        worker: WorkerId,
+        answered: bool,
+        took_ms: f64,
+    },
+    HoldAnswered {
+        completion: CompletionId,
+        seq: Seq,
+        worker: WorkerId,
+        held: bool,
+    },
+    Due(Due),
+}
+
+/// What a timer was set for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due {
+    Decisions(Timer),
+    /// The client timeout and the slack have passed.
+    Overdue(CompletionId),
+    /// A state has waited for most of the limit.
+    Pinned(CompletionId),
+}
+
+/// One dispatch to be sent.
+#[derive(Clone, Debug)]
+pub struct Sending {
+    pub completion: CompletionId,
+    pub seq: Seq,
+    pub worker: WorkerId,
+    pub stage: Stage,
+    /// Clock time at which it times out, unless a streamed answer has begun.
+    pub until_ms: f64,
+    pub state: Option<Rc<StateReference>>,
+}
+
+/// What the sockets are to do.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    Send(Sending),
+    /// Close the connection of a dispatch that is out.
+    Stop {
+        completion: CompletionId,
+        seq: Seq,
+    },
+    /// The stream of this dispatch is the answer.
+    Grant {
+        completion: CompletionId,
+        seq: Seq,
+    },
+    /// The whole answer that this dispatch brought is the answer.
+    Deliver {
+        completion: CompletionId,
+        seq: Seq,
+    },
+    RateLimit {
+        completion: CompletionId,
+        retry_after_ms: f64,
+    },
+    Abort {
+        completion: CompletionId,
+    },
+    /// Nothing more comes for it; whoever waits is let go.
+    Forget {
+        completion: CompletionId,
+    },
+    Arm {
+        in_ms: f64,
+        due: Due,
+    },
+    /// Let go of what this dispatch left, or will leave, at a server.
+    Release {
+        worker: WorkerId,
+        completion: CompletionId,
+        seq: Seq,
+    },
+    Hold {
+        worker: WorkerId,
+        completion: CompletionId,
+        seq: Seq,
+        tokens: f64,
+    },
+    Probe {
+        worker: WorkerId,
+    },
+    CloseIdle {
+        worker: WorkerId,
+    },
+    Subscribe,
+    FetchList,
+    /// An action that the settings forbid, and anything that the decisions want said.
+    Note(String),
+}
+
+/// What happened that should not, by kind; all stay 0 on a good day but `moot` and `late_first`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub arrived: u64,
+    pub finished: u64,
+    pub rate_limited: u64,
+    pub aborted: u64,
+    pub left: u64,
+    pub lost_streams: u64,
+    pub dispatches: u64,
+    pub moot: u64,
+    /// First events of a dispatch whose completion was over.
+    pub late_first: u64,
+    pub overdue: u64,
+    /// States that this book let go of because the decisions had not.
+    pub unpinned: u64,
+    /// Reports of an end for a dispatch that had ended.
+    pub ended_twice: u64,
+}
+
+/// Lives for one dispatch.
+struct Dispatch {
+    worker: WorkerId,
+    stage: Stage,
+    out: bool,
+    uses_state: bool,
+}
+
+struct Waiting {
+    worker: WorkerId,
+    seq: Seq,
+    reference: Rc<StateReference>,
+}
+
+/// Lives until a completion is answered and its last dispatch has ended.
+struct Entry {
+    streamed: bool,
+    deadline_ms: f64,
+    prompt_tokens: f64,
+    /// A final answer is owed and none is under way.
+    owed: bool,
+    /// The dispatch whose stream is the answer, while it runs.
+    stream: Option<Seq>,
+    dispatches: Vec<Dispatch>,
+    state: Option<Waiting>,
+    /// A place held ahead: where, and by the name of which dispatch.
+    place: Option<(WorkerId, Seq)>,
+}
+
+impl Entry {
+    fn out(&self) -> bool {
+        self.dispatches.iter().any(|dispatch| dispatch.out)
+    }
+
+    fn over(&self) -> bool {
+        !self.owed && self.stream.is_none()
+    }
+}
+
+/// Part of the limit on pinned states after which this book lets go by itself.
+const PIN_PATIENCE: f64 = 0.8;
+
+/// Lives as long as the router.
+pub struct Ledger {
+    control: Control,
+    settings: Settings,
+    answer_slack_ms: f64,
+    roles: BTreeMap<WorkerId, Role>,
+    open: BTreeMap<CompletionId, Entry>,
+    events: VecDeque<Event>,
+    touched: BTreeSet<CompletionId>,
+    counts: Counts,
+}
+
+impl Ledger {
+    pub fn new(settings: Settings, answer_slack_ms: f64, seed: u64) -> Self {
+        Ledger {
+            control: Control::new(settings.clone(), seed),
+            settings,
+            answer_slack_ms,
+            roles: BTreeMap::new(),
+            open: BTreeMap::new(),
+            events: VecDeque::new(),
+            touched: BTreeSet::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Completions that are not over or still have a dispatch out.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Takes in what happened and appends what is to be done, in order.
+    pub fn handle(&mut self, now_ms: f64, input: Input, effects: &mut Vec<Effect>) {
+        self.take_in(now_ms, input, effects);
+        let mut actions = Vec::new();
+        while let Some(event) = self.events.pop_front() {
+            self.control.handle(now_ms, &event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(now_ms, action, effects);
+            }
+        }
+        for completion in std::mem::take(&mut self.touched) {
+            self.settle(completion, effects);
+        }
+    }
+
+    fn take_in(&mut self, now_ms: f64, input: Input, effects: &mut Vec<Effect>) {
+        match input {
+            Input::Arrived { arrival, streamed } => {
+                self.counts.arrived += 1;
+                let entry = Entry {
+                    streamed,
+                    deadline_ms: arrival.client_timeout_ms,
+                    prompt_tokens: arrival.prompt_tokens,
+                    owed: true,
+                    stream: None,
+                    dispatches: Vec::new(),
+                    state: None,
+                    place: None,
+                };
+                let completion = arrival.completion;
+                let in_ms = arrival.client_timeout_ms - now_ms + self.answer_slack_ms;
+                effects.push(Effect::Arm { in_ms, due: Due::Overdue(completion) });
+                self.open.insert(completion, entry);
+                self.events.push_back(Event::Arrived(arrival));
+            }
+            Input::Began { completion, seq, took_ms } => self.began(completion, seq, took_ms, effects),
+            Input::Ended { completion, seq, took_ms, end, kept_tokens, state } => {
+                self.ended(now_ms, completion, seq, took_ms, &end, kept_tokens, state, effects);
+            }
+            Input::Left { completion } => self.left(completion, effects),
+            Input::Reported { worker, load } => self.events.push_back(Event::Reported { worker, load }),
+            Input::Listed { kind, rows } => {
+                for row in rows.iter() {
+                    if let Some(kind) = self.settings.kinds.get(row.kind.0) {
+                        self.roles.insert(row.worker.clone(), kind.role);
+                    }
+                }
+                self.events.push_back(Event::Listed { kind, rows });
+            }
+            Input::Probed { worker, answered, took_ms } => {
+                self.events.push_back(Event::Probed { worker, answered, took_ms });
+            }
+            Input::HoldAnswered { completion, seq, worker, held } => {
+                self.hold_answered(completion, seq, worker, held, effects);
+            }
+            Input::Due(Due::Decisions(timer)) => self.events.push_back(Event::TimerFired(timer)),
+            Input::Due(Due::Overdue(completion)) => {
+                // Guards against decisions that miss the client timeout. Harm: none that the miss has not done.
+                if let Some(entry) = self.open.get_mut(&completion).filter(|entry| entry.owed) {
+                    entry.owed = false;
+                    self.counts.overdue += 1;
+                    self.counts.aborted += 1;
+                    effects.push(Effect::Abort { completion });
+                    self.events.push_back(Event::Expired { completion });
+                    self.touched.insert(completion);
+                }
+            }
+            Input::Due(Due::Pinned(completion)) => {
+                // Guards against a state that waits while nothing is out, whatever holds the decision up.
+                // Harm: the prompt is read anew.
+                let idle = self.open.get_mut(&completion).filter(|entry| !entry.out());
+                if let Some(state) = idle.and_then(|entry| entry.state.take()) {
+                    self.counts.unpinned += 1;
+                    effects.push(Effect::Release { worker: state.worker, completion, seq: state.seq });
+                }
+            }
+        }
+    }
+
+    fn began(&mut self, completion: CompletionId, seq: Seq, took_ms: f64, effects: &mut Vec<Effect>) {
+        let entry = self.open.get_mut(&completion);
+        let out = |entry: &&mut Entry| entry.dispatches.get(seq.0 as usize).is_some_and(|sent| sent.out);
+        let Some(entry) = entry.filter(|entry| entry.owed && entry.streamed && out(entry)) else {
+            self.counts.late_first += 1;
+            effects.push(Effect::Stop { completion, seq });
+            return;
+        };
+        entry.owed = false;
+        entry.stream = Some(seq);
+        effects.push(Effect::Grant { completion, seq });
+        // A stream that has begun lets go of the rest; what the dispatch itself fetched is gone from its reader.
+        let used = entry.dispatches[seq.0 as usize].uses_state;
+        let rest = entry.state.take().filter(|_| !used).map(|state| (state.worker, state.seq));
+        let taken = &entry.dispatches[seq.0 as usize].worker;
+        let place = entry.place.take().filter(|(worker, _)| worker != taken);
+        for (worker, seq) in rest.into_iter().chain(place) {
+            effects.push(Effect::Release { worker, completion, seq });
+        }
+        self.events.push_back(Event::Began { completion, seq, took_ms });
+        self.touched.insert(completion);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn ended(
+        &mut self,
+        now_ms: f64,
+        completion: CompletionId,
+        seq: Seq,
+        took_ms: f64,
+        end: &SocketEnd,
+        kept_tokens: f64,
+        state: Option<StateReference>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(entry) = self.open.get_mut(&completion) else { return };
+        let Some(dispatch) = entry.dispatches.get_mut(seq.0 as usize).filter(|dispatch| dispatch.out) else {
+            self.counts.ended_twice += 1;
+            return;
+        };
+        dispatch.out = false;
+        let (worker, stage, used) = (dispatch.worker.clone(), dispatch.stage, dispatch.uses_state);
+        let mut result = outcome(end);
+        match (result, state) {
+            (Outcome::Read, Some(reference)) => {
+                let waiting = Waiting { worker: worker.clone(), seq, reference: Rc::new(reference) };
+                if let Some(old) = entry.state.replace(waiting) {
+                    effects.push(Effect::Release { worker: old.worker, completion, seq: old.seq });
+                }
+                let in_ms = self.settings.pin_limit_ms * PIN_PATIENCE;
+                effects.push(Effect::Arm { in_ms, due: Due::Pinned(completion) });
+            }
+            // Without a reference there is nothing that a writer could fetch.
+            (Outcome::Read, None) => result = Outcome::Error,
+            _ => {}
+        }
+        // Guards against a state that a reader keeps for an answer which never reached us. Harm: one call more.
+        if stage == Stage::Read && !never_ran(result) {
+            effects.push(Effect::Release { worker: worker.clone(), completion, seq });
+        }
+        if matches!(result, Outcome::Finished | Outcome::NoState) && used {
+            entry.state = None;
+        }
+        if entry.stream == Some(seq) {
+            entry.stream = None;
+            match result {
+                Outcome::Finished => self.counts.finished += 1,
+                Outcome::Cancelled => {}
+                _ => self.counts.lost_streams += 1,
+            }
+        } else if result == Outcome::Finished && entry.owed {
+            entry.owed = false;
+            self.counts.finished += 1;
+            effects.push(Effect::Deliver { completion, seq });
+        }
+        if entry.state.is_some() && !entry.out() && result != Outcome::Read {
+            let in_ms = self.settings.pin_limit_ms * PIN_PATIENCE;
+            effects.push(Effect::Arm { in_ms, due: Due::Pinned(completion) });
+        }
+        let over = entry.over();
+        let _ = now_ms;
+        self.events.push_back(Event::Ended { completion, seq, took_ms, over, outcome: result, kept_tokens });
+        self.touched.insert(completion);
+    }
+
+    fn left(&mut self, completion: CompletionId, effects: &mut Vec<Effect>) {
+        let Some(entry) = self.open.get_mut(&completion) else { return };
+        if !entry.owed && entry.stream.is_none() {
+            return;
+        }
+        self.counts.left += 1;
+        entry.owed = false;
+        if let Some(seq) = entry.stream {
+            effects.push(Effect::Stop { completion, seq });
+        }
+        self.events.push_back(Event::Expired { completion });
+        self.touched.insert(completion);
+    }
+
+    fn hold_answered(
+        &mut self,
+        completion: CompletionId,
+        seq: Seq,
+        worker: WorkerId,
+        held: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        let entry = self.open.get_mut(&completion);
+        let reading = entry.filter(|entry| {
+            entry.owed
+                && entry.dispatches.get(seq.0 as usize).is_some_and(|d| d.out && d.stage == Stage::Read)
+        });
+        match reading {
+            Some(entry) => {
+                if held {
+                    if let Some((old, seq)) = entry.place.replace((worker.clone(), seq)) {
+                        effects.push(Effect::Release { worker: old, completion, seq });
+                    }
+                }
+                self.events.push_back(Event::HoldAnswered { completion, seq, worker, held });
+            }
+            // Too late to be of use: the place goes at once.
+            None if held => effects.push(Effect::Release { worker, completion, seq }),
+            None => {}
+        }
+    }
+
+    fn carry_out(&mut self, now_ms: f64, action: Action, effects: &mut Vec<Effect>) {
+        match action {
+            Action::Dispatch { completion, worker, timeout_ms } => {
+                self.dispatch(now_ms, completion, worker, timeout_ms, effects);
+            }
+            Action::Cancel { completion, seq } => {
+                let entry = self.open.get(&completion);
+                let out = |entry: &Entry| {
+                    entry.stream != Some(seq) && entry.dispatches.get(seq.0 as usize).is_some_and(|d| d.out)
+                };
+                if !self.settings.cancel_allowed {
+                    effects.push(Effect::Note("a cancel is not allowed by the settings".into()));
+                } else if entry.is_some_and(out) {
+                    effects.push(Effect::Stop { completion, seq });
+                }
+            }
+            Action::Hold { completion, worker } => self.hold(completion, worker, effects),
+            Action::Release { completion } => {
+                if let Some(entry) = self.open.get_mut(&completion) {
+                    release(entry, completion, effects);
+                }
+            }
+            Action::RateLimit { completion, retry_after_ms } => {
+                if let Some(entry) = self.open.get_mut(&completion).filter(|entry| entry.owed) {
+                    entry.owed = false;
+                    self.counts.rate_limited += 1;
+                    effects.push(Effect::RateLimit { completion, retry_after_ms });
+                    self.touched.insert(completion);
+                }
+            }
+            Action::Abort { completion } => {
+                if let Some(entry) = self.open.get_mut(&completion).filter(|entry| entry.owed) {
+                    entry.owed = false;
+                    self.counts.aborted += 1;
+                    effects.push(Effect::Abort { completion });
+                    self.touched.insert(completion);
+                }
+            }
+            Action::Arm { in_ms, timer } => effects.push(Effect::Arm { in_ms, due: Due::Decisions(timer) }),
+            Action::Subscribe => effects.push(Effect::Subscribe),
+            Action::FetchList => effects.push(Effect::FetchList),
+            Action::Probe { worker } if self.settings.probes_allowed => {
+                effects.push(Effect::Probe { worker })
+            }
+            Action::Probe { .. } => {
+                effects.push(Effect::Note("a probe is not allowed by the settings".into()))
+            }
+            Action::CloseIdle { worker } => effects.push(Effect::CloseIdle { worker }),
+            Action::MoveStream { .. } => {
+                effects
+                    .push(Effect::Note("a running stream can't be moved: no server here resumes one".into()));
+            }
+            Action::Tell { .. } => {
+                effects.push(Effect::Note("nothing is told to other routers: they share nothing".into()));
+            }
+            Action::Log(text) => effects.push(Effect::Note(text)),
+        }
+    }
+
+    fn dispatch(
+        &mut self,
+        now_ms: f64,
+        completion: CompletionId,
+        worker: WorkerId,
+        timeout_ms: f64,
+        effects: &mut Vec<Effect>,
+    ) {
+        let role = self.roles.get(&worker).copied();
+        let Some(entry) = self.open.get_mut(&completion) else {
+            self.counts.moot += 1;
+            let (seq, outcome) = (Seq(0), Outcome::Moot);
+            let ended = Event::Ended { completion, seq, took_ms: 0.0, over: true, outcome, kept_tokens: 0.0 };
+            self.events.push_back(ended);
+            return;
+        };
+        let seq = Seq(entry.dispatches.len() as u32);
+        let second = entry.out() && !self.settings.second_copies;
+        let beyond = entry.dispatches.len() >= self.settings.max_dispatches;
+        let moot = !entry.owed || now_ms >= entry.deadline_ms || second || beyond || role.is_none();
+        let has_state = entry.state.is_some();
+        let stage = match role {
+            Some(Role::Reader) => Stage::Read,
+            _ if has_state => Stage::Write,
+            _ => Stage::Whole,
+        };
+        // A writer that can't read has nothing to do without a state: known here, without asking it.
+        let stateless = role == Some(Role::Writer) && !has_state && !self.settings.writers_read;
+        let uses_state = stage == Stage::Write;
+        let out = !moot && !stateless;
+        entry.dispatches.push(Dispatch { worker: worker.clone(), stage, out, uses_state });
+        if !out {
+            self.counts.moot += u64::from(moot);
+            let outcome = if moot { Outcome::Moot } else { Outcome::NoState };
+            let over = entry.over();
+            let ended = Event::Ended { completion, seq, took_ms: 0.0, over, outcome, kept_tokens: 0.0 };
+            self.events.push_back(ended);
+            return;
+        }
+        self.counts.dispatches += 1;
+        let limit_ms = if timeout_ms > 0.0 { now_ms + timeout_ms } else { entry.deadline_ms };
+        // A place held elsewhere is of no use once the answer is asked for here; one held here is taken.
+        if stage != Stage::Read {
+            if let Some((at, by)) = entry.place.take().filter(|(at, _)| *at != worker) {
+                effects.push(Effect::Release { worker: at, completion, seq: by });
+            }
+        }
+        let state = entry.state.as_ref().filter(|_| uses_state).map(|state| state.reference.clone());
+        let until_ms = limit_ms.min(entry.deadline_ms);
+        effects.push(Effect::Send(Sending { completion, seq, worker, stage, until_ms, state }));
+    }
+
+    fn hold(&mut self, completion: CompletionId, worker: WorkerId, effects: &mut Vec<Effect>) {
+        if !self.settings.holds_allowed {
+            effects.push(Effect::Note("a place held ahead is not allowed by the settings".into()));
+            return;
+        }
+        let Some(entry) = self.open.get(&completion) else { return };
+        let reading = entry.dispatches.iter().rposition(|d| d.out && d.stage == Stage::Read);
+        if let Some(seq) = reading.map(|row| Seq(row as u32)) {
+            effects.push(Effect::Hold { worker, completion, seq, tokens: entry.prompt_tokens });
+        }
+    }
+
+    /// Drops what is over; what it still holds is let go.
+    fn settle(&mut self, completion: CompletionId, effects: &mut Vec<Effect>) {
+        let Some(entry) = self.open.get_mut(&completion) else { return };
+        if !entry.over() || entry.out() {
+            return;
+        }
+        // Guards against decisions that forgot a state. Harm: none, a release may be told twice.
+        if entry.state.is_some() || entry.place.is_some() {
+            self.counts.unpinned += 1;
+            release(entry, completion, effects);
+        }
+        self.open.remove(&completion);
+        effects.push(Effect::Forget { completion });
+    }
+}
+
+/// Lets go of every state and place that no dispatch waits for.
+fn release(entry: &mut Entry, completion: CompletionId, effects: &mut Vec<Effect>) {
+    if entry.dispatches.iter().any(|dispatch| dispatch.out && dispatch.stage != Stage::Read) {
+        return;
+    }
+    let state = entry.state.take().map(|state| (state.worker, state.seq));
+    for (worker, seq) in state.into_iter().chain(entry.place.take()) {
+        effects.push(Effect::Release { worker, completion, seq });
+    }
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,17 @@
+//! What a router knows and decides between its sockets and `Control`: which completions it owes an answer, which
+//! dispatches are out, where states wait, which servers exist, what a request asks for and who is taken.
+//!
+//! Pure state machines: told what happened and at what time (ms on the router's monotonic clock), they say what to
+//! do. No socket, clock, file or chance in here; `crates/router` carries events in and effects out.
+
+pub mod admission;
+pub mod facts;
+pub mod ledger;
+pub mod membership;
+pub mod outcomes;
+
+pub use admission::{Admission, TurnedAway};
+pub use facts::{Facts, Requests};
+pub use ledger::{Counts, Due, Effect, Input, Ledger, Sending, Stage};
+pub use membership::{Heard, Membership, Refused, Saved};
+pub use outcomes::{outcome, SocketEnd};
--- /dev/null
+++ b/crates/settings/src/day.rs
@@ -0,0 +1,348 @@
+//! The document of a scripted day: routers, a fleet, clients and the troubles that befall them.
+
+use kdl::{KdlDocument, KdlEntry, KdlNode};
+
+use crate::fleet::{fleet, FleetSettings};
+use crate::reader::{Block, Count, Millis, Problems, Share, Source};
+use crate::router::{router, RouterSettings};
+
+#[derive(Clone, Debug)]
+pub struct DaySettings {
+    pub name: String,
+    pub length_ms: f64,
+    /// Time after the last request in which open answers may still end.
+    pub rest_ms: f64,
+    pub seed: u64,
+    pub routers: usize,
+    /// The template of every router; its own number, zone and addresses are set when the day starts.
+    pub router: RouterSettings,
+    router_nodes: KdlDocument,
+    pub fleet: FleetSettings,
+    pub clients: Vec<ClientLoad>,
+    pub troubles: Vec<Trouble>,
+}
+
+/// One stream of requests: sessions of some turns, each turn a request.
+#[derive(Clone, Debug)]
+pub struct ClientLoad {
+    pub model: String,
+    pub key: String,
+    /// Sessions begun a second.
+    pub sessions_per_s: f64,
+    pub turns: usize,
+    pub think_ms: f64,
+    /// Tokens of the shared beginning (0: none), and how many different ones there are.
+    pub shared_tokens: usize,
+    pub beginnings: usize,
+    pub adds_tokens: usize,
+    pub answer_tokens: usize,
+    pub client_timeout_ms: f64,
+    pub retries: usize,
+    pub retry_after_ms: f64,
+    pub stream: bool,
+    /// Share of the requests whose client leaves early.
+    pub leaves: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Trouble {
+    pub at_ms: f64,
+    /// How long it lasts, in ms; 0 where it is over at once.
+    pub for_ms: f64,
+    pub what: What,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Dead {
+    Refuse,
+    Reset,
+    Unreachable,
+}
+
+/// What befalls whom. Servers are named as in the fleet.
+#[derive(Clone, Debug)]
+pub enum What {
+    Dead { servers: Vec<String>, how: Dead, back_as_new: bool },
+    Silent { servers: Vec<String> },
+    Slow { servers: Vec<String>, factor: f64 },
+    Ageing { servers: Vec<String>, factor: f64 },
+    Erring { servers: Vec<String>, share: f64, model: Option<String> },
+    AnswerLost { servers: Vec<String>, share: f64 },
+    Pausing { servers: Vec<String>, pause_ms: f64, every_ms: f64 },
+    Flush { servers: Vec<String> },
+    Drain { servers: Vec<String>, notice_ms: f64 },
+    Links { cell: u32, factor: f64 },
+    ZoneLost { zone: String, routers: bool },
+    ListBehind { by_ms: f64 },
+    ListDown,
+    RouterKilled { router: usize },
+    RouterStopped { router: usize },
+    Burst { key: String, factor: f64 },
+    LongPrompts { share: f64, factor: f64 },
+    HotBeginning { share: f64, tokens: usize },
+    GiveUp { share: f64 },
+}
+
+impl What {
+    /// One word for tables and records.
+    pub fn name(&self) -> &'static str {
+        match self {
+            What::Dead { .. } => "dead",
+            What::Silent { .. } => "silent",
+            What::Slow { .. } => "slow",
+            What::Ageing { .. } => "ageing",
+            What::Erring { .. } => "erring",
+            What::AnswerLost { .. } => "answer-lost",
+            What::Pausing { .. } => "pausing",
+            What::Flush { .. } => "flush",
+            What::Drain { .. } => "drain",
+            What::Links { .. } => "links",
+            What::ZoneLost { .. } => "zone-lost",
+            What::ListBehind { .. } => "list-behind",
+            What::ListDown => "list-down",
+            What::RouterKilled { .. } => "router-killed",
+            What::RouterStopped { .. } => "router-stopped",
+            What::Burst { .. } => "burst",
+            What::LongPrompts { .. } => "long-prompts",
+            What::HotBeginning { .. } => "hot-beginning",
+            What::GiveUp { .. } => "give-up",
+        }
+    }
+}
+
+pub fn parse(file: &str, text: &str) -> Result<DaySettings, Problems> {
+    Source::read(file, text, day)
+}
+
+/// What a router gets in place of the template's own lines.
+#[derive(Clone, Debug)]
+pub struct Own<'a> {
+    pub number: usize,
+    pub zone: &'a str,
+    pub list: &'a str,
+    pub listen: &'a str,
+    pub admin: Option<&'a str>,
+    pub state_dir: &'a str,
+    pub seed: u64,
+}
+
+impl DaySettings {
+    /// The document of one router of this day.
+    pub fn router_document(&self, own: &Own) -> String {
+        let mut document = self.router_nodes.clone();
+        let mut set = |name: &str, value: KdlEntry| {
+            document.nodes_mut().retain(|node| node.name().value() != name);
+            let mut node = KdlNode::new(name);
+            node.push(value);
+            document.nodes_mut().push(node);
+        };
+        set("number", KdlEntry::new(own.number as i128));
+        set("routers", KdlEntry::new(self.routers as i128));
+        set("zone", KdlEntry::new(own.zone));
+        set("listen", KdlEntry::new(own.listen));
+        set("state-dir", KdlEntry::new(own.state_dir));
+        set("seed", KdlEntry::new(i128::from(own.seed)));
+        if let Some(admin) = own.admin {
+            set("admin", KdlEntry::new(admin));
+        }
+        if let Some(list) = document.get_mut("list").and_then(|list| list.children_mut().as_mut()) {
+            list.nodes_mut().retain(|node| node.name().value() != "service");
+            let mut node = KdlNode::new("service");
+            node.push(KdlEntry::new(own.list));
+            list.nodes_mut().push(node);
+        }
+        document.autoformat();
+        document.to_string()
+    }
+}
+
+fn day(top: &Block) -> Option<DaySettings> {
+    let head = top.need_block("day")?;
+    let name = head.argument().unwrap_or_default();
+    let length_ms = head.need::<Millis>("length").0;
+    let rest_ms = head.need::<Millis>("rest").0;
+    let seed = head.need::<Count>("seed").0;
+    let routers = head.need::<Count>("routers").0 as usize;
+    head.done();
+    if routers == 0 || routers > 64 {
+        head.problem("'routers' must be from 1 to 64");
+    }
+    let template = top.need_block("router");
+    let router_nodes = template.as_ref().and_then(|block| block.node()?.children().cloned());
+    let read_router = template.and_then(|block| {
+        let read = router(&block);
+        block.done();
+        read
+    });
+    let read_fleet = top.need_block("fleet").and_then(|block| {
+        let read = fleet(&block);
+        block.done();
+        read
+    });
+    let clients: Vec<_> = top.blocks("clients").into_iter().map(load).collect();
+    let troubles: Vec<_> = top.blocks("trouble").into_iter().filter_map(trouble).collect();
+    let settings = DaySettings {
+        name,
+        length_ms,
+        rest_ms,
+        seed,
+        routers,
+        router: read_router?,
+        router_nodes: router_nodes?,
+        fleet: read_fleet?,
+        clients,
+        troubles,
+    };
+    agrees(top, &settings);
+    Some(settings)
+}
+
+/// What one part of a day says of another must be there.
+fn agrees(top: &Block, day: &DaySettings) {
+    for (row, kind) in day.fleet.kinds.iter().enumerate() {
+        let known = day.router.names.kinds.iter().position(|name| *name == kind.name);
+        match known.map(|at| day.router.decisions.kinds[at].role) {
+            None => top.problem(format!("the fleet's kind \"{}\" is not known to the routers", kind.name)),
+            Some(role) if role != day.fleet.kinds[row].role => {
+                top.problem(format!(
+                    "kind \"{}\" has one role in the fleet, another at the routers",
+                    kind.name
+                ));
+            }
+            _ => {}
+        }
+    }
+    for server in &day.fleet.servers {
+        if !day.router.names.zones.contains(&server.zone) {
+            top.problem(format!(
+                "server \"{}\" is in zone \"{}\", unknown to the routers",
+                server.name, server.zone
+            ));
+        }
+    }
+    for load in &day.clients {
+        if !day.router.names.workloads.iter().any(|workload| workload.models.contains(&load.model)) {
+            top.problem(format!(
+                "clients ask for model \"{}\", which no workload of the routers has",
+                load.model
+            ));
+        }
+    }
+    for trouble in &day.troubles {
+        let servers = match &trouble.what {
+            What::Dead { servers, .. }
+            | What::Silent { servers }
+            | What::Slow { servers, .. }
+            | What::Ageing { servers, .. }
+            | What::Erring { servers, .. }
+            | What::AnswerLost { servers, .. }
+            | What::Pausing { servers, .. }
+            | What::Flush { servers }
+            | What::Drain { servers, .. } => servers.as_slice(),
+            What::RouterKilled { router } | What::RouterStopped { router } if *router >= day.routers => {
+                top.problem(format!(
+                    "trouble '{}' names router {router}, which is not there",
+                    trouble.what.name()
+                ));
+                continue;
+            }
+            _ => continue,
+        };
+        for server in servers {
+            if !day.fleet.servers.iter().any(|row| row.name == *server) {
+                top.problem(format!(
+                    "trouble '{}' names \"{server}\", which is not there",
+                    trouble.what.name()
+                ));
+            }
+        }
+    }
+}
+
+fn load(block: Block) -> ClientLoad {
+    let load = ClientLoad {
+        model: block.need("model"),
+        key: block.need("key"),
+        sessions_per_s: block.need("sessions-per-s"),
+        turns: block.need::<Count>("turns").0.max(1) as usize,
+        think_ms: block.need::<Millis>("think").0,
+        shared_tokens: block.need::<Count>("shared").0 as usize,
+        beginnings: block.maybe::<Count>("beginnings").map_or(1, |count| count.0.max(1)) as usize,
+        adds_tokens: block.need::<Count>("adds").0.max(1) as usize,
+        answer_tokens: block.need::<Count>("answer").0.max(1) as usize,
+        client_timeout_ms: block.need::<Millis>("client-timeout").0,
+        retries: block.need::<Count>("retries").0 as usize,
+        retry_after_ms: block.need::<Millis>("retry-wait").0,
+        stream: block.need("stream"),
+        leaves: block.maybe::<Share>("leaves").map_or(0.0, |share| share.0),
+    };
+    block.done();
+    load
+}
+
+fn trouble(block: Block) -> Option<Trouble> {
+    let kind: String = block.argument()?;
+    let at_ms = block.need_property::<Millis>("at").0;
+    let for_ms = block.property::<Millis>("for").map_or(0.0, |time| time.0);
+    let factor = || block.need_property::<f64>("factor").max(1.0);
+    let share = || block.need_property::<Share>("share").0;
+    let servers = || {
+        let names: Vec<String> = block.arguments();
+        if names.is_empty() {
+            block.problem("this trouble needs the names of its servers");
+        }
+        names
+    };
+    let what = match kind.as_str() {
+        "dead" => {
+            let how = match block.property::<String>("how").as_deref() {
+                None | Some("refuse") => Dead::Refuse,
+                Some("reset") => Dead::Reset,
+                Some("unreachable") => Dead::Unreachable,
+                Some(other) => {
+                    block.problem(format!("how=\"{other}\"; allowed is refuse, reset, unreachable"));
+                    Dead::Refuse
+                }
+            };
+            let back_as_new = block.property::<bool>("back-as-new").unwrap_or(false);
+            What::Dead { servers: servers(), how, back_as_new }
+        }
+        "silent" => What::Silent { servers: servers() },
+        "slow" => What::Slow { servers: servers(), factor: factor() },
+        "ageing" => What::Ageing { servers: servers(), factor: factor() },
+        "erring" => What::Erring { servers: servers(), share: share(), model: block.property("model") },
+        "answer-lost" => What::AnswerLost { servers: servers(), share: share() },
+        "pausing" => What::Pausing {
+            servers: servers(),
+            pause_ms: block.need_property::<Millis>("pause").0,
+            every_ms: block.need_property::<Millis>("every").0.max(1.0),
+        },
+        "flush" => What::Flush { servers: servers() },
+        "drain" => What::Drain { servers: servers(), notice_ms: block.need_property::<Millis>("notice").0 },
+        "links" => What::Links { cell: block.need_property::<Count>("cell").0 as u32, factor: factor() },
+        "zone-lost" => What::ZoneLost {
+            zone: block.need_property("zone"),
+            routers: block.property("routers").unwrap_or(false),
+        },
+        "list-behind" => What::ListBehind { by_ms: block.need_property::<Millis>("by").0 },
+        "list-down" => What::ListDown,
+        "router-killed" => What::RouterKilled { router: block.need_property::<Count>("router").0 as usize },
+        "router-stopped" => What::RouterStopped { router: block.need_property::<Count>("router").0 as usize },
+        "burst" => What::Burst { key: block.need_property("key"), factor: factor() },
+        "long-prompts" => What::LongPrompts { share: share(), factor: factor() },
+        "hot-beginning" => {
+            What::HotBeginning { share: share(), tokens: block.need_property::<Count>("tokens").0 as usize }
+        }
+        "give-up" => What::GiveUp { share: share() },
+        other => {
+            block.problem(format!("trouble \"{other}\" is not known; known are {KNOWN}"));
+            return None;
+        }
+    };
+    block.done();
+    Some(Trouble { at_ms, for_ms, what })
+}
+
+const KNOWN: &str =
+    "dead, silent, slow, ageing, erring, answer-lost, pausing, flush, drain, links, zone-lost, \
+    list-behind, list-down, router-killed, router-stopped, burst, long-prompts, hot-beginning, give-up";
--- /dev/null
+++ b/crates/settings/src/fleet.rs
@@ -0,0 +1,188 @@
+//! The document of a fleet of stand-ins: model servers and the list service.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use paddleproxy::interface::{Group, Role};
+
+use crate::reader::{Block, Count, Local, Millis, Problems, Share, Source};
+use crate::router::ROLES;
+
+#[derive(Clone, Debug)]
+pub struct FleetSettings {
+    pub seed: u64,
+    pub list: SocketAddr,
+    /// How late the list tells of a change, in ms.
+    pub list_delay_ms: f64,
+    /// Longest time for which the list service keeps a poll waiting.
+    pub list_hold_ms: f64,
+    pub cold_share: f64,
+    pub cold_ms: f64,
+    pub fall_multiple: f64,
+    pub fall_ms: f64,
+    /// Tokens a second between two servers of one cell, and of two.
+    pub near_tokens_per_s: f64,
+    pub far_tokens_per_s: f64,
+    pub report_every_ms: f64,
+    /// A state that nobody takes is let go after this, in ms.
+    pub lease_ms: f64,
+    /// Whether work stops once nobody waits for it.
+    pub cancel_stops: bool,
+    pub repeats: Vec<Repeats>,
+    pub kinds: Vec<KindOfServer>,
+    pub servers: Vec<ServerRow>,
+}
+
+/// Which servers together drop repeats of a model's tokened work, and for how long.
+#[derive(Clone, Debug)]
+pub struct Repeats {
+    pub model: String,
+    pub group: Group,
+    pub window_ms: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct KindOfServer {
+    pub name: String,
+    pub role: Role,
+    pub slots: usize,
+    pub queue: usize,
+    pub memory_tokens: f64,
+    pub read_tokens_per_s: f64,
+    /// Time for one token of an answer, in ms.
+    pub token_ms: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct ServerRow {
+    pub name: String,
+    pub kind: usize,
+    pub zone: String,
+    pub cell: u32,
+}
+
+pub fn parse(file: &str, text: &str) -> Result<FleetSettings, Problems> {
+    Source::read(file, text, |top| {
+        let block = top.need_block("fleet")?;
+        let fleet = fleet(&block);
+        block.done();
+        fleet
+    })
+}
+
+pub(crate) fn fleet(top: &Block) -> Option<FleetSettings> {
+    let list = top.need_block("list");
+    let list = list.map(|block| {
+        let read = (
+            block.need::<Local>("listen").0,
+            block.need::<Millis>("delay").0,
+            block.need::<Millis>("hold").0,
+        );
+        block.done();
+        read
+    });
+    let cold = top.need_block("cold");
+    let cold = cold.map(|block| {
+        let read = (block.need_property::<Share>("share").0, block.need_property::<Millis>("time").0);
+        block.done();
+        read
+    });
+    let fall = top.need_block("fall");
+    let fall = fall.map(|block| {
+        let read = (block.need_property::<f64>("multiple"), block.need_property::<Millis>("after").0);
+        block.done();
+        read
+    });
+    let links = top.need_block("links");
+    let links = links.map(|block| {
+        let read = (block.need_property::<Count>("near").0, block.need_property::<Count>("far").0);
+        if read.0 == 0 || read.1 == 0 {
+            block.problem("a link must carry at least 1 token a second");
+        }
+        block.done();
+        read
+    });
+    let kinds: Vec<_> = top.blocks("kind").into_iter().map(kind).collect();
+    let repeats = top.blocks("repeats").into_iter().map(repeats).collect();
+    let mut servers = Vec::new();
+    for block in top.blocks("servers") {
+        let base: String = block.argument().unwrap_or_default();
+        let name: String = block.need_property("kind");
+        let zone: String = block.need_property("zone");
+        let cell = block.need_property::<Count>("cell").0 as u32;
+        let count = block.property::<Count>("count").map_or(1, |count| count.0);
+        block.done();
+        let Some(kind) = kinds.iter().position(|kind: &KindOfServer| kind.name == name) else {
+            block.problem(format!("kind=\"{name}\" is not among the kinds of this fleet"));
+            continue;
+        };
+        if count > 4096 {
+            block.problem("count is above 4096");
+            continue;
+        }
+        for number in 1..=count {
+            servers.push(ServerRow { name: format!("{base}{number}"), kind, zone: zone.clone(), cell });
+        }
+    }
+    let mut names = BTreeSet::new();
+    if let Some(twice) = servers.iter().find(|row| !names.insert(&row.name)) {
+        top.problem(format!("two servers are named \"{}\"", twice.name));
+    }
+    if servers.is_empty() {
+        top.problem("there are no 'servers'");
+    }
+    let (list, list_delay_ms, list_hold_ms) = list?;
+    let (cold_share, cold_ms) = cold?;
+    let (fall_multiple, fall_ms) = fall?;
+    let (near, far) = links?;
+    Some(FleetSettings {
+        seed: top.need::<Count>("seed").0,
+        list,
+        list_delay_ms,
+        list_hold_ms,
+        cold_share,
+        cold_ms,
+        fall_multiple,
+        fall_ms,
+        near_tokens_per_s: near as f64,
+        far_tokens_per_s: far as f64,
+        report_every_ms: top.need::<Millis>("report-every").0,
+        lease_ms: top.need::<Millis>("state-lease").0,
+        cancel_stops: top.need("cancel-stops-work"),
+        repeats,
+        kinds,
+        servers,
+    })
+}
+
+fn kind(block: Block) -> KindOfServer {
+    let above = |name: &'static str| {
+        let value = block.need::<Count>(name).0;
+        if value == 0 && block.has(name) {
+            block.problem(format!("'{name}' must be at least 1"));
+        }
+        value.max(1)
+    };
+    let kind = KindOfServer {
+        name: block.argument().unwrap_or_default(),
+        role: block.choice("role", ROLES, None).unwrap_or(Role::Mixed),
+        slots: above("slots") as usize,
+        queue: block.need::<Count>("queue").0 as usize,
+        memory_tokens: above("memory") as f64,
+        read_tokens_per_s: above("read-rate") as f64,
+        token_ms: block.need::<Millis>("token-time").0,
+    };
+    block.done();
+    kind
+}
+
+fn repeats(block: Block) -> Repeats {
+    let groups = [("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)];
+    let repeats = Repeats {
+        model: block.argument().unwrap_or_default(),
+        group: block.choice("group", &groups, None).unwrap_or(Group::All),
+        window_ms: block.need::<Millis>("window").0,
+    };
+    block.done();
+    repeats
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,63 @@
+//! The KDL documents: a router, a fleet of stand-ins, a scripted day. Each is read whole; every problem in it is
+//! reported with file, line and column, and a document with one is not used.
+
+pub mod day;
+pub mod fleet;
+pub mod reader;
+pub mod router;
+
+use std::path::Path;
+
+pub use reader::{Block, Count, Local, Millis, Problem, Problems, Share, Source, Value};
+
+/// What can go wrong before a document is even looked at.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    #[error("{file}: cannot be read: {cause}")]
+    Unreadable { file: String, cause: std::io::Error },
+    #[error("{0}")]
+    Wrong(#[from] Problems),
+}
+
+/// Which of the documents a text is, by the names at its top.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Router,
+    Fleet,
+    Day,
+}
+
+impl Kind {
+    pub fn of(text: &str) -> Kind {
+        let names = kdl::KdlDocument::parse(text).ok();
+        let has = |name| names.as_ref().is_some_and(|document| document.get(name).is_some());
+        match (has("day"), has("fleet")) {
+            (true, _) => Kind::Day,
+            (false, true) => Kind::Fleet,
+            _ => Kind::Router,
+        }
+    }
+}
+
+/// Reads a file of at most 4 MiB.
+pub fn text_of(path: &Path) -> Result<String, Error> {
+    let file = path.display().to_string();
+    let fail = |cause| Error::Unreadable { file: file.clone(), cause };
+    if std::fs::metadata(path).map_err(fail)?.len() > 4 << 20 {
+        return Err(fail(std::io::Error::other("larger than 4 MiB")));
+    }
+    std::fs::read_to_string(path).map_err(fail)
+}
+
+/// Checks a document of any kind and says which it is.
+pub fn check(path: &Path) -> Result<Kind, Error> {
+    let text = text_of(path)?;
+    let file = path.display().to_string();
+    let kind = Kind::of(&text);
+    match kind {
+        Kind::Router => router::parse(&file, &text).map(drop)?,
+        Kind::Fleet => fleet::parse(&file, &text).map(drop)?,
+        Kind::Day => day::parse(&file, &text).map(drop)?,
+    }
+    Ok(kind)
+}
--- /dev/null
+++ b/crates/settings/src/router.rs
@@ -0,0 +1,338 @@
+//! The document of one router.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use paddleproxy::interface as house;
+
+use crate::reader::{Block, Count, Local, Millis, Problems, Share, Source};
+
+/// What one router is told at its start.
+#[derive(Clone, Debug)]
+pub struct RouterSettings {
+    pub listen: SocketAddr,
+    /// Health and metrics; not served where absent.
+    pub admin: Option<SocketAddr>,
+    pub list: ListSettings,
+    pub state_dir: PathBuf,
+    /// Start of all chance; drawn anew at each start where absent.
+    pub seed: Option<u64>,
+    pub decisions: house::Settings,
+    pub names: Names,
+    pub rules: Rules,
+    pub front: FrontSettings,
+    pub engines: EngineSettings,
+}
+
+#[derive(Clone, Debug)]
+pub struct ListSettings {
+    pub service: SocketAddr,
+    pub poll_ms: f64,
+    pub retry_ms: f64,
+}
+
+/// The names of the rows in `house::Settings`, in their order.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub workloads: Vec<WorkloadNames>,
+    pub customers: Vec<CustomerNames>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct WorkloadNames {
+    pub name: String,
+    /// Model names by which requests belong to it.
+    pub models: Vec<String>,
+    /// How long a client waits, in ms, where the request does not say.
+    pub client_timeout_ms: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct CustomerNames {
+    pub name: String,
+    pub keys: Vec<String>,
+}
+
+/// Where in a request its facts stand.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    /// Header that names the session, in lower case; else `metadata.user_id`; else the first words spoken.
+    pub session_header: String,
+    /// Header with the time in ms that the client still waits.
+    pub timeout_header: String,
+    /// Bytes of text that count as one token.
+    pub bytes_per_token: f64,
+    /// Shortest system text, in tokens, that counts as a beginning others may share.
+    pub shared_from_tokens: f64,
+    /// Whether a request without a known key is answered.
+    pub keys_required: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct FrontSettings {
+    pub open_completions: usize,
+    pub connections: usize,
+    pub body_bytes: usize,
+    pub header_ms: f64,
+    pub body_ms: f64,
+    /// Pieces of an answer that may wait for a client who reads slowly.
+    pub pieces_waiting: usize,
+    /// Time after which a client who takes nothing of its answer is cut.
+    pub slow_client_ms: f64,
+    /// Time that open answers get to end after the word to stop.
+    pub stop_ms: f64,
+    /// Time past the client timeout in which a final answer still counts.
+    pub answer_slack_ms: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    pub connect_ms: f64,
+    pub idle_ms: f64,
+    pub probe_ms: f64,
+    /// Longest silence within an answer before it counts as broken.
+    pub stall_ms: f64,
+    pub line_bytes: usize,
+    pub answer_bytes: usize,
+    /// Longest wait between tries at letting go of a state, and how often it is tried.
+    pub release_tries: usize,
+}
+
+pub fn parse(file: &str, text: &str) -> Result<RouterSettings, Problems> {
+    Source::read(file, text, router)
+}
+
+/// Reads the nodes of a router from a block; also used for the `router` node of a day.
+pub(crate) fn router(top: &Block) -> Option<RouterSettings> {
+    let zones: Vec<String> =
+        top.need_block("zones").map(|block| finish(block, Block::arguments)).unwrap_or_default();
+    let own_zone: Option<String> = top.maybe("zone");
+    let zone = own_zone.and_then(|name| {
+        let row = zones.iter().position(|zone| *zone == name);
+        if row.is_none() {
+            top.problem(format!("'zone' is \"{name}\", which 'zones' does not name"));
+        }
+        row
+    });
+    let listen = top.need::<Local>("listen").0;
+    let admin = top.maybe::<Local>("admin").map(|local| local.0);
+    let state_dir = PathBuf::from(top.need::<String>("state-dir"));
+    let seed = top.maybe::<Count>("seed").map(|count| count.0);
+    let list = top.need_block("list");
+    let mut subscribe = (false, 0.0);
+    let list = list.map(|block| {
+        let service = block.need::<Local>("service").0;
+        let ways = [("automatic", false), ("subscribe", true)];
+        subscribe.0 = block.choice("changes", &ways, Some(false)).unwrap_or(false);
+        subscribe.1 = block.maybe::<Millis>("must-ask-in").map_or(0.0, |time| time.0);
+        if subscribe.0 && subscribe.1 <= 0.0 {
+            block.problem("'changes' is \"subscribe\", which needs 'must-ask-in' above \"0ms\"");
+        }
+        let settings = ListSettings {
+            service,
+            poll_ms: block.need::<Millis>("poll").0,
+            retry_ms: block.need::<Millis>("retry").0,
+        };
+        block.done();
+        settings
+    });
+    let (workloads, workload_names) = workloads(top);
+    let (customers, customer_names) = customers(top);
+    let (kinds, kind_names) = kinds(top);
+    let limits = top.need_block("rules")?;
+    let decisions = house::Settings {
+        routers: top.need::<Count>("routers").0 as usize,
+        own_number: top.need::<Count>("number").0 as usize,
+        zone: zone.map(house::ZoneId),
+        workloads,
+        kinds,
+        customers,
+        over_share_value: top.maybe::<Share>("over-share-value").map_or(1.0, |share| share.0),
+        must_subscribe: subscribe.0,
+        must_ask_in_ms: subscribe.1,
+        holds_allowed: limits.need("holds"),
+        writers_read: limits.need("writers-read"),
+        probes_allowed: limits.need("probes"),
+        cancel_allowed: limits.need("cancel"),
+        second_copies: limits.need("second-copies"),
+        retry_after: limits.need("retry-after"),
+        max_retry_after_ms: limits.need::<Millis>("max-retry-after").0,
+        max_dispatches: limits.need::<Count>("max-dispatches").0 as usize,
+        resolution_ms: limits.need::<Millis>("resolution").0,
+        pin_limit_ms: limits.need::<Millis>("pin-limit").0,
+        fall_multiple: limits.need("fall-multiple"),
+        fall_ms: limits.need::<Millis>("fall-after").0,
+        cold_share: limits.need::<Share>("cold-share").0,
+        cold_ms: limits.need::<Millis>("cold").0,
+    };
+    for (name, wrong) in [
+        ("max-dispatches", decisions.max_dispatches == 0),
+        ("pin-limit", decisions.pin_limit_ms <= 0.0),
+        ("resolution", decisions.resolution_ms <= 0.0),
+        ("fall-after", decisions.fall_ms <= 0.0),
+        ("cold", decisions.cold_ms <= 0.0),
+    ] {
+        if wrong && limits.has(name) {
+            limits.problem(format!("'{name}' must be above 0"));
+        }
+    }
+    if decisions.own_number >= decisions.routers {
+        top.problem(format!(
+            "'number' is {}; with {} 'routers' it runs from 0 to {}",
+            decisions.own_number,
+            decisions.routers,
+            decisions.routers.saturating_sub(1)
+        ));
+    }
+    let answer_slack_ms = limits.need::<Millis>("answer-slack").0;
+    limits.done();
+    let rules = top.need_block("requests").map(|block| finish(block, requests));
+    let front = top.need_block("front").map(|block| finish(block, |block| front(block, answer_slack_ms)));
+    let engines = top.need_block("engines").map(|block| finish(block, engines));
+    Some(RouterSettings {
+        listen,
+        admin,
+        list: list?,
+        state_dir,
+        seed,
+        decisions,
+        names: Names { workloads: workload_names, customers: customer_names, zones, kinds: kind_names },
+        rules: rules?,
+        front: front?,
+        engines: engines?,
+    })
+}
+
+fn finish<'a, T>(block: Block<'a>, read: impl FnOnce(&Block<'a>) -> T) -> T {
+    let value = read(&block);
+    block.done();
+    value
+}
+
+fn workloads(top: &Block) -> (Vec<house::WorkloadSettings>, Vec<WorkloadNames>) {
+    let mut rows = Vec::new();
+    for block in top.blocks("workload") {
+        let name: String = block.argument().unwrap_or_default();
+        let effects = [
+            ("idempotent", house::Effect::Idempotent),
+            ("tokened", house::Effect::Tokened),
+            ("non-idempotent", house::Effect::NonIdempotent),
+        ];
+        let effect = block.choice("effect", &effects, None).unwrap_or(house::Effect::NonIdempotent);
+        let tokened = effect == house::Effect::Tokened;
+        let groups = [("all", house::Group::All), ("zone", house::Group::Zone), ("cell", house::Group::Cell)];
+        let otherwise = Some(house::Group::All).filter(|_| !tokened);
+        let group = block.choice("group", &groups, otherwise).unwrap_or(house::Group::All);
+        let window_ms = if tokened { block.need::<Millis>("window").0 } else { 0.0 };
+        if !tokened && (block.has("window") || block.has("group")) {
+            block.problem("'group' and 'window' belong to workloads whose effect is \"tokened\"");
+        }
+        let target = block.need::<Millis>("latency-target").0;
+        let per_token = block.maybe::<Millis>("target-per-1000-tokens").map_or(0.0, |time| time.0 / 1e3);
+        let client_timeout_ms = block.need::<Millis>("client-timeout").0;
+        if client_timeout_ms < target && block.has("client-timeout") {
+            block.problem("'client-timeout' is shorter than 'latency-target'");
+        }
+        let models =
+            block.need_block("models").map(|block| finish(block, Block::arguments)).unwrap_or_default();
+        let value = block.need("value");
+        block.done();
+        let settings = house::WorkloadSettings {
+            effect,
+            group,
+            window_ms,
+            value,
+            latency_target_ms: target,
+            target_per_token_ms: per_token,
+        };
+        rows.push((settings, WorkloadNames { name, models, client_timeout_ms }));
+    }
+    if rows.is_empty() {
+        top.problem("there is no 'workload'; at least one is needed");
+    }
+    let mut models: Vec<_> = rows.iter().flat_map(|(_, names)| &names.models).collect();
+    models.sort();
+    if let Some(twice) = models.windows(2).find(|pair| pair[0] == pair[1]) {
+        top.problem(format!("model \"{}\" belongs to two workloads", twice[0]));
+    }
+    rows.into_iter().unzip()
+}
+
+fn customers(top: &Block) -> (Vec<house::CustomerSettings>, Vec<CustomerNames>) {
+    let customer = |block: Block| {
+        let name = block.argument().unwrap_or_default();
+        let keys = block.need_block("keys").map(|block| finish(block, Block::arguments)).unwrap_or_default();
+        let quota_per_s = block.need("quota-per-s");
+        block.done();
+        (house::CustomerSettings { quota_per_s }, CustomerNames { name, keys })
+    };
+    top.blocks("customer").into_iter().map(customer).unzip()
+}
+
+fn kinds(top: &Block) -> (Vec<house::KindSettings>, Vec<String>) {
+    let kind = |block: Block| {
+        let name = block.argument().unwrap_or_default();
+        let role = block.choice("role", ROLES, None).unwrap_or(house::Role::Mixed);
+        let memory_tokens = block.need::<Count>("memory").0 as f64;
+        block.done();
+        (house::KindSettings { role, memory_tokens }, name)
+    };
+    let rows: (Vec<_>, Vec<_>) = top.blocks("kind").into_iter().map(kind).unzip();
+    if rows.0.is_empty() {
+        top.problem("there is no 'kind' of server; at least one is needed");
+    }
+    rows
+}
+
+pub(crate) const ROLES: &[(&str, house::Role)] =
+    &[("reader", house::Role::Reader), ("writer", house::Role::Writer), ("mixed", house::Role::Mixed)];
+
+fn requests(block: &Block) -> Rules {
+    let rules = Rules {
+        session_header: block.need::<String>("session-header").to_ascii_lowercase(),
+        timeout_header: block.need::<String>("timeout-header").to_ascii_lowercase(),
+        bytes_per_token: block.need("bytes-per-token"),
+        shared_from_tokens: block.need::<Count>("shared-from").0 as f64,
+        keys_required: block.need("keys-required"),
+    };
+    if rules.bytes_per_token <= 0.0 && block.has("bytes-per-token") {
+        block.problem("'bytes-per-token' must be above 0");
+    }
+    rules
+}
+
+fn front(block: &Block, answer_slack_ms: f64) -> FrontSettings {
+    FrontSettings {
+        open_completions: at_least_one(block, "open-completions"),
+        connections: at_least_one(block, "connections"),
+        body_bytes: at_least_one(block, "body-bytes"),
+        header_ms: block.need::<Millis>("header-time").0,
+        body_ms: block.need::<Millis>("body-time").0,
+        pieces_waiting: at_least_one(block, "pieces-waiting"),
+        slow_client_ms: block.need::<Millis>("slow-client").0,
+        stop_ms: block.need::<Millis>("stop-within").0,
+        answer_slack_ms,
+    }
+}
+
+fn engines(block: &Block) -> EngineSettings {
+    EngineSettings {
+        connect_ms: block.need::<Millis>("connect").0,
+        idle_ms: block.need::<Millis>("idle").0,
+        probe_ms: block.need::<Millis>("probe").0,
+        stall_ms: block.need::<Millis>("stall").0,
+        line_bytes: at_least_one(block, "line-bytes"),
+        answer_bytes: at_least_one(block, "answer-bytes"),
+        release_tries: at_least_one(block, "release-tries"),
+    }
+}
+
+fn at_least_one(block: &Block, name: &'static str) -> usize {
+    let count = block.need::<Count>(name).0;
+    if count == 0 && block.has(name) {
+        block.problem(format!("'{name}' must be at least 1"));
+    }
+    count as usize
+}
