--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -47,6 +47,26 @@
         #[arg(long, value_enum, default_value_t = Format::Text)]
         format: Format,
     },
+    /// Plays the short day that comes with the program: 3 routers, 12 stand-ins, some troubles; prints the verdict.
+    Demo {
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
+    /// Plays a scripted day and judges the five rules from what the sockets carried.
+    Day {
+        file: PathBuf,
+        /// Where the record goes; a new folder for temporary files where absent.
+        #[arg(long)]
+        out: Option<PathBuf>,
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
+    /// Judges a recorded day again, from its record alone.
+    Audit {
+        dir: PathBuf,
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
     /// Runs stand-in model servers and their list service until it is told to stop.
     Fleet {
         #[arg(long)]
@@ -71,6 +91,9 @@
     let done = match arguments.command {
         Command::Serve { config } => run::serve(&config),
         Command::Check { files, format } => run::check(&files, format == Format::Json),
+        Command::Demo { format } => run::demo(format == Format::Json),
+        Command::Day { file, out, format } => run::day(&file, out, format == Format::Json),
+        Command::Audit { dir, format } => run::audit(&dir, format == Format::Json),
         Command::Fleet { config } => run::fleet(&config),
     };
     match done {
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 
 use anyhow::{Context, Result};
+use paddleproxy_day::{audit, play, report};
 use paddleproxy_fleet::record::Record;
 use paddleproxy_fleet::Fleet;
 use paddleproxy_settings as settings;
@@ -61,7 +62,7 @@
             let problems = match &checked {
                 Ok(_) => Vec::new(),
                 Err(settings::Error::Wrong(problems)) => {
-                    let row = |p: &settings::Problem| json!({ "line": p.line, "column": p.column, "message": p.message });
+                    let row = |p: &settings::Problem| json!({ "file": p.file, "line": p.line, "column": p.column, "message": p.message });
                     problems.list.iter().map(row).collect()
                 }
                 Err(cause) => vec![json!({ "message": cause.to_string() })],
@@ -95,3 +96,51 @@
         Ok(true)
     })
 }
+
+/// The short day that `demo` plays, and what the days share.
+const DEMO: [(&str, &str); 2] = [
+    ("days/short.kdl", include_str!("../../../days/short.kdl")),
+    ("days/common.kdl", include_str!("../../../days/common.kdl")),
+];
+
+pub fn demo(as_json: bool) -> Result<bool> {
+    let parts = DEMO.map(|(file, text)| (file.to_owned(), text.to_owned()));
+    let day = settings::day::parse(&parts)?;
+    let dir = std::env::temp_dir().join(format!("paddleproxy-demo-{}", std::process::id()));
+    let good = played(day, &dir, as_json)?;
+    if good {
+        std::fs::remove_dir_all(&dir).with_context(|| format!("removing {}", dir.display()))?;
+    } else {
+        eprintln!("the record is kept in {}", dir.display());
+    }
+    Ok(good)
+}
+
+pub fn day(file: &Path, out: Option<PathBuf>, as_json: bool) -> Result<bool> {
+    let day = settings::day::load(file)?;
+    let dir =
+        out.unwrap_or_else(|| std::env::temp_dir().join(format!("paddleproxy-day-{}", std::process::id())));
+    let good = played(day, &dir, as_json)?;
+    eprintln!("record: {}", dir.display());
+    Ok(good)
+}
+
+fn played(day: settings::day::DaySettings, dir: &Path, as_json: bool) -> Result<bool> {
+    let program = std::env::current_exe().context("finding this program")?;
+    let (facts, lines) = on_one_thread(play::play(day, &program, dir))?;
+    Ok(judged(&facts, &lines, as_json))
+}
+
+pub fn audit(dir: &Path, as_json: bool) -> Result<bool> {
+    let (facts, lines) = play::read(dir)?;
+    Ok(judged(&facts, &lines, as_json))
+}
+
+fn judged(facts: &audit::Facts, lines: &[paddleproxy_fleet::record::Line], as_json: bool) -> bool {
+    let report = report::report(facts, lines);
+    match as_json {
+        true => println!("{}", serde_json::to_string(&report).unwrap_or_default()),
+        false => print!("{}", report.text()),
+    }
+    report.kept
+}
--- /dev/null
+++ b/crates/day/src/client.rs
@@ -0,0 +1,138 @@
+//! One request of a client, with what its socket saw of the answer.
+
+use std::net::SocketAddr;
+
+use anyhow::{anyhow, Result};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use paddleproxy_engine::{Data, SseReader};
+use tokio::net::TcpStream;
+use tokio::time::{timeout_at, Instant};
+
+/// What a client sends.
+#[derive(Clone, Debug, Default)]
+pub struct Asking {
+    pub key: String,
+    pub session: String,
+    /// Its own name for the request, and the key of its effect.
+    pub id: String,
+    pub effect_key: String,
+    pub timeout_ms: f64,
+    pub body: String,
+}
+
+/// What a client sees, in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Seen {
+    Head {
+        status: u16,
+        retry_after_ms: f64,
+    },
+    First,
+    Text(String),
+    /// `finished`, `rate-limited` or `aborted`.
+    Final(&'static str),
+    /// Anything after the final answer.
+    More,
+    /// The end of the connection without a final answer.
+    Broke {
+        connected: bool,
+    },
+}
+
+/// Sends one request on a connection of its own and hands each thing seen to `see`; nothing is waited for past
+/// `until`.
+pub async fn ask(address: SocketAddr, asking: &Asking, until: Instant, mut see: impl FnMut(Seen)) {
+    let mut connected = false;
+    let mut done = false;
+    let mut noting = |seen: Seen| {
+        done |= matches!(seen, Seen::Final(_));
+        see(seen);
+    };
+    // Whatever went wrong, and whether or not it was in time, the client saw no final answer or it did.
+    let _ = timeout_at(until, exchange(address, asking, &mut connected, &mut noting)).await;
+    if !done {
+        see(Seen::Broke { connected });
+    }
+}
+
+async fn exchange(
+    address: SocketAddr,
+    asking: &Asking,
+    connected: &mut bool,
+    see: &mut impl FnMut(Seen),
+) -> Result<()> {
+    let stream = TcpStream::connect(address).await?;
+    *connected = true;
+    let _ = stream.set_nodelay(true);
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    tokio::task::spawn_local(async move { drop(connection.await) });
+    let request = Request::post("/v1/messages")
+        .header("host", address.to_string())
+        .header("content-type", "application/json")
+        .header("x-api-key", &asking.key)
+        .header("x-session-id", &asking.session)
+        .header("x-client-timeout-ms", asking.timeout_ms.to_string())
+        .header("x-request-id", &asking.id)
+        .header("idempotency-key", &asking.effect_key)
+        .body(Full::new(Bytes::from(asking.body.clone())))?;
+    let response = sender.send_request(request).await?;
+    let status = response.status().as_u16();
+    let header =
+        |name: &str| response.headers().get(name).and_then(|value| value.to_str().ok()?.parse::<f64>().ok());
+    let retry_after_ms = header("retry-after-ms").or(header("retry-after").map(|s| s * 1e3)).unwrap_or(0.0);
+    see(Seen::Head { status, retry_after_ms });
+    if status != 200 {
+        response.into_body().collect().await?;
+        see(Seen::Final(if matches!(status, 429 | 529) { "rate-limited" } else { "aborted" }));
+        return Ok(());
+    }
+    let kind = response.headers().get("content-type").map(|kind| kind.as_bytes().to_vec());
+    if kind.is_some_and(|kind| kind.starts_with(b"text/event-stream")) {
+        return streamed(response, see).await;
+    }
+    let body = response.into_body().collect().await?.to_bytes();
+    let answer: serde_json::Value = serde_json::from_slice(&body)?;
+    let text = answer["content"][0]["text"].as_str().ok_or_else(|| anyhow!("no text in the answer"))?;
+    see(Seen::First);
+    see(Seen::Text(text.to_owned()));
+    see(Seen::Final("finished"));
+    Ok(())
+}
+
+async fn streamed(response: Response<Incoming>, see: &mut impl FnMut(Seen)) -> Result<()> {
+    let mut body = response.into_body();
+    let mut reader = SseReader::new(1 << 20);
+    let (mut first, mut done) = (false, false);
+    while let Some(frame) = body.frame().await {
+        reader.push(&frame?.into_data().unwrap_or_default());
+        while let Some(data) = reader.next_event().map_err(|cause| anyhow!(cause))? {
+            let Data::Json(json) = data else { return Err(anyhow!("not an event of this API")) };
+            let event: serde_json::Value = serde_json::from_str(&json)?;
+            if done {
+                see(Seen::More);
+            }
+            match event["type"].as_str().unwrap_or("") {
+                "content_block_delta" => {
+                    if !std::mem::replace(&mut first, true) {
+                        see(Seen::First);
+                    }
+                    see(Seen::Text(event["delta"]["text"].as_str().unwrap_or("").to_owned()));
+                }
+                "message_stop" if !done => {
+                    done = true;
+                    see(Seen::Final("finished"));
+                }
+                "error" if !done => {
+                    done = true;
+                    see(Seen::Final("aborted"));
+                }
+                _ => {}
+            }
+        }
+    }
+    done.then_some(()).ok_or_else(|| anyhow!("the stream ended without its last event"))
+}
--- /dev/null
+++ b/crates/day/src/report.rs
@@ -0,0 +1,164 @@
+//! A day in figures: the rules, and service by workload and customer.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use hdrhistogram::Histogram;
+use paddleproxy_fleet::record::{Line, What};
+use serde::Serialize;
+
+use crate::audit::{rules, Facts, Rule};
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    pub schema: &'static str,
+    pub day: String,
+    pub rules: Vec<Rule>,
+    pub kept: bool,
+    pub workloads: Vec<Service>,
+    pub customers: Vec<Service>,
+    /// What befell, with how often it began.
+    pub troubles: BTreeMap<String, usize>,
+}
+
+/// What became of what clients wanted; a client's retries count with its first try. Simulated servers.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Service {
+    pub name: String,
+    pub asked: usize,
+    /// Share of those asked that got their first token within the latency target of the first try.
+    pub in_target: f64,
+    pub finished: usize,
+    pub rate_limited: usize,
+    pub aborted: usize,
+    /// Connection lost with a killed router, or no router there.
+    pub broke: usize,
+    pub left: usize,
+    /// Time to the first token of those that finished, from the first try, in ms.
+    pub first_p50_ms: f64,
+    pub first_p99_ms: f64,
+}
+
+#[derive(Default)]
+struct Op<'a> {
+    model: &'a str,
+    customer: &'a str,
+    asked_ms: f64,
+    target_ms: f64,
+    first_ms: Option<f64>,
+    last: &'a str,
+}
+
+pub fn report(facts: &Facts, lines: &[Line]) -> Report {
+    let mut ops: BTreeMap<&str, Op> = BTreeMap::new();
+    let mut troubles = BTreeMap::new();
+    for line in lines {
+        match &line.what {
+            What::Asked { op, attempt: 0, model, customer, target_ms, .. } => {
+                let (asked_ms, target_ms) = (line.at_ms, *target_ms);
+                ops.insert(op, Op { model, customer, asked_ms, target_ms, ..Op::default() });
+            }
+            What::First { op, .. } => {
+                if let Some(op) = ops.get_mut(op.as_str()) {
+                    op.first_ms = Some(line.at_ms);
+                }
+            }
+            What::Final { op, how, .. } => set_last(&mut ops, op, how),
+            What::Broke { op, .. } => set_last(&mut ops, op, "broke"),
+            What::Left { op, .. } => set_last(&mut ops, op, "left"),
+            What::Trouble { name, begins: true } => *troubles.entry(name.clone()).or_default() += 1,
+            _ => {}
+        }
+    }
+    let workload = |op: &Op| facts.workload(op.model).map_or(String::new(), |row| row.name.clone());
+    let rules = rules(facts, lines);
+    Report {
+        schema: "paddleproxy.day.v1",
+        day: facts.day.clone(),
+        kept: rules.iter().all(|rule| rule.broken.is_empty()),
+        rules,
+        workloads: by(&ops, workload),
+        customers: by(&ops, |op| op.customer.to_owned()),
+        troubles,
+    }
+}
+
+fn set_last<'a>(ops: &mut BTreeMap<&'a str, Op<'a>>, op: &str, how: &'a str) {
+    if let Some(op) = ops.get_mut(op) {
+        op.last = how;
+    }
+}
+
+fn by(ops: &BTreeMap<&str, Op>, name: impl Fn(&Op) -> String) -> Vec<Service> {
+    let mut rows: BTreeMap<String, (Service, usize, Option<Histogram<u64>>)> = BTreeMap::new();
+    for op in ops.values() {
+        let row = rows.entry(name(op)).or_insert_with(|| (Service::default(), 0, Histogram::new(3).ok()));
+        row.0.asked += 1;
+        match op.last {
+            "finished" => row.0.finished += 1,
+            "rate-limited" => row.0.rate_limited += 1,
+            "aborted" => row.0.aborted += 1,
+            "left" => row.0.left += 1,
+            _ => row.0.broke += 1,
+        }
+        if let Some(first_ms) = op.first_ms.filter(|_| op.last == "finished") {
+            let took_ms = first_ms - op.asked_ms;
+            row.1 += usize::from(took_ms <= op.target_ms);
+            // A histogram that grows by itself takes any value.
+            let _ = row.2.as_mut().map(|histogram| histogram.record((took_ms * 1e3) as u64));
+        }
+    }
+    let service =
+        |(name, (mut service, in_target, histogram)): (String, (Service, usize, Option<Histogram<u64>>))| {
+            let quantile = |q| histogram.as_ref().map_or(0.0, |h| h.value_at_quantile(q) as f64 / 1e3);
+            // Those who leave by themselves have no part in the service.
+            service.in_target = in_target as f64 / service.asked.saturating_sub(service.left).max(1) as f64;
+            (service.first_p50_ms, service.first_p99_ms) = (quantile(0.5), quantile(0.99));
+            Service { name, ..service }
+        };
+    rows.into_iter().map(service).collect()
+}
+
+impl Report {
+    pub fn text(&self) -> String {
+        let mut text = format!("day {}: simulated servers, real routers on local sockets\n\n", self.day);
+        // Writing to a String does not fail.
+        let _ = writeln!(text, "{:<34} {:>9} {:>7}", "rule", "verdict", "cases");
+        for rule in &self.rules {
+            let _ = writeln!(text, "{:<34} {:>9} {:>7}", rule.name, rule.verdict(), rule.cases);
+            for what in rule.broken.iter().take(5) {
+                let _ = writeln!(text, "    {what}");
+            }
+            if rule.broken.len() > 5 {
+                let _ = writeln!(text, "    and {} more", rule.broken.len() - 5);
+            }
+        }
+        for (title, rows) in [("workload", &self.workloads), ("customer", &self.customers)] {
+            let _ = writeln!(
+                text,
+                "\n{title:<16} {:>6} {:>9} {:>8} {:>7} {:>7} {:>5} {:>4} {:>9} {:>9}",
+                "asked", "in target", "finished", "limited", "aborted", "broke", "left", "p50 ms", "p99 ms"
+            );
+            for row in rows {
+                let _ = writeln!(
+                    text,
+                    "{:<16} {:>6} {:>9.3} {:>8} {:>7} {:>7} {:>5} {:>4} {:>9.0} {:>9.0}",
+                    row.name,
+                    row.asked,
+                    row.in_target,
+                    row.finished,
+                    row.rate_limited,
+                    row.aborted,
+                    row.broke,
+                    row.left,
+                    row.first_p50_ms,
+                    row.first_p99_ms
+                );
+            }
+        }
+        let names: Vec<_> = self.troubles.iter().map(|(name, times)| format!("{name} x{times}")).collect();
+        let _ =
+            writeln!(text, "\ntroubles: {}", if names.is_empty() { "none".into() } else { names.join(", ") });
+        text
+    }
+}
--- /dev/null
+++ b/crates/day/src/troubles.rs
@@ -0,0 +1,127 @@
+//! Brings about what the script says, when it says so.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use paddleproxy_fleet::record::What as Line;
+use paddleproxy_fleet::server::Trouble as Befalls;
+use paddleproxy_settings::day::{Dead, Trouble, What};
+use tokio::time::{sleep, sleep_until};
+
+use crate::play::Stage;
+
+fn wait(ms: f64) -> tokio::time::Sleep {
+    sleep(Duration::from_secs_f64(ms.max(0.0) / 1e3))
+}
+
+/// One trouble, from its beginning to its end.
+pub async fn befall(stage: Rc<Stage>, trouble: Trouble) {
+    sleep_until(stage.record.at(trouble.at_ms)).await;
+    let name = match &trouble.what {
+        What::Dead { how: Dead::Unreachable, .. } => "unreachable",
+        what => what.name(),
+    };
+    let note = |begins| stage.record.add(Line::Trouble { name: name.to_owned(), begins });
+    note(true);
+    begin(&stage, &trouble).await;
+    wait(trouble.for_ms).await;
+    end(&stage, &trouble).await;
+    note(false);
+}
+
+fn each(stage: &Stage, servers: &[String], change: impl Fn(&mut Befalls)) {
+    for server in servers.iter().filter_map(|name| stage.fleet.server(name)) {
+        change(&mut server.state.borrow_mut().trouble);
+    }
+}
+
+async fn begin(stage: &Rc<Stage>, trouble: &Trouble) {
+    let now_ms = stage.record.now_ms();
+    match &trouble.what {
+        What::Dead { servers, how, .. } => {
+            for name in servers {
+                stage.fleet.kill(name, *how).await;
+            }
+        }
+        What::Silent { servers } => each(stage, servers, |t| t.silent = true),
+        What::Slow { servers, factor } => each(stage, servers, |t| t.slow = *factor),
+        What::Ageing { servers, factor } => each(stage, servers, |t| t.ageing = Some((now_ms, *factor))),
+        What::Erring { servers, share, model } => each(stage, servers, |t| {
+            (t.erring, t.erring_model) = (*share, model.clone());
+        }),
+        What::AnswerLost { servers, share } => each(stage, servers, |t| t.answer_lost = *share),
+        What::Pausing { servers, pause_ms, every_ms } => {
+            each(stage, servers, |t| t.pausing = Some((*pause_ms, *every_ms)));
+        }
+        What::Flush { servers } => {
+            servers.iter().filter_map(|name| stage.fleet.server(name)).for_each(|server| server.flush());
+        }
+        What::Drain { servers, notice_ms } => {
+            each(stage, servers, |t| t.draining = true);
+            servers
+                .iter()
+                .filter_map(|name| stage.fleet.server(name))
+                .for_each(|server| server.list("draining"));
+            wait(*notice_ms).await;
+            for name in servers {
+                stage.fleet.kill(name, Dead::Refuse).await;
+            }
+        }
+        What::Links { cell, factor } => {
+            stage.fleet.shared.links.borrow_mut().insert(*cell, *factor);
+        }
+        What::ZoneLost { zone, routers } => {
+            for name in stage.fleet.in_zone(zone) {
+                stage.fleet.kill(&name, Dead::Unreachable).await;
+            }
+            for router in stage.routers_of(zone).into_iter().filter(|_| *routers) {
+                stage.kill_router(router).await;
+            }
+        }
+        What::ListBehind { by_ms } => stage.fleet.shared.list.behind_ms.set(*by_ms),
+        What::ListDown => stage.fleet.shared.list.down.set(true),
+        What::RouterKilled { router } => stage.kill_router(*router).await,
+        What::RouterStopped { router } => stage.stop_router(*router).await,
+        What::Burst { key, factor } => *stage.mood.burst.borrow_mut() = Some((key.clone(), *factor)),
+        What::LongPrompts { share, factor } => stage.mood.long.set(Some((*share, *factor))),
+        What::HotBeginning { share, tokens } => stage.mood.hot.set(Some((*share, *tokens))),
+        What::GiveUp { share } => stage.mood.gives_up.set(*share),
+    }
+}
+
+async fn end(stage: &Rc<Stage>, trouble: &Trouble) {
+    let back = |servers: Vec<String>, as_new: bool| async move {
+        for name in servers {
+            if let Err(cause) = stage.fleet.back(&name, as_new).await {
+                stage.fail(format!("{cause:#}"));
+            }
+        }
+    };
+    match &trouble.what {
+        What::Dead { servers, back_as_new, .. } => back(servers.clone(), *back_as_new).await,
+        What::Drain { servers, .. } => back(servers.clone(), false).await,
+        What::ZoneLost { zone, routers } => {
+            back(stage.fleet.in_zone(zone), false).await;
+            for router in stage.routers_of(zone).into_iter().filter(|_| *routers) {
+                stage.start_router(router).await;
+            }
+        }
+        What::Silent { servers } => each(stage, servers, |t| t.silent = false),
+        What::Slow { servers, .. } => each(stage, servers, |t| t.slow = 1.0),
+        What::Ageing { servers, .. } => each(stage, servers, |t| t.ageing = None),
+        What::Erring { servers, .. } => each(stage, servers, |t| t.erring = 0.0),
+        What::AnswerLost { servers, .. } => each(stage, servers, |t| t.answer_lost = 0.0),
+        What::Pausing { servers, .. } => each(stage, servers, |t| t.pausing = None),
+        What::Flush { .. } => {}
+        What::Links { cell, .. } => {
+            stage.fleet.shared.links.borrow_mut().remove(cell);
+        }
+        What::ListBehind { .. } => stage.fleet.shared.list.behind_ms.set(0.0),
+        What::ListDown => stage.fleet.shared.list.down.set(false),
+        What::RouterKilled { router } | What::RouterStopped { router } => stage.start_router(*router).await,
+        What::Burst { .. } => *stage.mood.burst.borrow_mut() = None,
+        What::LongPrompts { .. } => stage.mood.long.set(None),
+        What::HotBeginning { .. } => stage.mood.hot.set(None),
+        What::GiveUp { .. } => stage.mood.gives_up.set(0.0),
+    }
+}
--- a/crates/fleet/src/http.rs
+++ b/crates/fleet/src/http.rs
@@ -102,15 +102,15 @@
 
 /// An `Err` breaks the connection.
 async fn answer(server: Rc<Server>, tasks: Tasks, request: Request<Incoming>) -> Result<Response<Reply>, ()> {
-    if server.state.borrow().trouble.silent {
-        std::future::pending::<()>().await;
-    }
     let (head, body) = request.into_parts();
     let body = Limited::new(body, BODY_BYTES).collect().await.map_err(|_| ())?.to_bytes();
     let text =
         |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("").to_owned();
     let wrong =
         |server: &Server| json(server, 400, error_body("invalid_request_error", "not understood", None));
+    if server.state.borrow().trouble.silent && head.uri.path() != COMPLETIONS {
+        std::future::pending::<()>().await;
+    }
     Ok(match head.uri.path() {
         COMPLETIONS => {
             let Ok(asked) = serde_json::from_slice::<CompletionRequest>(&body) else {
@@ -238,6 +238,9 @@
         std::future::pending::<()>().await;
     }
     let trouble = server.state.borrow().trouble.clone();
+    if trouble.silent {
+        std::future::pending::<()>().await;
+    }
     if trouble.draining {
         return Ok(turned(&server, &names.request, Refusal::Draining));
     }
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -1,6 +1,6 @@
 //! What the sockets carried, as it passed, on one clock. A day's judge reads nothing else.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
@@ -131,23 +131,30 @@
 /// The record of one day.
 #[derive(Clone)]
 pub struct Record {
-    origin: Instant,
+    origin: Rc<Cell<Instant>>,
     lines: Rc<RefCell<Vec<Line>>>,
 }
 
 impl Default for Record {
     fn default() -> Self {
-        Record { origin: Instant::now(), lines: Rc::default() }
+        Record { origin: Rc::new(Cell::new(Instant::now())), lines: Rc::default() }
     }
 }
 
 impl Record {
+    /// The clock starts anew; what was recorded so far lies before 0.
+    pub fn restart(&self) {
+        let now_ms = self.now_ms();
+        self.origin.set(Instant::now());
+        self.lines.borrow_mut().iter_mut().for_each(|line| line.at_ms -= now_ms);
+    }
+
     pub fn now_ms(&self) -> f64 {
-        self.origin.elapsed().as_secs_f64() * 1e3
+        self.origin.get().elapsed().as_secs_f64() * 1e3
     }
 
     pub fn at(&self, ms: f64) -> Instant {
-        self.origin + std::time::Duration::from_secs_f64(ms.max(0.0) / 1e3)
+        self.origin.get() + std::time::Duration::from_secs_f64(ms.max(0.0) / 1e3)
     }
 
     pub fn add(&self, what: What) {
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -1,10 +1,13 @@
 //! The document of a scripted day: routers, a fleet, clients and the troubles that befall them.
 
+use std::path::Path;
+
 use kdl::{KdlDocument, KdlEntry, KdlNode};
 
 use crate::fleet::{fleet, FleetSettings};
 use crate::reader::{Block, Count, Millis, Problems, Share, Source};
 use crate::router::{router, RouterSettings};
+use crate::{text_of, Error};
 
 #[derive(Clone, Debug)]
 pub struct DaySettings {
@@ -14,6 +17,8 @@
     pub rest_ms: f64,
     pub seed: u64,
     pub routers: usize,
+    /// Time in which a router must stop sending to a server after the list told it to, in ms.
+    pub drain_grace_ms: f64,
     /// The template of every router; its own number, zone and addresses are set when the day starts.
     pub router: RouterSettings,
     router_nodes: KdlDocument,
@@ -110,8 +115,28 @@
     }
 }
 
-pub fn parse(file: &str, text: &str) -> Result<DaySettings, Problems> {
-    Source::read(file, text, day)
+/// Reads a day from the texts of its file and, where it includes one, the file that it shares with others.
+///
+/// # Errors
+/// All problems found, each with its file, line and column.
+pub fn parse(parts: &[(String, String)]) -> Result<DaySettings, Problems> {
+    Source::read_parts(parts, day)
+}
+
+/// Reads a day's file and what it includes, which is named from the file's own folder.
+///
+/// # Errors
+/// A file that can't be read, or all problems found.
+pub fn load(path: &Path) -> Result<DaySettings, Error> {
+    let text = text_of(path)?;
+    let document = KdlDocument::parse(&text).ok();
+    let include = document.and_then(|document| Some(document.get_arg("include")?.as_string()?.to_owned()));
+    let mut parts = vec![(path.display().to_string(), text)];
+    if let Some(name) = include {
+        let other = path.parent().unwrap_or(Path::new("")).join(name);
+        parts.push((other.display().to_string(), text_of(&other)?));
+    }
+    Ok(parse(&parts)?)
 }
 
 /// What a router gets in place of the template's own lines.
@@ -158,11 +183,13 @@
 
 fn day(top: &Block) -> Option<DaySettings> {
     let head = top.need_block("day")?;
+    top.skip("include");
     let name = head.argument().unwrap_or_default();
     let length_ms = head.need::<Millis>("length").0;
     let rest_ms = head.need::<Millis>("rest").0;
     let seed = head.need::<Count>("seed").0;
     let routers = head.need::<Count>("routers").0 as usize;
+    let drain_grace_ms = head.need::<Millis>("drain-grace").0;
     head.done();
     if routers == 0 || routers > 64 {
         head.problem("'routers' must be from 1 to 64");
@@ -179,7 +206,7 @@
         block.done();
         read
     });
-    let clients: Vec<_> = top.blocks("clients").into_iter().map(load).collect();
+    let clients: Vec<_> = top.blocks("clients").into_iter().map(client_load).collect();
     let troubles: Vec<_> = top.blocks("trouble").into_iter().filter_map(trouble).collect();
     let settings = DaySettings {
         name,
@@ -187,6 +214,7 @@
         rest_ms,
         seed,
         routers,
+        drain_grace_ms,
         router: read_router?,
         router_nodes: router_nodes?,
         fleet: read_fleet?,
@@ -259,7 +287,7 @@
     }
 }
 
-fn load(block: Block) -> ClientLoad {
+fn client_load(block: Block) -> ClientLoad {
     let load = ClientLoad {
         model: block.need("model"),
         key: block.need("key"),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -57,7 +57,7 @@
     match kind {
         Kind::Router => router::parse(&file, &text).map(drop)?,
         Kind::Fleet => fleet::parse(&file, &text).map(drop)?,
-        Kind::Day => day::parse(&file, &text).map(drop)?,
+        Kind::Day => day::load(path).map(drop)?,
     }
     Ok(kind)
 }
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -11,16 +11,16 @@
 /// One thing that is wrong in a document: where, what was found and what would be right.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Problem {
+    pub file: String,
     /// From 1; the column counts characters.
     pub line: usize,
     pub column: usize,
     pub message: String,
 }
 
-/// All that is wrong with one file; shown as `file:line:column: message`, a line each.
+/// All that is wrong with a document; shown as `file:line:column: message`, a line each.
 #[derive(Clone, Debug, thiserror::Error)]
 pub struct Problems {
-    pub file: String,
     pub list: Vec<Problem>,
 }
 
@@ -28,15 +28,16 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (row, problem) in self.list.iter().enumerate() {
             let end = if row + 1 < self.list.len() { "\n" } else { "" };
-            write!(f, "{}:{}:{}: {}{end}", self.file, problem.line, problem.column, problem.message)?;
+            write!(f, "{}:{}:{}: {}{end}", problem.file, problem.line, problem.column, problem.message)?;
         }
         Ok(())
     }
 }
 
-/// A parsed file and what was found wrong in it so far.
+/// A document of one or more files and what was found wrong in it so far.
 pub struct Source {
-    file: String,
+    /// Names of the files and where in the text each begins.
+    files: Vec<(String, usize)>,
     text: String,
     found: Rc<RefCell<Vec<(usize, String)>>>,
 }
@@ -44,7 +45,21 @@
 impl Source {
     /// Reads `text` with `read`; the result stands only if nothing was found wrong.
     pub fn read<T>(file: &str, text: &str, read: impl FnOnce(&Block) -> Option<T>) -> Result<T, Problems> {
-        let source = Source { file: file.to_owned(), text: text.to_owned(), found: Rc::default() };
+        Source::read_parts(&[(file.to_owned(), text.to_owned())], read)
+    }
+
+    /// Reads some files as one document; each problem is reported with its own file.
+    pub fn read_parts<T>(
+        parts: &[(String, String)],
+        read: impl FnOnce(&Block) -> Option<T>,
+    ) -> Result<T, Problems> {
+        let mut source = Source { files: Vec::new(), text: String::new(), found: Rc::default() };
+        for (file, text) in parts {
+            source.files.push((file.clone(), source.text.len()));
+            source.text.push_str(text);
+            source.text.push('\n');
+        }
+        let text = source.text.as_str();
         let document = match KdlDocument::parse(text) {
             Ok(document) => document,
             Err(cause) => {
@@ -73,12 +88,14 @@
         found.sort();
         found.dedup();
         let place = |(offset, message): (usize, String)| {
-            let before = self.text.get(..offset.min(self.text.len())).unwrap_or("");
+            let (file, start) =
+                self.files.iter().rev().find(|(_, start)| *start <= offset).cloned().unwrap_or_default();
+            let before = self.text.get(start..offset.min(self.text.len())).unwrap_or("");
             let line = before.matches('\n').count() + 1;
             let column = before.rsplit('\n').next().map_or(0, |tail| tail.chars().count()) + 1;
-            Problem { line, column, message }
+            Problem { file, line, column, message }
         };
-        Problems { file: self.file.clone(), list: found.into_iter().map(place).collect() }
+        Problems { list: found.into_iter().map(place).collect() }
     }
 }
 
