--- /dev/null
+++ b/crates/day/tests/judge.rs
@@ -0,0 +1,233 @@
+//! The judge is judged: for each rule a small record that breaks it is caught, and one just inside is not.
+
+use paddleproxy_day::audit::{rules, Facts, Rule, WorkloadFacts};
+use paddleproxy_fleet::record::{Line, What};
+
+fn facts() -> Facts {
+    let workload = |name: &str, effect: &str, group: &str| WorkloadFacts {
+        name: name.into(),
+        models: vec![name.into()],
+        effect: effect.into(),
+        group: group.into(),
+        window_ms: 5000.0,
+        value: 1.0,
+    };
+    Facts {
+        day: "small".into(),
+        answer_slack_ms: 50.0,
+        drain_grace_ms: 1000.0,
+        pin_limit_ms: 500.0,
+        connect_ms: 250.0,
+        fall_multiple: 2.0,
+        fall_ms: 1000.0,
+        cold_share: 0.5,
+        cold_ms: 10_000.0,
+        workloads: vec![
+            workload("chat", "idempotent", "all"),
+            workload("ledger", "tokened", "cell"),
+            workload("purse", "tokened", "all"),
+            workload("notice", "non-idempotent", "all"),
+        ],
+    }
+}
+
+/// The given rule (from 1) on lines of a time and what happened.
+fn judged(rule: usize, lines: &[(f64, What)]) -> Rule {
+    let lines: Vec<_> =
+        lines.iter().map(|(at_ms, what)| Line { at_ms: *at_ms, what: what.clone() }).collect();
+    rules(&facts(), &lines).swap_remove(rule - 1)
+}
+
+fn verdict(rule: usize, lines: &[(f64, What)]) -> &'static str {
+    judged(rule, lines).verdict()
+}
+
+fn asked(deadline_ms: f64) -> What {
+    What::Asked {
+        op: "a".into(),
+        attempt: 0,
+        router: 0,
+        model: "chat".into(),
+        customer: String::new(),
+        deadline_ms,
+        target_ms: 100.0,
+    }
+}
+
+fn head() -> What {
+    What::Head { op: "a".into(), attempt: 0, status: 200 }
+}
+
+fn answer(how: &str) -> What {
+    What::Final { op: "a".into(), attempt: 0, how: how.into() }
+}
+
+fn broke(connected: bool) -> What {
+    What::Broke { op: "a".into(), attempt: 0, connected }
+}
+
+#[test]
+fn one_final_answer_in_time() {
+    let in_time = [(0.0, asked(1000.0)), (1049.0, head()), (3000.0, answer("finished"))];
+    assert_eq!((verdict(1, &in_time), verdict(1, &[])), ("kept", "not seen"));
+    let late = [(0.0, asked(1000.0)), (1051.0, head()), (1052.0, answer("aborted"))];
+    assert_eq!(verdict(1, &late), "BROKEN");
+    assert_eq!(verdict(1, &[(0.0, asked(1000.0)), (500.0, broke(true))]), "BROKEN");
+    assert_eq!(verdict(1, &[(0.0, asked(1000.0))]), "BROKEN");
+    let twice = [(0.0, asked(1000.0)), (1.0, head()), (2.0, answer("finished")), (3.0, answer("aborted"))];
+    assert_eq!(verdict(1, &twice), "BROKEN");
+    let more = (4.0, What::More { op: "a".into(), attempt: 0 });
+    let after = [(0.0, asked(1000.0)), (1.0, head()), (2.0, answer("finished")), more];
+    assert_eq!(verdict(1, &after), "BROKEN");
+}
+
+#[test]
+fn who_left_or_was_never_taken_or_lost_its_router_is_owed_nothing() {
+    assert_eq!(verdict(1, &[(0.0, asked(1000.0)), (500.0, broke(false))]), "not seen");
+    let left = What::Left { op: "a".into(), attempt: 0 };
+    assert_eq!(verdict(1, &[(0.0, asked(1000.0)), (500.0, left)]), "not seen");
+    let down = |router| What::RouterDown { router };
+    let killed = [(0.0, asked(1000.0)), (499.0, down(0)), (500.0, broke(true))];
+    assert_eq!(verdict(1, &killed), "not seen");
+    let another = [(0.0, asked(1000.0)), (499.0, down(1)), (500.0, broke(true))];
+    assert_eq!(verdict(1, &another), "BROKEN");
+    let before = [(0.0, down(0)), (1.0, asked(1000.0)), (500.0, broke(true))];
+    assert_eq!(verdict(1, &before), "BROKEN");
+}
+
+fn started(server: &str, cell: u32, cold: bool) -> What {
+    What::Started { server: server.into(), zone: "z".into(), cell, cold }
+}
+
+fn dispatch(server: &str, request: &str, model: &str) -> What {
+    work(server, request, model, 1.0)
+}
+
+fn work(server: &str, request: &str, model: &str, work_ms: f64) -> What {
+    let (server, request) = (server.to_owned(), request.to_owned());
+    What::Dispatch { server, request, client: "a/0".into(), model: model.into(), work_ms, writes: true }
+}
+
+fn turned(request: &str) -> What {
+    What::Turned { server: "s".into(), request: request.into(), code: "full".into() }
+}
+
+fn effect(key: &str, repeat: bool) -> What {
+    What::Effect { server: "s".into(), request: "0.1.1.0".into(), key: key.into(), repeat }
+}
+
+#[test]
+fn a_non_idempotent_completion_runs_once() {
+    let turned_away = [
+        (0.0, dispatch("s", "0.1.1.0", "notice")),
+        (1.0, turned("0.1.1.0")),
+        (2.0, dispatch("t", "0.1.1.1", "notice")),
+    ];
+    assert_eq!(verdict(2, &turned_away), "kept");
+    let again = [(0.0, dispatch("s", "0.1.1.0", "notice")), (2.0, dispatch("t", "0.1.1.1", "notice"))];
+    assert_eq!(verdict(2, &again), "BROKEN");
+    let refused = [(0.0, dispatch("s", "0.1.1.0", "notice")), (2.0, answer("rate-limited"))];
+    assert_eq!(verdict(2, &refused), "BROKEN");
+    let aborted = [(0.0, dispatch("s", "0.1.1.0", "notice")), (2.0, answer("aborted"))];
+    assert_eq!(verdict(2, &aborted), "kept");
+    let twice =
+        [(0.0, dispatch("s", "0.1.1.0", "notice")), (1.0, effect("a", false)), (2.0, effect("a", false))];
+    assert_eq!(verdict(2, &twice), "BROKEN");
+    let chat = [(0.0, dispatch("s", "0.1.1.0", "chat")), (2.0, dispatch("t", "0.1.1.1", "chat"))];
+    assert_eq!(verdict(2, &chat), "not seen");
+}
+
+#[test]
+fn a_tokened_completion_stays_in_its_group_and_window() {
+    let servers = |model: &str, to: &str, at_ms: f64| {
+        let (first, again) = (dispatch("s", "0.1.1.0", model), dispatch(to, "0.1.1.1", model));
+        let known = [started("s", 1, false), started("t", 1, false), started("u", 2, false)];
+        let mut lines: Vec<_> = known.into_iter().map(|what| (0.0, what)).collect();
+        lines.extend([
+            (1.0, first),
+            (at_ms, again),
+            (at_ms, effect("a", false)),
+            (at_ms + 1.0, effect("a", true)),
+        ]);
+        verdict(2, &lines)
+    };
+    assert_eq!((servers("ledger", "t", 5000.0), servers("ledger", "u", 5000.0)), ("kept", "BROKEN"));
+    assert_eq!((servers("ledger", "t", 5001.0), servers("purse", "u", 5000.0)), ("BROKEN", "kept"));
+    let refused =
+        |model| verdict(2, &[(0.0, dispatch("s", "0.1.1.0", model)), (2.0, answer("rate-limited"))]);
+    assert_eq!((refused("ledger"), refused("purse")), ("BROKEN", "kept"));
+}
+
+fn told(router: usize, readiness: &str, cold: bool) -> What {
+    What::Told { router, server: "s".into(), readiness: readiness.into(), cold }
+}
+
+#[test]
+fn drains_count_from_the_word_to_that_router() {
+    let sent = |request: &str, at_ms: f64| {
+        verdict(3, &[(0.0, told(1, "draining", false)), (at_ms, dispatch("s", request, "chat"))])
+    };
+    assert_eq!((sent("1.1.1.0", 1000.0), sent("1.1.1.0", 1001.0)), ("kept", "BROKEN"));
+    assert_eq!((sent("2.1.1.0", 9000.0), verdict(3, &[])), ("kept", "not seen"));
+    let gone = [
+        (0.0, told(1, "draining", false)),
+        (500.0, told(1, "gone", false)),
+        (1001.0, dispatch("s", "1.1.1.0", "chat")),
+    ];
+    assert_eq!(verdict(3, &gone), "BROKEN");
+    let back = [
+        (0.0, told(1, "gone", false)),
+        (500.0, told(1, "ready", true)),
+        (9000.0, dispatch("s", "1.1.1.0", "chat")),
+    ];
+    assert_eq!(verdict(3, &back), "kept");
+    let anew = [
+        (0.0, told(1, "gone", false)),
+        (500.0, What::RouterDown { router: 1 }),
+        (9000.0, dispatch("s", "1.1.1.0", "chat")),
+    ];
+    assert_eq!(verdict(3, &anew), "kept");
+}
+
+#[test]
+fn a_cold_server_has_a_budget_in_every_window() {
+    // At its start half of its capacity: 2 x 0.5 x 1000 ms in a second, more as it grows older.
+    let sent = |works: &[(f64, f64)], told_of: usize| {
+        let mut lines = vec![(0.0, started("s", 1, true)), (0.0, told(0, "ready", true))];
+        for (row, (at_ms, work_ms)) in works.iter().enumerate() {
+            let router = usize::from(row >= told_of);
+            lines.push((*at_ms, work("s", &format!("{router}.1.{row}.0"), "chat", *work_ms)));
+        }
+        verdict(4, &lines)
+    };
+    assert_eq!(
+        (sent(&[(0.0, 500.0), (1.0, 500.0)], 9), sent(&[(0.0, 500.0), (1.0, 502.0)], 9)),
+        ("kept", "BROKEN")
+    );
+    assert_eq!(sent(&[(0.0, 900.0), (1001.0, 900.0)], 9), "kept");
+    assert_eq!(sent(&[(9000.0, 950.0), (9001.0, 950.0)], 9), "kept");
+    assert_eq!(sent(&[(10_000.0, 9000.0)], 9), "not seen");
+    // Most of it came from a router that had not been told of the start.
+    assert_eq!(sent(&[(0.0, 500.0), (1.0, 700.0)], 1), "kept");
+}
+
+#[test]
+fn a_state_is_held_only_while_something_is_out() {
+    let state = What::State { server: "r".into(), request: "0.1.1.0".into() };
+    let gone = What::StateGone { server: "r".into(), request: "0.1.1.0".into(), why: "released".into() };
+    let ended = |request: &str| What::Ended { server: "s".into(), request: request.into() };
+    let held = |until_ms: f64| verdict(5, &[(0.0, state.clone()), (until_ms, gone.clone())]);
+    assert_eq!((held(500.0), held(501.0), verdict(5, &[])), ("kept", "BROKEN", "not seen"));
+    // Not let go at all, to the end of the record.
+    assert_eq!(verdict(5, &[(0.0, state.clone()), (600.0, ended("9.1.1.0"))]), "BROKEN");
+    let used = |back_ms: f64| {
+        let write = (400.0, dispatch("s", "0.1.1.1", "chat"));
+        verdict(5, &[(0.0, state.clone()), write, (3000.0, ended("0.1.1.1")), (back_ms, gone.clone())])
+    };
+    assert_eq!((used(3400.0), used(3600.0)), ("kept", "BROKEN"));
+    // Another completion's dispatch holds nothing for this one.
+    let other = [(0.0, state.clone()), (1.0, dispatch("s", "0.1.2.0", "chat")), (900.0, gone.clone())];
+    assert_eq!(verdict(5, &other), "BROKEN");
+    let killed = [(0.0, state), (100.0, What::RouterDown { router: 0 }), (5000.0, gone)];
+    assert_eq!(verdict(5, &killed), "not seen");
+}
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -361,3 +361,7 @@
 pub fn request_id(router: usize, boot: u64, completion: CompletionId, seq: Seq) -> String {
     format!("{router}.{boot:x}.{}.{}", completion.0, seq.0)
 }
+
+#[cfg(test)]
+#[path = "dispatch_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/router/tests/paths.rs
@@ -0,0 +1,240 @@
+//! The whole path on loopback: clients, a router, stand-ins. Final answers are counted for each request.
+
+mod common;
+
+use common::{asking, finals, local, raw, start, start_router};
+use paddleproxy_day::client::Seen;
+use paddleproxy_fleet::record::What;
+use paddleproxy_settings::day::Dead;
+
+fn text(seen: &[Seen]) -> String {
+    seen.iter()
+        .filter_map(|what| match what {
+            Seen::Text(text) => Some(text.as_str()),
+            _ => None,
+        })
+        .collect()
+}
+
+fn post(body: &[u8], headers: &str) -> Vec<u8> {
+    let head = format!(
+        "POST /v1/messages HTTP/1.1\r\nhost: x\r\nconnection: close\r\nx-api-key: app-key\r\n{headers}content-length: {}\r\n\r\n",
+        body.len()
+    );
+    [head.as_bytes(), body].concat()
+}
+
+#[test]
+fn streamed_and_plain_answers_are_the_same_text() {
+    local(async {
+        let bench = start(&[]).await;
+        for tokens in [10, 4000] {
+            let streamed = bench.ask(&asking("a", "chat-large", tokens, true)).await;
+            let plain = bench.ask(&asking("a", "chat-large", tokens, false)).await;
+            assert_eq!((finals(&streamed), finals(&plain)), (vec!["finished"], vec!["finished"]));
+            assert!(text(&streamed).starts_with(" wort"));
+            assert_eq!(text(&streamed), text(&plain));
+        }
+        let reads =
+            bench.record.lines().iter().filter(|line| matches!(line.what, What::State { .. })).count();
+        assert!(reads > 0, "a long prompt is read at a reader");
+        assert_eq!(bench.metric("completions_finished_total").await, 4);
+    });
+}
+
+#[test]
+fn wrong_requests_get_a_clear_error_and_harm_no_other() {
+    local(async {
+        let bench = start(&[("body-bytes 4000000", "body-bytes 100000")]).await;
+        let turn = "\"messages\":[{\"role\":\"user\",\"content\":\"a\"}]";
+        let good = format!("{{\"model\":\"chat-large\",\"max_tokens\":3,{turn}}}");
+        let unknown = good.replace("chat-large", "chat-none");
+        let wrong: [(&str, Vec<u8>, &str, &str); 10] = [
+            ("not JSON", post(b"{", ""), "400", "invalid_request_error"),
+            ("not UTF-8", post(b"{\"model\":\"\xff\"}", ""), "400", "not UTF-8 at byte 10"),
+            (
+                "no turns",
+                post(b"{\"model\":\"m\",\"max_tokens\":3,\"messages\":[]}", ""),
+                "400",
+                "at least one",
+            ),
+            ("deep", post("[".repeat(9000).as_bytes(), ""), "400", "invalid_request_error"),
+            ("too large", post(&vec![b' '; 200_000], ""), "413", "request_too_large"),
+            ("unknown model", post(unknown.as_bytes(), ""), "404", "'chat-none' is not served here"),
+            (
+                "a time that is none",
+                post(good.as_bytes(), "x-client-timeout-ms: soon\r\n"),
+                "400",
+                "x-client-timeout-ms",
+            ),
+            (
+                "unknown path",
+                b"GET /v2 HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n".to_vec(),
+                "404",
+                "not_found_error",
+            ),
+            ("no key", post(good.as_bytes(), "").replace_key(""), "401", "header is required"),
+            ("wrong key", post(good.as_bytes(), "").replace_key("x-api-key: none\r\n"), "401", "not known"),
+        ];
+        for (name, bytes, status, said) in wrong {
+            let answer = raw(bench.clients, &bytes).await;
+            assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{name}: {answer}");
+            assert!(answer.contains(said) && answer.contains("\"type\":\"error\""), "{name}: {answer}");
+        }
+        let malformed = raw(bench.clients, b"BREW /v1/messages\r\n\r\n").await;
+        assert!(malformed.starts_with("HTTP/1.1 400 "), "{malformed}");
+        assert!(raw(bench.clients, &post(good.as_bytes(), "")).await.contains("end_turn"));
+        assert_eq!(bench.metric("completions_arrived_total").await, 1);
+    });
+}
+
+trait ReplaceKey {
+    fn replace_key(self, with: &str) -> Vec<u8>;
+}
+
+impl ReplaceKey for Vec<u8> {
+    fn replace_key(self, with: &str) -> Vec<u8> {
+        String::from_utf8(self).unwrap().replace("x-api-key: app-key\r\n", with).into_bytes()
+    }
+}
+
+#[test]
+fn trickled_heads_and_bodies_are_cut() {
+    local(async {
+        let short =
+            [("header-time \"5s\"", "header-time \"150ms\""), ("body-time \"5s\"", "body-time \"150ms\"")];
+        let bench = start(&short).await;
+        let head = raw(bench.clients, b"POST /v1/messages HTTP/1.1\r\nhost:").await;
+        assert!(head.is_empty() || head.starts_with("HTTP/1.1 408"), "{head}");
+        let mut body = post(b"{\"model\":", "");
+        let length =
+            String::from_utf8(body.clone()).unwrap().replace("content-length: 9", "content-length: 99");
+        body = length.into_bytes();
+        let cut = raw(bench.clients, &body).await;
+        assert!(cut.starts_with("HTTP/1.1 504 ") && cut.contains("timeout_error"), "{cut}");
+        assert_eq!(finals(&bench.ask(&asking("a", "chat-large", 5, true)).await), ["finished"]);
+    });
+}
+
+#[test]
+fn a_server_that_dies_mid_stream_is_one_abort_and_the_next_goes_elsewhere() {
+    local(async {
+        let bench = start(&[]).await;
+        let mut asked = asking("a", "chat-large", 5, true);
+        asked.body = asked.body.replace("\"max_tokens\":8", "\"max_tokens\":400");
+        let kill = async {
+            tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+            bench.fleet.kill("n-mixed1", Dead::Reset).await;
+        };
+        let (seen, ()) = tokio::join!(bench.ask(&asked), kill);
+        assert!(text(&seen).starts_with(" wort"));
+        assert_eq!(finals(&seen), ["aborted"]);
+        let next = bench.ask(&asking("b", "chat-large", 5, true)).await;
+        assert_eq!(finals(&next), ["finished"]);
+        assert_eq!(bench.metric("streams_lost_total").await, 1);
+    });
+}
+
+#[test]
+fn a_client_who_leaves_mid_stream_ends_the_work() {
+    local(async {
+        let bench = start(&[]).await;
+        let mut asked = asking("a", "chat-large", 5, true);
+        asked.body = asked.body.replace("\"max_tokens\":8", "\"max_tokens\":4000");
+        let leaves = std::time::Duration::from_millis(300);
+        assert!(tokio::time::timeout(leaves, bench.ask(&asked)).await.is_err());
+        bench.until("/metrics", "completions_open 0").await;
+        assert_eq!(bench.metric("completions_left_total").await, 1);
+        for _ in 0..200 {
+            if bench.record.lines().iter().any(|line| matches!(line.what, What::Ended { .. })) {
+                return;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+        }
+        panic!("the server still writes");
+    });
+}
+
+#[test]
+fn a_stopped_router_lets_answers_end_and_takes_nothing_new() {
+    local(async {
+        let bench = start(&[]).await;
+        let mut long = asking("a", "chat-large", 5, true);
+        long.body = long.body.replace("\"max_tokens\":8", "\"max_tokens\":40");
+        let stop = async {
+            tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+            bench.stop.send_replace(true);
+        };
+        let (seen, ()) = tokio::join!(bench.ask(&long), stop);
+        assert_eq!(finals(&seen), ["finished"]);
+        bench.router.await.unwrap().unwrap();
+    });
+}
+
+#[test]
+fn a_stop_aborts_what_does_not_end_in_time() {
+    local(async {
+        let bench = start(&[("stop-within \"3s\"", "stop-within \"200ms\"")]).await;
+        let mut long = asking("a", "chat-large", 5, true);
+        long.body = long.body.replace("\"max_tokens\":8", "\"max_tokens\":4000");
+        let stop = async {
+            tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+            bench.stop.send_replace(true);
+        };
+        let (seen, ()) = tokio::join!(bench.ask(&long), stop);
+        assert_eq!(finals(&seen), ["aborted"]);
+        bench.router.await.unwrap().unwrap();
+    });
+}
+
+#[test]
+fn a_server_of_nonsense_harms_no_other() {
+    local(async {
+        let bench = start(&[]).await;
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let endless = [
+            b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: ".as_slice(),
+            &[b'x'; 300_000],
+        ]
+        .concat();
+        tokio::task::spawn_local(paddleproxy_fleet::http::listen_raw(listener, endless));
+        // The list now names the mixed server at the address of one that talks nonsense.
+        bench.fleet.server("n-mixed1").unwrap().address.set(address);
+        bench.fleet.server("n-mixed1").unwrap().list("ready");
+        bench.until("/metrics", "list_version 4").await;
+        for id in ["a", "b", "c"] {
+            assert_eq!(finals(&bench.ask(&asking(id, "chat-large", 5, false)).await), ["finished"], "{id}");
+        }
+        assert_eq!(bench.metric("answers_dropped_total").await, 0);
+    });
+}
+
+#[test]
+fn the_last_good_list_serves_the_next_start() {
+    local(async {
+        let bench = start(&[]).await;
+        let dir = tempfile::tempdir().unwrap();
+        let state = dir.path().display().to_string();
+        let nowhere = "127.0.0.1:1".parse().unwrap();
+        let save = |list| {
+            let state = state.clone();
+            // What stood there is commented out.
+            async move { start_router(list, &[("state-dir", &format!("state-dir \"{state}\" // "))]).await }
+        };
+        let (_, _, stop, router, _dir) = save(bench.fleet.list_address).await;
+        for _ in 0..500 {
+            if dir.path().join("servers.json").exists() {
+                break;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+        }
+        stop.send_replace(true);
+        router.await.unwrap().unwrap();
+        // The list service is gone: the saved list alone carries this start.
+        let (clients, _admin, _stop, _router, _dir) = save(nowhere).await;
+        let asked = asking("a", "chat-large", 5, false);
+        let body = asked.body.as_bytes();
+        assert!(raw(clients, &post(body, "")).await.contains("end_turn"));
+    });
+}
--- /dev/null
+++ b/crates/routing/tests/ledger.rs
@@ -0,0 +1,230 @@
+//! Traces of the book: what the sockets saw, and what they were to do. Read by people, kept in `snapshots/`.
+
+use std::fmt::Write;
+use std::sync::Arc;
+
+use paddleproxy::interface::*;
+use paddleproxy_engine::StateReference;
+use paddleproxy_routing::{Due, Effect, Input, Ledger, SocketEnd};
+
+struct Play {
+    ledger: Ledger,
+    now_ms: f64,
+    trace: String,
+}
+
+fn worker(name: &str) -> WorkerId {
+    WorkerId(Arc::from(name))
+}
+
+fn settings() -> Settings {
+    let workload = |effect: paddleproxy::interface::Effect| WorkloadSettings {
+        effect,
+        group: Group::All,
+        window_ms: 5000.0,
+        value: 1.0,
+        latency_target_ms: 1000.0,
+        target_per_token_ms: 0.0,
+    };
+    let kind = |role| KindSettings { role, memory_tokens: 160_000.0 };
+    Settings {
+        routers: 2,
+        own_number: 0,
+        zone: Some(ZoneId(0)),
+        workloads: vec![
+            workload(paddleproxy::interface::Effect::Idempotent),
+            workload(paddleproxy::interface::Effect::NonIdempotent),
+        ],
+        kinds: vec![kind(Role::Reader), kind(Role::Writer), kind(Role::Mixed)],
+        customers: Vec::new(),
+        over_share_value: 1.0,
+        must_subscribe: false,
+        must_ask_in_ms: 0.0,
+        holds_allowed: true,
+        writers_read: false,
+        probes_allowed: false,
+        cancel_allowed: true,
+        second_copies: true,
+        retry_after: true,
+        max_retry_after_ms: 500.0,
+        max_dispatches: 5,
+        resolution_ms: 2.0,
+        pin_limit_ms: 500.0,
+        fall_multiple: 2.5,
+        fall_ms: 2000.0,
+        cold_share: 0.3,
+        cold_ms: 12_000.0,
+    }
+}
+
+impl Play {
+    /// A reader, a writer and a mixed server of one cell.
+    fn new() -> Self {
+        Play::with(settings())
+    }
+
+    fn with(settings: Settings) -> Self {
+        let mut play = Play { ledger: Ledger::new(settings, 50.0, 7), now_ms: 0.0, trace: String::new() };
+        let row = |(name, kind): (&str, usize)| Listing {
+            worker: worker(name),
+            zone: ZoneId(0),
+            kind: KindId(kind),
+            cell: CellId(0),
+            readiness: Readiness::Ready,
+            weight: 1.0,
+            started_ms: None,
+        };
+        let rows = [("reader", 0), ("writer", 1), ("mixed", 2)].map(row).into();
+        play.tell("list", Input::Listed { kind: ListKind::Whole, rows });
+        play
+    }
+
+    fn pass(&mut self, ms: f64) -> &mut Self {
+        self.now_ms += ms;
+        self
+    }
+
+    fn arrive(&mut self, workload: usize, prompt_tokens: f64, streamed: bool) -> &mut Self {
+        let arrival = Arrival {
+            completion: CompletionId(1),
+            workload: WorkloadId(workload),
+            session: SessionId(4),
+            prefix: None,
+            customer: None,
+            client_timeout_ms: self.now_ms + 4000.0,
+            prompt_tokens,
+            prefix_tokens: 0.0,
+            max_tokens: 20.0,
+            answer_hint_ms: None,
+            client_retry: false,
+            resumed: false,
+        };
+        let what = format!("arrives, workload {workload}, {prompt_tokens} tokens, streamed {streamed}");
+        self.tell(&what, Input::Arrived { arrival, streamed })
+    }
+
+    fn ended(&mut self, seq: u32, end: SocketEnd) -> &mut Self {
+        let state = (end == SocketEnd::ReadDone).then(StateReference::default);
+        let what = format!("{seq} ended {end:?}");
+        let (completion, seq) = (CompletionId(1), Seq(seq));
+        self.tell(&what, Input::Ended { completion, seq, took_ms: 10.0, end, kept_tokens: 0.0, state })
+    }
+
+    fn began(&mut self, seq: u32) -> &mut Self {
+        let input = Input::Began { completion: CompletionId(1), seq: Seq(seq), took_ms: 10.0 };
+        self.tell(&format!("{seq} began"), input)
+    }
+
+    fn left(&mut self) -> &mut Self {
+        self.tell("the client left", Input::Left { completion: CompletionId(1) })
+    }
+
+    fn due(&mut self, due: Due) -> &mut Self {
+        self.tell(&format!("due {due:?}"), Input::Due(due))
+    }
+
+    fn tell(&mut self, what: &str, input: Input) -> &mut Self {
+        let mut effects = Vec::new();
+        self.ledger.handle(self.now_ms, input, &mut effects);
+        let _ = writeln!(self.trace, "{:>6} {what}", self.now_ms);
+        for effect in effects {
+            let line = match effect {
+                Effect::Send(sending) => {
+                    let (seq, until) = (sending.seq.0, sending.until_ms);
+                    let state = if sending.state.is_some() { " with the state" } else { "" };
+                    format!("send {seq} to {}, {:?}{state}, until {until}", sending.worker.0, sending.stage)
+                }
+                Effect::Stop { seq, .. } => format!("stop {}", seq.0),
+                Effect::Grant { seq, .. } => format!("grant {}", seq.0),
+                Effect::Deliver { seq, .. } => format!("deliver {}", seq.0),
+                Effect::RateLimit { retry_after_ms, .. } => format!("rate-limit, back in {retry_after_ms}"),
+                Effect::Abort { .. } => "abort".into(),
+                Effect::Forget { .. } => "forget".into(),
+                Effect::Release { worker, seq, .. } => format!("release {} at {}", seq.0, worker.0),
+                Effect::Arm { in_ms, due } => format!("arm {due:?} in {in_ms:.0}"),
+                other => format!("{other:?}"),
+            };
+            let _ = writeln!(self.trace, "         -> {line}");
+        }
+        self
+    }
+}
+
+#[test]
+fn read_at_the_reader_written_with_its_state() {
+    let mut play = Play::new();
+    play.arrive(0, 9000.0, true).pass(300.0).ended(0, SocketEnd::ReadDone).pass(20.0).began(1);
+    play.pass(400.0).ended(1, SocketEnd::AnswerDone);
+    insta::assert_snapshot!(play.trace);
+    assert_eq!((play.ledger.open(), play.ledger.counts().finished), (0, 1));
+}
+
+#[test]
+fn a_state_that_waits_too_long_is_let_go_and_its_writer_not_asked() {
+    let mut play = Play::with(Settings { probes_allowed: true, ..settings() });
+    let heard = |name| Input::Probed { worker: worker(name), answered: true, took_ms: 1.0 };
+    play.arrive(0, 9000.0, true).tell("reader heard", heard("reader")).tell("mixed heard", heard("mixed"));
+    // While the decisions wait for an answer of the writer nothing is out; they wait longer than they say.
+    play.pass(1800.0).ended(0, SocketEnd::ReadDone).pass(400.0).due(Due::Pinned(CompletionId(1)));
+    play.tell("mixed heard", heard("mixed"));
+    insta::assert_snapshot!(play.trace);
+    assert_eq!(play.ledger.counts().unpinned, 1);
+}
+
+#[test]
+fn a_late_first_event_is_not_the_answer() {
+    let mut play = Play::new();
+    play.arrive(0, 900.0, true).pass(10.0).left().pass(1.0).began(0).ended(0, SocketEnd::Stopped);
+    insta::assert_snapshot!(play.trace);
+    assert_eq!((play.ledger.open(), play.ledger.counts().late_first), (0, 1));
+}
+
+#[test]
+fn a_client_who_leaves_mid_stream_stops_its_server() {
+    let mut play = Play::new();
+    play.arrive(0, 900.0, true).began(0).pass(50.0).left().ended(0, SocketEnd::Stopped);
+    insta::assert_snapshot!(play.trace);
+    assert_eq!(play.ledger.open(), 0);
+}
+
+#[test]
+fn a_read_that_breaks_leaves_nothing_at_its_reader() {
+    let mut play = Play::new();
+    play.arrive(0, 9000.0, true).pass(100.0).ended(0, SocketEnd::BrokeBeforeAnswer);
+    insta::assert_snapshot!(play.trace);
+}
+
+#[test]
+fn a_non_idempotent_answer_that_was_lost_is_aborted() {
+    let mut play = Play::new();
+    play.arrive(1, 900.0, false).pass(100.0).ended(0, SocketEnd::BrokeBeforeAnswer);
+    insta::assert_snapshot!(play.trace);
+    assert_eq!((play.ledger.open(), play.ledger.counts().aborted), (0, 1));
+}
+
+#[test]
+fn an_overdue_answer_is_an_abort_and_counted() {
+    let mut play = Play::new();
+    play.arrive(0, 900.0, true).pass(4050.0).due(Due::Overdue(CompletionId(1)));
+    play.due(Due::Overdue(CompletionId(1))).ended(0, SocketEnd::Stopped).ended(0, SocketEnd::AnswerDone);
+    insta::assert_snapshot!(play.trace);
+    let counts = play.ledger.counts();
+    assert_eq!((counts.overdue, counts.aborted, counts.finished), (1, 1, 0));
+}
+
+#[test]
+fn a_place_is_let_go_when_the_answer_is_asked_for_elsewhere() {
+    let mut play = Play::new();
+    play.arrive(0, 9000.0, true);
+    let held = Input::HoldAnswered {
+        completion: CompletionId(1),
+        seq: Seq(0),
+        worker: worker("writer"),
+        held: true,
+    };
+    play.tell("a place held at the writer", held).ended(0, SocketEnd::ReadDone);
+    let late =
+        Input::HoldAnswered { completion: CompletionId(1), seq: Seq(0), worker: worker("mixed"), held: true };
+    play.tell("a place held too late", late);
+    insta::assert_snapshot!(play.trace);
+}
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -158,8 +158,8 @@
 fn kind(block: Block) -> KindOfServer {
     let above = |name: &'static str| {
         let value = block.need::<Count>(name).0;
-        if value == 0 && block.has(name) {
-            block.problem(format!("'{name}' must be at least 1"));
+        if value == 0 {
+            block.problem_of(name, format!("'{name}' must be at least 1"));
         }
         value.max(1)
     };
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -60,6 +60,10 @@
             source.text.push('\n');
         }
         let text = source.text.as_str();
+        if let Some(offset) = too_deep(text) {
+            source.found.borrow_mut().push((offset, format!("nested deeper than {DEPTH_MAX} levels")));
+            return Err(source.problems());
+        }
         let document = match KdlDocument::parse(text) {
             Ok(document) => document,
             Err(cause) => {
@@ -99,6 +103,29 @@
     }
 }
 
+/// Levels of nodes or comments within one another; the parser needs stack for each.
+const DEPTH_MAX: usize = 16;
+
+/// Where a text is nested too deep. Brackets within texts and comments count too: no document of ours has many.
+fn too_deep(text: &str) -> Option<usize> {
+    let (mut nodes, mut comments) = (0usize, 0usize);
+    let mut before = ' ';
+    for (offset, sign) in text.char_indices() {
+        match (before, sign) {
+            (_, '{') => nodes += 1,
+            (_, '}') => nodes = nodes.saturating_sub(1),
+            ('/', '*') => comments += 1,
+            ('*', '/') => comments = comments.saturating_sub(1),
+            _ => {}
+        }
+        if nodes > DEPTH_MAX || comments > DEPTH_MAX {
+            return Some(offset);
+        }
+        before = sign;
+    }
+    None
+}
+
 /// A duration in milliseconds, written with its unit: `"250ms"`, `"2s"`, `"1.5m"`, `"80us"`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
 pub struct Millis(pub f64);
@@ -225,6 +252,17 @@
         self.problem_at(self.node.map_or(0, |node| node.span().offset()), message);
     }
 
+    /// A problem with the child of that name, at its place; says nothing where that could not be read anyway.
+    pub fn problem_of(&self, name: &str, message: impl Into<String>) {
+        let Some(node) = self.children.and_then(|children| children.get(name)) else { return };
+        let span = node.span();
+        let known =
+            |(offset, _): &(usize, String)| (span.offset()..span.offset() + span.len()).contains(offset);
+        if !self.source.found.borrow().iter().any(known) {
+            self.problem_at(span.offset(), message);
+        }
+    }
+
     fn problem_at(&self, offset: usize, message: impl Into<String>) {
         self.source.found.borrow_mut().push((offset, message.into()));
     }
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -112,7 +112,7 @@
     let zone = own_zone.and_then(|name| {
         let row = zones.iter().position(|zone| *zone == name);
         if row.is_none() {
-            top.problem(format!("'zone' is \"{name}\", which 'zones' does not name"));
+            top.problem_of("zone", format!("'zone' is \"{name}\", which 'zones' does not name"));
         }
         row
     });
@@ -174,17 +174,20 @@
         ("fall-after", decisions.fall_ms <= 0.0),
         ("cold", decisions.cold_ms <= 0.0),
     ] {
-        if wrong && limits.has(name) {
-            limits.problem(format!("'{name}' must be above 0"));
+        if wrong {
+            limits.problem_of(name, format!("'{name}' must be above 0"));
         }
     }
     if decisions.own_number >= decisions.routers {
-        top.problem(format!(
-            "'number' is {}; with {} 'routers' it runs from 0 to {}",
-            decisions.own_number,
-            decisions.routers,
-            decisions.routers.saturating_sub(1)
-        ));
+        top.problem_of(
+            "number",
+            format!(
+                "'number' is {}; with {} 'routers' it runs from 0 to {}",
+                decisions.own_number,
+                decisions.routers,
+                decisions.routers.saturating_sub(1)
+            ),
+        );
     }
     let answer_slack_ms = limits.need::<Millis>("answer-slack").0;
     limits.done();
@@ -220,20 +223,21 @@
             ("tokened", house::Effect::Tokened),
             ("non-idempotent", house::Effect::NonIdempotent),
         ];
-        let effect = block.choice("effect", &effects, None).unwrap_or(house::Effect::NonIdempotent);
+        let read = block.choice("effect", &effects, None);
+        let effect = read.unwrap_or(house::Effect::NonIdempotent);
         let tokened = effect == house::Effect::Tokened;
         let groups = [("all", house::Group::All), ("zone", house::Group::Zone), ("cell", house::Group::Cell)];
         let otherwise = Some(house::Group::All).filter(|_| !tokened);
         let group = block.choice("group", &groups, otherwise).unwrap_or(house::Group::All);
         let window_ms = if tokened { block.need::<Millis>("window").0 } else { 0.0 };
-        if !tokened && (block.has("window") || block.has("group")) {
+        if read.is_some() && !tokened && (block.has("window") || block.has("group")) {
             block.problem("'group' and 'window' belong to workloads whose effect is \"tokened\"");
         }
         let target = block.need::<Millis>("latency-target").0;
         let per_token = block.maybe::<Millis>("target-per-1000-tokens").map_or(0.0, |time| time.0 / 1e3);
         let client_timeout_ms = block.need::<Millis>("client-timeout").0;
-        if client_timeout_ms < target && block.has("client-timeout") {
-            block.problem("'client-timeout' is shorter than 'latency-target'");
+        if client_timeout_ms < target {
+            block.problem_of("client-timeout", "'client-timeout' is shorter than 'latency-target'");
         }
         let models =
             block.need_block("models").map(|block| finish(block, Block::arguments)).unwrap_or_default();
@@ -297,8 +301,8 @@
         shared_from_tokens: block.need::<Count>("shared-from").0 as f64,
         keys_required: block.need("keys-required"),
     };
-    if rules.bytes_per_token <= 0.0 && block.has("bytes-per-token") {
-        block.problem("'bytes-per-token' must be above 0");
+    if rules.bytes_per_token <= 0.0 {
+        block.problem_of("bytes-per-token", "'bytes-per-token' must be above 0");
     }
     rules
 }
@@ -331,8 +335,8 @@
 
 fn at_least_one(block: &Block, name: &'static str) -> usize {
     let count = block.need::<Count>(name).0;
-    if count == 0 && block.has(name) {
-        block.problem(format!("'{name}' must be at least 1"));
+    if count == 0 {
+        block.problem_of(name, format!("'{name}' must be at least 1"));
     }
     count as usize
 }
--- /dev/null
+++ b/crates/settings/tests/documents.rs
@@ -0,0 +1,67 @@
+//! Wrong documents: every problem is found, with its place, what stood there and what is allowed.
+
+use paddleproxy_settings::{fleet, router};
+
+const ROUTER: &str = include_str!("../../../examples/router.kdl");
+
+fn problems(changes: &[(&str, &str)]) -> String {
+    let mut text = ROUTER.to_owned();
+    for (from, to) in changes {
+        assert!(text.contains(from), "{from}");
+        text = text.replacen(from, to, 1);
+    }
+    router::parse("r.kdl", &text).map(|_| String::new()).unwrap_or_else(|wrong| wrong.to_string())
+}
+
+#[test]
+fn the_example_is_good() {
+    assert_eq!(problems(&[]), "");
+}
+
+#[test]
+fn every_problem_is_reported_with_its_place() {
+    let found = problems(&[
+        ("listen \"127.0.0.1:8080\"", "listen \"0.0.0.0:8080\""),
+        ("latency-target \"1500ms\"", "latency-targt \"1500ms\""),
+        ("effect \"tokened\"", "effect \"twice\""),
+        ("pin-limit \"500ms\"", "pin-limit \"500\""),
+        ("cold-share 0.3", "cold-share 1.3"),
+    ]);
+    insta::assert_snapshot!(found);
+}
+
+#[test]
+fn figures_of_the_rules_have_no_default() {
+    let found = problems(&[("    fall-multiple 2.5\n", ""), ("    pin-limit \"500ms\"\n", "")]);
+    insta::assert_snapshot!(found);
+}
+
+#[test]
+fn parts_must_agree() {
+    let found = problems(&[
+        ("number 0", "number 2"),
+        ("zone \"north\"", "zone \"nort\""),
+        ("models \"notice\"", "models \"ledger\""),
+        ("max-dispatches 5", "max-dispatches 0"),
+        ("list {", "list {\n    changes \"subscribe\""),
+    ]);
+    insta::assert_snapshot!(found);
+}
+
+#[test]
+fn what_is_no_kdl_says_where() {
+    let found = router::parse("r.kdl", "listen \"127.0.0.1:1\nzones {\n").unwrap_err();
+    assert!(found.to_string().starts_with("r.kdl:"), "{found}");
+    for text in ["", "listen", "\u{0}", "zones \"a\" { b { c } }", &"a { ".repeat(100)] {
+        assert!(router::parse("r.kdl", text).is_err());
+    }
+}
+
+#[test]
+fn a_fleet_names_only_kinds_it_has() {
+    let text = include_str!("../../../examples/fleet.kdl");
+    assert!(fleet::parse("f.kdl", text).is_ok());
+    let wrong = text.replace("kind=\"writer\"", "kind=\"writr\"").replace("seed 7", "seed -7");
+    let found = fleet::parse("f.kdl", &wrong).unwrap_err().to_string();
+    insta::assert_snapshot!(found);
+}
