--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,168 @@
+//! Measures a router on loopback against going to a stand-in directly, in one run, on the machine at hand.
+//! Figures are of this machine and of simulated servers; ratios within a run say more than the figures.
+
+mod load;
+mod module;
+mod process;
+mod report;
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use anyhow::{Context, Result};
+
+use crate::load::{Load, Measured, Target};
+use crate::process::Program;
+pub use crate::report::{Added, Memory, ModuleShare, Report};
+
+/// How long and how hard to measure.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Length of each load, in ms.
+    pub each_ms: f64,
+    /// Requests a second at which the added latency is compared.
+    pub rate: f64,
+    /// Rates tried in turn until the added p99 is too high.
+    pub ramp: Vec<f64>,
+    pub streams: Vec<usize>,
+    pub servers: Vec<usize>,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Plan {
+            each_ms: 4000.0,
+            rate: 1000.0,
+            ramp: vec![500.0, 1000.0, 1500.0, 2000.0, 2500.0, 3000.0, 4000.0, 5000.0, 6000.0, 8000.0],
+            streams: vec![1000, 5000],
+            servers: vec![10, 100, 1000],
+        }
+    }
+}
+
+impl Plan {
+    /// A short run that shows that everything works.
+    pub fn quick() -> Self {
+        let ramp = vec![500.0, 1000.0];
+        Plan { each_ms: 1000.0, rate: 500.0, ramp, streams: vec![200], servers: vec![10, 100] }
+    }
+}
+
+/// The added p99 at which a rate counts as too high, in ms.
+pub const ADDED_LIMIT_MS: f64 = 5.0;
+/// Answers of so many tokens; the longer ones tell the cost of an event.
+const SHORT: u32 = 4;
+const LONG: u32 = 68;
+
+/// A router and a fleet as processes of their own.
+struct Pair {
+    router: Program,
+    fleet: Program,
+    clients: SocketAddr,
+    server: SocketAddr,
+    _dir: tempfile::TempDir,
+}
+
+impl Pair {
+    async fn start(program: &Path, servers: usize, token_ms: f64) -> Result<Pair> {
+        let dir = tempfile::tempdir()?;
+        let fleet = Program::start(program, "fleet", &process::fleet(servers, token_ms), dir.path()).await?;
+        let list: SocketAddr = fleet.said["list"].as_str().context("no list")?.parse()?;
+        let router = Program::start(program, "serve", &process::router(list, dir.path()), dir.path()).await?;
+        let clients = router.said["listening"].as_str().context("no address")?.parse()?;
+        let admin = router.said["admin"].as_str().context("no admin address")?.parse()?;
+        process::ready(admin).await?;
+        let server = process::first_server(list).await?;
+        Ok(Pair { router, fleet, clients, server, _dir: dir })
+    }
+
+    fn through(&self) -> Target {
+        Target::Router(self.clients)
+    }
+
+    async fn end(self) {
+        self.router.end().await;
+        self.fleet.end().await;
+    }
+}
+
+/// Runs the whole plan with `program` as router and fleet.
+///
+/// # Errors
+/// What could not be started or asked.
+pub async fn run(program: &Path, plan: &Plan, say: impl Fn(&str)) -> Result<Report> {
+    let mut report = Report::new(plan.rate);
+    say("added latency");
+    let pair = Pair::start(program, 10, 0.0).await?;
+    let warm = Load {
+        rate: plan.rate / 2.0,
+        length_ms: 1000.0,
+        tokens: SHORT,
+        targets: vec![pair.through(), Target::Server(pair.server)],
+    };
+    load::run(&warm).await;
+    let both = Load { rate: 2.0 * plan.rate, length_ms: plan.each_ms, ..warm.clone() };
+    let measured = load::run(&both).await;
+    report.added = Some(Added::of(plan.rate, &measured[0], &measured[1]));
+    say("highest rate");
+    for rate in &plan.ramp {
+        let direct = Load {
+            rate: *rate,
+            length_ms: plan.each_ms / 2.0,
+            tokens: SHORT,
+            targets: vec![Target::Server(pair.server)],
+        };
+        let through = Load { targets: vec![pair.through()], ..direct.clone() };
+        let direct = load::run(&direct).await.swap_remove(0);
+        let before = pair.router.cpu_us();
+        let routed = load::run(&through).await.swap_remove(0);
+        let busy = (pair.router.cpu_us() - before) / (plan.each_ms / 2.0 * 1e3);
+        let added = Added::of(*rate, &routed, &direct).with_cpu(busy);
+        let good = added.p99_ms <= ADDED_LIMIT_MS
+            && routed.failed == 0
+            && routed.done as f64 >= 0.95 * routed.asked as f64;
+        report.ramp.push(added);
+        if !good {
+            break;
+        }
+    }
+    say("CPU of a completion and of an event");
+    let cost = |tokens| {
+        let load = Load { rate: 500.0, length_ms: plan.each_ms, tokens, targets: vec![pair.through()] };
+        let router = &pair.router;
+        async move {
+            let before = router.cpu_us();
+            let done = load::run(&load).await.swap_remove(0);
+            (
+                (router.cpu_us() - before) / done.done.max(1) as f64,
+                done.events as f64 / done.done.max(1) as f64,
+            )
+        }
+    };
+    let ((short_us, short_events), (long_us, long_events)) = (cost(SHORT).await, cost(LONG).await);
+    report.event_us = (long_us - short_us) / (long_events - short_events).max(1.0);
+    report.completion_us = short_us;
+    pair.end().await;
+    for streams in &plan.streams {
+        say(&format!("memory with {streams} streams"));
+        let pair = Pair::start(program, 10, 1000.0).await?;
+        let empty = pair.router.memory_mib()?;
+        let open = load::open_streams(pair.clients, *streams).await;
+        report.memory.push(Memory { streams: open.len(), empty_mib: empty, mib: pair.router.memory_mib()? });
+        drop(open);
+        pair.end().await;
+    }
+    for servers in &plan.servers {
+        say(&format!("the decisions with {servers} servers"));
+        let module_us = module::cost_us(*servers);
+        let pair = Pair::start(program, *servers, 0.0).await?;
+        let load =
+            Load { rate: 200.0, length_ms: plan.each_ms, tokens: SHORT, targets: vec![pair.through()] };
+        let before = pair.router.cpu_us();
+        let done: Measured = load::run(&load).await.swap_remove(0);
+        let router_us = (pair.router.cpu_us() - before) / done.done.max(1) as f64;
+        report.module.push(ModuleShare { servers: *servers, module_us, router_us });
+        pair.end().await;
+    }
+    Ok(report)
+}
--- /dev/null
+++ b/crates/bench/src/load.rs
@@ -0,0 +1,204 @@
+//! Requests at a steady rate on kept connections, bounded in count and time.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::{ensure, Result};
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::Request;
+use hyper_util::rt::TokioIo;
+use serde_json::json;
+use tokio::net::TcpStream;
+use tokio::time::{sleep_until, timeout, Instant};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// A router, by the messages API.
+    Router(SocketAddr),
+    /// A stand-in, by the engine's wire.
+    Server(SocketAddr),
+}
+
+impl Target {
+    fn address(self) -> SocketAddr {
+        match self {
+            Target::Router(address) | Target::Server(address) => address,
+        }
+    }
+}
+
+/// Targets take turns, so that what disturbs one disturbs the other.
+#[derive(Clone, Debug)]
+pub struct Load {
+    pub rate: f64,
+    pub length_ms: f64,
+    pub tokens: u32,
+    pub targets: Vec<Target>,
+}
+
+/// What came of the requests to one target; times from the moment at which a request was sent.
+pub struct Measured {
+    pub first_us: Histogram<u64>,
+    pub asked: usize,
+    pub done: usize,
+    pub failed: usize,
+    pub events: usize,
+}
+
+/// Time of a load in which connections are made; its latencies don't count.
+const WARM_MS: f64 = 500.0;
+
+type Sender = SendRequest<Full<Bytes>>;
+type Idle = Rc<RefCell<BTreeMap<SocketAddr, Vec<Sender>>>>;
+
+/// Requests open at once; what is due beyond counts as failed.
+const OPEN_MAX: usize = 4000;
+
+pub async fn run(load: &Load) -> Vec<Measured> {
+    let idle = Idle::default();
+    let rows: Vec<_> = load.targets.iter().map(|_| Rc::new(RefCell::new(Measured::new()))).collect();
+    let open = Rc::new(());
+    let count = (load.rate * load.length_ms / 1e3) as usize;
+    let warm = (load.rate * WARM_MS.min(load.length_ms / 4.0) / 1e3) as usize;
+    let origin = Instant::now();
+    let mut tasks = tokio::task::JoinSet::new();
+    for number in 0..count {
+        let due = origin + Duration::from_secs_f64(number as f64 / load.rate);
+        sleep_until(due).await;
+        let (target, row) = (load.targets[number % rows.len()], rows[number % rows.len()].clone());
+        row.borrow_mut().asked += 1;
+        if Rc::strong_count(&open) > OPEN_MAX {
+            row.borrow_mut().failed += 1;
+            continue;
+        }
+        let (idle, open, tokens) = (idle.clone(), open.clone(), load.tokens);
+        tasks.spawn_local(async move {
+            let asked = one(target, number, tokens, &idle);
+            match timeout(Duration::from_secs(10), asked).await {
+                Ok(Ok((first, events))) => {
+                    let mut row = row.borrow_mut();
+                    row.done += 1;
+                    row.events += events;
+                    if number >= warm {
+                        // A histogram that grows by itself takes any value.
+                        let _ = row.first_us.record(first.as_micros() as u64);
+                    }
+                }
+                _ => row.borrow_mut().failed += 1,
+            }
+            drop(open);
+        });
+        while tasks.try_join_next().is_some() {}
+    }
+    while tasks.join_next().await.is_some() {}
+    rows.into_iter().filter_map(|row| Rc::try_unwrap(row).ok().map(RefCell::into_inner)).collect()
+}
+
+impl Measured {
+    fn new() -> Self {
+        let first_us = Histogram::new(3).unwrap_or_else(|_| unreachable!("3 digits are allowed"));
+        Measured { first_us, asked: 0, done: 0, failed: 0, events: 0 }
+    }
+
+    pub fn quantile_ms(&self, quantile: f64) -> f64 {
+        self.first_us.value_at_quantile(quantile) as f64 / 1e3
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<Sender> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+    tokio::task::spawn_local(async move { drop(connection.await) });
+    Ok(sender)
+}
+
+fn request(target: Target, number: usize, tokens: u32) -> Result<Request<Full<Bytes>>> {
+    let text = format!("question {number} of a load that measures");
+    let (path, body) = match target {
+        Target::Router(_) => {
+            let turn = json!({ "role": "user", "content": text });
+            (
+                "/v1/messages",
+                json!({ "model": "chat-large", "max_tokens": tokens, "stream": true, "messages": [turn] }),
+            )
+        }
+        Target::Server(_) => (
+            paddleproxy_engine::COMPLETIONS,
+            json!({ "model": "chat-large", "max_tokens": tokens, "stream": true, "prompt": text }),
+        ),
+    };
+    Ok(Request::post(path)
+        .header("host", "localhost")
+        .header("x-api-key", "app-key")
+        .header("x-session-id", format!("s{}", number % 997))
+        .body(Full::new(Bytes::from(body.to_string())))?)
+}
+
+/// The time to the first event, and how many events came.
+async fn one(target: Target, number: usize, tokens: u32, idle: &Idle) -> Result<(Duration, usize)> {
+    // From the moment of sending: timers are good for a millisecond only.
+    let due = Instant::now();
+    let address = target.address();
+    let kept = idle.borrow_mut().entry(address).or_default().pop();
+    let mut sender = match kept.filter(Sender::is_ready) {
+        Some(sender) => sender,
+        None => connect(address).await?,
+    };
+    let response = sender.send_request(request(target, number, tokens)?).await?;
+    ensure!(response.status().is_success(), "status {}", response.status());
+    let mut body = response.into_body();
+    let (first, mut events) = first_event(&mut body, due).await?;
+    while let Some(frame) = body.frame().await {
+        events += count(&frame?.into_data().unwrap_or_default());
+    }
+    idle.borrow_mut().entry(address).or_default().push(sender);
+    Ok((first, events))
+}
+
+async fn first_event(body: &mut Incoming, due: Instant) -> Result<(Duration, usize)> {
+    while let Some(frame) = body.frame().await {
+        let bytes = frame?.into_data().unwrap_or_default();
+        let events = count(&bytes);
+        if events > 0 {
+            return Ok((due.elapsed(), events));
+        }
+    }
+    anyhow::bail!("no event at all")
+}
+
+fn count(bytes: &[u8]) -> usize {
+    bytes.windows(6).filter(|window| *window == b"data: ").count()
+}
+
+/// Opens streams until each has had its first event; they stay open as long as they are kept.
+pub async fn open_streams(address: SocketAddr, count: usize) -> Vec<(Sender, Incoming)> {
+    let mut open = Vec::with_capacity(count);
+    let mut number = 0;
+    while number < count {
+        let mut tasks = tokio::task::JoinSet::new();
+        for _ in 0..100.min(count - number) {
+            number += 1;
+            tasks.spawn_local(async move {
+                let mut sender = connect(address).await?;
+                let request = request(Target::Router(address), number, 120)?;
+                let response = sender.send_request(request).await?;
+                ensure!(response.status().is_success(), "status {}", response.status());
+                let mut body = response.into_body();
+                first_event(&mut body, Instant::now()).await?;
+                Ok((sender, body))
+            });
+        }
+        while let Some(stream) = tasks.join_next().await {
+            open.extend(stream.ok().and_then(Result::ok));
+        }
+    }
+    open
+}
--- /dev/null
+++ b/crates/bench/src/process.rs
@@ -0,0 +1,123 @@
+//! Router and fleet as processes of their own, and what they use of the machine.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Stdio;
+use std::time::Duration;
+
+use anyhow::{bail, Context, Result};
+use paddleproxy_engine::ServerList;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+use tokio::time::{sleep, timeout};
+
+pub struct Program {
+    child: Child,
+    /// What it said when it was ready.
+    pub said: serde_json::Value,
+}
+
+impl Program {
+    pub async fn start(program: &Path, command: &str, config: &str, dir: &Path) -> Result<Program> {
+        let file = dir.join(format!("{command}.kdl"));
+        std::fs::write(&file, config)?;
+        let mut child = Command::new(program)
+            .args([command, "--config"])
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .with_context(|| format!("starting {}", program.display()))?;
+        let out = child.stdout.take().context("no output")?;
+        let line = timeout(Duration::from_secs(20), BufReader::new(out).lines().next_line()).await??;
+        let said = serde_json::from_str(&line.with_context(|| format!("{command} ended at once"))?)?;
+        Ok(Program { child, said })
+    }
+
+    fn read(&self, name: &str) -> Result<String> {
+        let pid = self.child.id().context("it has ended")?;
+        Ok(std::fs::read_to_string(format!("/proc/{pid}/{name}"))?)
+    }
+
+    /// CPU time of its one busy thread so far, in microseconds; 0 where the system does not tell.
+    pub fn cpu_us(&self) -> f64 {
+        let text = self.read("schedstat").unwrap_or_default();
+        text.split(' ').next().and_then(|nanos| nanos.parse::<f64>().ok()).map_or(0.0, |nanos| nanos / 1e3)
+    }
+
+    /// Memory that it holds, in MiB.
+    pub fn memory_mib(&self) -> Result<f64> {
+        let text = self.read("status")?;
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).context("no VmRSS")?;
+        Ok(line.trim().trim_end_matches(" kB").parse::<f64>()? / 1024.0)
+    }
+
+    pub async fn end(mut self) {
+        // Started here, so ended here.
+        let _ = self.child.kill().await;
+    }
+}
+
+const ROUTER: &str = include_str!("../../../examples/router.kdl");
+const FLEET: &str = include_str!("../../../examples/fleet.kdl");
+
+pub fn router(list: SocketAddr, dir: &Path) -> String {
+    ROUTER
+        .replace("127.0.0.1:8080", "127.0.0.1:0")
+        .replace("127.0.0.1:8081", "127.0.0.1:0")
+        .replace("127.0.0.1:8090", &list.to_string())
+        .replace("state/router-0", &dir.join("state").display().to_string())
+        .replace("open-completions 4000", "open-completions 20000")
+        .replace("connections 6000", "connections 20000")
+}
+
+/// Mixed servers alone, each with room for everything, whose tokens take the given time.
+pub fn fleet(servers: usize, token_ms: f64) -> String {
+    let head = FLEET.split("    servers ").next().unwrap_or_default();
+    let roomy = head
+        .replace("127.0.0.1:8090", "127.0.0.1:0")
+        .replace("slots 48", "slots 100000")
+        .replace("memory \"200k\"", "memory \"1000M\"")
+        .replace("read-rate \"10k\"", "read-rate \"1000M\"")
+        .replace("token-time \"20ms\"", &format!("token-time \"{token_ms}ms\""));
+    let mut text = roomy;
+    for cell in 0..servers.div_ceil(10) {
+        let count = 10.min(servers - cell * 10);
+        text.push_str(&format!(
+            "    servers \"c{cell}-\" kind=\"mixed\" zone=\"north\" cell={cell} count={count}\n"
+        ));
+    }
+    text + "}\n"
+}
+
+async fn get(address: SocketAddr, path: &str) -> Result<String> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream
+        .write_all(format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n").as_bytes())
+        .await?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await?;
+    let (head, body) = answer.split_once("\r\n\r\n").context("no answer")?;
+    if !head.starts_with("HTTP/1.1 200") {
+        bail!("{path}: {}", head.lines().next().unwrap_or_default());
+    }
+    Ok(body.to_owned())
+}
+
+/// Waits until a router has its list.
+pub async fn ready(admin: SocketAddr) -> Result<()> {
+    for _ in 0..1000 {
+        if get(admin, "/healthz").await.is_ok() {
+            return Ok(());
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    bail!("the router does not get ready")
+}
+
+pub async fn first_server(list: SocketAddr) -> Result<SocketAddr> {
+    let list: ServerList = serde_json::from_str(&get(list, "/v1/servers?router=0&wait_ms=0").await?)?;
+    Ok(list.servers.first().context("no servers")?.address.parse()?)
+}
--- /dev/null
+++ b/crates/bench/src/report.rs
@@ -0,0 +1,120 @@
+//! The figures, as a table and as JSON.
+
+use std::fmt::Write;
+
+use serde::Serialize;
+
+use crate::load::Measured;
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    pub schema: &'static str,
+    pub added: Option<Added>,
+    pub ramp: Vec<Added>,
+    /// CPU of the router for one completion of few events, and for each further event, in microseconds.
+    pub completion_us: f64,
+    pub event_us: f64,
+    pub memory: Vec<Memory>,
+    pub module: Vec<ModuleShare>,
+}
+
+/// What the router adds to the time to the first event, against going to the server directly.
+#[derive(Clone, Debug, Serialize)]
+pub struct Added {
+    pub rate: f64,
+    pub p50_ms: f64,
+    pub p99_ms: f64,
+    pub direct_p50_ms: f64,
+    pub direct_p99_ms: f64,
+    pub asked: usize,
+    pub done: usize,
+    /// Share of one core that the router used.
+    pub core: Option<f64>,
+}
+
+impl Added {
+    pub(crate) fn of(rate: f64, through: &Measured, direct: &Measured) -> Added {
+        let added = |quantile| through.quantile_ms(quantile) - direct.quantile_ms(quantile);
+        Added {
+            rate,
+            p50_ms: added(0.5),
+            p99_ms: added(0.99),
+            direct_p50_ms: direct.quantile_ms(0.5),
+            direct_p99_ms: direct.quantile_ms(0.99),
+            asked: through.asked,
+            done: through.done,
+            core: None,
+        }
+    }
+
+    pub(crate) fn with_cpu(self, core: f64) -> Added {
+        Added { core: Some(core), ..self }
+    }
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Memory {
+    /// Streams that were open.
+    pub streams: usize,
+    pub empty_mib: f64,
+    pub mib: f64,
+}
+
+/// The decisions' part of the router's CPU for one completion.
+#[derive(Clone, Debug, Serialize)]
+pub struct ModuleShare {
+    pub servers: usize,
+    pub module_us: f64,
+    pub router_us: f64,
+}
+
+impl Report {
+    pub(crate) fn new(_rate: f64) -> Report {
+        Report {
+            schema: "paddleproxy.bench.v1",
+            added: None,
+            ramp: Vec::new(),
+            completion_us: 0.0,
+            event_us: 0.0,
+            memory: Vec::new(),
+            module: Vec::new(),
+        }
+    }
+
+    pub fn text(&self) -> String {
+        let mut text = String::from("simulated servers, loopback, this machine\n\n");
+        // Writing to a String does not fail.
+        let _ = writeln!(
+            text,
+            "{:>8} {:>10} {:>10} {:>11} {:>11} {:>7} {:>7} {:>6}",
+            "rate/s", "added p50", "added p99", "direct p50", "direct p99", "asked", "done", "core"
+        );
+        for row in self.added.iter().chain(&self.ramp) {
+            let core = row.core.map_or("-".into(), |core| format!("{core:.2}"));
+            let _ = writeln!(
+                text,
+                "{:>8.0} {:>10.3} {:>10.3} {:>11.3} {:>11.3} {:>7} {:>7} {core:>6}",
+                row.rate, row.p50_ms, row.p99_ms, row.direct_p50_ms, row.direct_p99_ms, row.asked, row.done
+            );
+        }
+        let _ = writeln!(
+            text,
+            "\nCPU: {:.0} us a completion, {:.1} us a further event",
+            self.completion_us, self.event_us
+        );
+        for row in &self.memory {
+            let (streams, empty, now) = (row.streams, row.empty_mib, row.mib);
+            let _ =
+                writeln!(text, "memory: {now:.1} MiB with {streams} open streams, {empty:.1} MiB with none");
+        }
+        for row in &self.module {
+            let (servers, module, router) = (row.servers, row.module_us, row.router_us);
+            let share = 100.0 * module / router.max(1e-9);
+            let _ = writeln!(
+                text,
+                "{servers} servers: decisions {module:.0} us of {router:.0} us a completion ({share:.0}%)"
+            );
+        }
+        text
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -67,6 +67,14 @@
         #[arg(long, value_enum, default_value_t = Format::Text)]
         format: Format,
     },
+    /// Loads a router on loopback: added latency, CPU a completion, memory.
+    Bench {
+        /// A few seconds in all instead of a minute or two.
+        #[arg(long)]
+        quick: bool,
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
     /// Runs stand-in model servers and their list service until it is told to stop.
     Fleet {
         #[arg(long)]
@@ -94,6 +102,7 @@
         Command::Demo { format } => run::demo(format == Format::Json),
         Command::Day { file, out, format } => run::day(&file, out, format == Format::Json),
         Command::Audit { dir, format } => run::audit(&dir, format == Format::Json),
+        Command::Bench { quick, format } => run::bench(quick, format == Format::Json),
         Command::Fleet { config } => run::fleet(&config),
     };
     match done {
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -144,3 +144,16 @@
     }
     report.kept
 }
+
+pub fn bench(quick: bool, as_json: bool) -> Result<bool> {
+    use paddleproxy_bench::Plan;
+    let program = std::env::current_exe().context("finding this program")?;
+    let plan = if quick { Plan::quick() } else { Plan::default() };
+    let report =
+        on_one_thread(paddleproxy_bench::run(&program, &plan, |step| eprintln!("measuring: {step}")))?;
+    match as_json {
+        true => println!("{}", serde_json::to_string(&report)?),
+        false => print!("{}", report.text()),
+    }
+    Ok(true)
+}
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -273,7 +273,8 @@
 
     /// Lets so much of the warm, lone server's time pass as work at the present speed.
     pub async fn work(&self, ms: f64) {
-        let mut left = ms;
+        // A timer is good for a millisecond; what is far less counts as none.
+        let mut left = if ms < 0.1 { 0.0 } else { ms };
         while left > 0.0 {
             let (slow, pausing) = {
                 let trouble = &self.state.borrow().trouble;
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -229,6 +229,7 @@
         let groups = [("all", house::Group::All), ("zone", house::Group::Zone), ("cell", house::Group::Cell)];
         let otherwise = Some(house::Group::All).filter(|_| !tokened);
         let group = block.choice("group", &groups, otherwise).unwrap_or(house::Group::All);
+        block.skip("window");
         let window_ms = if tokened { block.need::<Millis>("window").0 } else { 0.0 };
         if read.is_some() && !tokened && (block.has("window") || block.has("group")) {
             block.problem("'group' and 'window' belong to workloads whose effect is \"tokened\"");
