--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -90,7 +90,7 @@
     let settings = settings::fleet::parse(&config.display().to_string(), &text)?;
     on_one_thread(async move {
         let mut stop = stopped()?;
-        let fleet = Fleet::start(settings, Record::default()).await.context("starting the fleet")?;
+        let fleet = Fleet::start(settings, Record::clock_only()).await.context("starting the fleet")?;
         say(&json!({ "list": fleet.list_address, "servers": fleet.names().count() }));
         while !*stop.borrow_and_update() && stop.changed().await.is_ok() {}
         Ok(true)
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -133,15 +133,21 @@
 pub struct Record {
     origin: Rc<Cell<Instant>>,
     lines: Rc<RefCell<Vec<Line>>>,
+    kept: bool,
 }
 
 impl Default for Record {
     fn default() -> Self {
-        Record { origin: Rc::new(Cell::new(Instant::now())), lines: Rc::default() }
+        Record { origin: Rc::new(Cell::new(Instant::now())), lines: Rc::default(), kept: true }
     }
 }
 
 impl Record {
+    /// A clock that keeps no lines, for a fleet that runs for long.
+    pub fn clock_only() -> Self {
+        Record { kept: false, ..Record::default() }
+    }
+
     /// The clock starts anew; what was recorded so far lies before 0.
     pub fn restart(&self) {
         let now_ms = self.now_ms();
@@ -158,6 +164,9 @@
     }
 
     pub fn add(&self, what: What) {
+        if !self.kept {
+            return;
+        }
         let at_ms = self.now_ms();
         self.lines.borrow_mut().push(Line { at_ms, what });
     }
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -136,17 +136,19 @@
         }
     }
 
-    /// Takes in the list of an earlier run; the version to ask on from.
+    /// Takes in the list of an earlier run, if there is one; the version to ask on from. The decisions always get a
+    /// saved list, if an empty one: with it they begin, and subscribe where that is theirs to do.
     pub fn recover(&mut self, saved: Option<Saved>) -> Option<u64> {
-        let saved = saved?;
-        match self.membership.recover(self.clock.now_ms(), wall_ms(), &saved) {
-            Ok(Heard::Listed { kind, rows }) => {
-                info!(version = saved.version, servers = rows.len(), "saved list taken");
-                self.handle(Input::Listed { kind, rows });
+        let mut rows: std::sync::Arc<[Listing]> = [].into();
+        if let Some(saved) = saved {
+            match self.membership.recover(self.clock.now_ms(), wall_ms(), &saved) {
+                Ok(Heard::Listed { rows: recovered, .. }) => rows = recovered,
+                Ok(_) => {}
+                Err(cause) => warn!(%cause, "saved list refused; starting without one"),
             }
-            Ok(_) => {}
-            Err(cause) => warn!(%cause, "saved list refused; starting without one"),
         }
+        info!(servers = rows.len(), "saved list taken");
+        self.handle(Input::Listed { kind: ListKind::Saved, rows });
         self.membership.version()
     }
 
@@ -417,3 +419,7 @@
         .duration_since(std::time::UNIX_EPOCH)
         .map_or(0.0, |since| since.as_secs_f64() * 1e3)
 }
+
+#[cfg(test)]
+#[path = "core_tests.rs"]
+mod tests;
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -69,6 +69,12 @@
         self.idle.borrow_mut().remove(&address);
     }
 
+    /// Connections kept for a server.
+    #[cfg(test)]
+    pub fn kept_for(&self, address: SocketAddr) -> usize {
+        self.idle.borrow().get(&address).map_or(0, Vec::len)
+    }
+
     async fn connect(&self, address: SocketAddr) -> Result<Sender, SocketEnd> {
         let made = timeout(duration(self.settings.connect_ms), TcpStream::connect(address)).await;
         let stream = match made {
--- a/crates/router/tests/paths.rs
+++ b/crates/router/tests/paths.rs
@@ -238,3 +238,20 @@
         assert!(raw(clients, &post(body, "")).await.contains("end_turn"));
     });
 }
+
+#[test]
+fn a_subscription_that_breaks_is_asked_for_again() {
+    local(async {
+        let subscribe = "list {\n    changes \"subscribe\"\n    must-ask-in \"500ms\"";
+        let bench = start(&[("list {", subscribe), ("poll \"20s\"", "poll \"300ms\"")]).await;
+        bench.until("/metrics", "list_version 3").await;
+        let list = &bench.fleet.shared.list;
+        list.down.set(true);
+        tokio::time::sleep(std::time::Duration::from_millis(700)).await;
+        bench.fleet.server("n-mixed1").unwrap().list("draining");
+        tokio::time::sleep(std::time::Duration::from_millis(600)).await;
+        assert_eq!(bench.metric("list_version").await, 3);
+        list.down.set(false);
+        bench.until("/metrics", "list_version 4").await;
+    });
+}
