--- a/crates/engine/src/wire.rs
+++ b/crates/engine/src/wire.rs
@@ -20,6 +20,9 @@
     pub max_tokens: u32,
     #[serde(default)]
     pub stream: bool,
+    /// The answer ends before the first of these.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub stop: Vec<String>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub stream_options: Option<StreamOptions>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -84,6 +87,9 @@
     pub text: String,
     #[serde(default)]
     pub finish_reason: Option<String>,
+    /// With the reason `stop`: which of the request's stop texts it was, if any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stop_reason: Option<String>,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/fleet/src/http.rs
+++ b/crates/fleet/src/http.rs
@@ -281,7 +281,7 @@
             let lost = server.shared.by_chance(trouble.answer_lost);
             let (sender, pieces) = mpsc::channel(8);
             let usage = usage(tokens, kept, answer_tokens);
-            let writer = write(server.clone(), slot, sender, usage, names.request, lost);
+            let writer = write(server.clone(), slot, sender, usage, names.request, lost, asked.stop);
             tasks.borrow_mut().spawn_local(writer);
             let built = Response::builder()
                 .header("content-type", "text/event-stream")
@@ -324,6 +324,15 @@
     Done::Read { block, kept }
 }
 
+/// The words of an answer of so many tokens, cut before the first stop text, and that text.
+fn words(tokens: u64, stops: &[String]) -> (Vec<String>, Option<String>) {
+    let text = " wort".repeat(tokens as usize);
+    let first = stops.iter().filter_map(|stop| Some((text.find(stop.as_str())?, stop))).min();
+    let cut = first.map_or(text.as_str(), |(at, _)| &text[..at]);
+    let words = cut.as_bytes().chunks(5).map(|word| String::from_utf8_lossy(word).into_owned()).collect();
+    (words, first.map(|(_, stop)| stop.clone()))
+}
+
 async fn write(
     server: Rc<Server>,
     slot: Slot,
@@ -331,26 +340,30 @@
     usage: Usage,
     id: String,
     lost: bool,
+    stops: Vec<String>,
 ) {
+    let (words, stop_reason) = words(usage.completion_tokens, &stops);
     let mut chunk = Completion { id, ..Completion::default() };
-    for row in 0..usage.completion_tokens {
+    let event =
+        |chunk: &Completion| format!("data: {}\n\n", serde_json::to_string(chunk).unwrap_or_default());
+    for text in words {
         server.work(server.kind.token_ms).await;
-        let last = row + 1 == usage.completion_tokens;
-        let finish_reason = last.then(|| "stop".to_owned());
-        chunk.choices = vec![Choice { index: 0, text: " wort".into(), finish_reason }];
-        chunk.usage = last.then_some(usage);
-        let mut event = format!("data: {}\n\n", serde_json::to_string(&chunk).unwrap_or_default());
-        if last {
-            event.push_str("data: [DONE]\n\n");
-        }
-        if !lost && pieces.send(Bytes::from(event)).await.is_err() {
-            break;
+        chunk.choices = vec![Choice { text, ..Choice::default() }];
+        if !lost && pieces.send(Bytes::from(event(&chunk))).await.is_err() {
+            return;
         }
     }
+    drop(slot);
     if lost {
         let _ = pieces.send(Bytes::new()).await;
+        return;
     }
-    drop(slot);
+    chunk.choices = vec![Choice { finish_reason: Some("stop".into()), stop_reason, ..Choice::default() }];
+    let mut last = event(&chunk);
+    (chunk.choices, chunk.usage) = (Vec::new(), Some(usage));
+    last.push_str(&event(&chunk));
+    last.push_str("data: [DONE]\n\n");
+    let _ = pieces.send(Bytes::from(last)).await;
 }
 
 fn usage(tokens: f64, kept: f64, written: u64) -> Usage {
--- a/crates/messages/src/error.rs
+++ b/crates/messages/src/error.rs
@@ -1,11 +1,12 @@
-use serde_json::json;
+use serde_json::{json, Value};
 
-/// The error types of the published API that this router gives.
+/// The errors that this router gives, by the published API's types.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ErrorKind {
     InvalidRequest,
     Authentication,
     NotFound,
+    Conflict,
     TooLarge,
     RateLimited,
     Overloaded,
@@ -14,10 +15,11 @@
 }
 
 impl ErrorKind {
-    pub const ALL: [ErrorKind; 8] = [
+    pub const ALL: [ErrorKind; 9] = [
         ErrorKind::InvalidRequest,
         ErrorKind::Authentication,
         ErrorKind::NotFound,
+        ErrorKind::Conflict,
         ErrorKind::TooLarge,
         ErrorKind::RateLimited,
         ErrorKind::Overloaded,
@@ -25,12 +27,13 @@
         ErrorKind::Api,
     ];
 
-    /// HTTP status.
+    /// HTTP status in the messages API.
     pub fn status(self) -> u16 {
         match self {
             ErrorKind::InvalidRequest => 400,
             ErrorKind::Authentication => 401,
             ErrorKind::NotFound => 404,
+            ErrorKind::Conflict => 409,
             ErrorKind::TooLarge => 413,
             ErrorKind::RateLimited => 429,
             ErrorKind::Api => 500,
@@ -39,10 +42,18 @@
         }
     }
 
-    /// The `type` in the body.
+    /// HTTP status in the chat completions form, which has no 529.
+    pub fn chat_status(self) -> u16 {
+        match self {
+            ErrorKind::Overloaded => 503,
+            other => other.status(),
+        }
+    }
+
+    /// The `type` in the messages API.
     pub fn name(self) -> &'static str {
         match self {
-            ErrorKind::InvalidRequest => "invalid_request_error",
+            ErrorKind::InvalidRequest | ErrorKind::Conflict => "invalid_request_error",
             ErrorKind::Authentication => "authentication_error",
             ErrorKind::NotFound => "not_found_error",
             ErrorKind::TooLarge => "request_too_large",
@@ -52,6 +63,21 @@
             ErrorKind::Overloaded => "overloaded_error",
         }
     }
+
+    /// The `type` and the `code` in the chat completions form.
+    fn chat_names(self) -> (&'static str, Option<&'static str>) {
+        match self {
+            ErrorKind::InvalidRequest | ErrorKind::Conflict | ErrorKind::TooLarge => {
+                ("invalid_request_error", None)
+            }
+            ErrorKind::Authentication => ("invalid_request_error", Some("invalid_api_key")),
+            ErrorKind::NotFound => ("invalid_request_error", Some("model_not_found")),
+            ErrorKind::RateLimited => ("requests", Some("rate_limit_exceeded")),
+            ErrorKind::Overloaded => ("server_error", Some("overloaded")),
+            ErrorKind::Timeout => ("server_error", Some("timeout")),
+            ErrorKind::Api => ("server_error", None),
+        }
+    }
 }
 
 /// An answer that is an error.
@@ -73,9 +99,18 @@
         ApiError::new(ErrorKind::InvalidRequest, message)
     }
 
-    /// The JSON body.
-    pub fn body(&self, request_id: &str) -> String {
-        let error = json!({ "type": self.kind.name(), "message": self.message });
-        json!({ "type": "error", "error": error, "request_id": request_id }).to_string()
+    pub fn with_retry(self, after_ms: f64) -> Self {
+        ApiError { retry_after_ms: Some(after_ms), ..self }
+    }
+
+    /// The inner object of the messages API.
+    pub(crate) fn detail(&self) -> Value {
+        json!({ "type": self.kind.name(), "message": self.message })
+    }
+
+    /// The inner object of the chat completions form.
+    pub(crate) fn chat_detail(&self) -> Value {
+        let (kind, code) = self.kind.chat_names();
+        json!({ "message": self.message, "type": kind, "param": null, "code": code })
     }
 }
--- /dev/null
+++ b/crates/messages/src/messages.rs
@@ -0,0 +1,73 @@
+//! How the messages API writes an answer; a dialect gives the events other names.
+
+use serde_json::{json, Value};
+
+use crate::dialect::EventNames;
+use crate::{Answer, Piece, Stop, Usage};
+
+fn usage_of(usage: Usage) -> Value {
+    json!({
+        "input_tokens": usage.input_tokens.saturating_sub(usage.cached_tokens),
+        "cache_read_input_tokens": usage.cached_tokens,
+        "cache_creation_input_tokens": 0,
+        "output_tokens": usage.output_tokens,
+    })
+}
+
+fn reason(stop: &Stop) -> (&'static str, Option<&str>) {
+    match stop {
+        Stop::EndTurn => ("end_turn", None),
+        Stop::MaxTokens => ("max_tokens", None),
+        Stop::Sequence(text) => ("stop_sequence", Some(text)),
+    }
+}
+
+fn message(id: &str, model: &str, content: Value, stop: Option<&Stop>, usage: Usage) -> Value {
+    let (reason, sequence) = stop.map(reason).map_or((None, None), |(name, text)| (Some(name), text));
+    json!({
+        "id": format!("msg_{id}"),
+        "type": "message",
+        "role": "assistant",
+        "model": model,
+        "content": content,
+        "stop_reason": reason,
+        "stop_sequence": sequence,
+        "usage": usage_of(usage),
+    })
+}
+
+pub(crate) fn whole(id: &str, model: &str, answer: &Answer) -> Value {
+    let content = json!([{ "type": "text", "text": answer.text }]);
+    message(id, model, content, Some(&answer.stop), answer.usage)
+}
+
+/// One event under the name that the dialect gives it; nothing where it leaves the event out.
+fn event(names: &EventNames, name: &'static str, mut data: Value) -> String {
+    let Some(name) = names.of(name) else { return String::new() };
+    data["type"] = Value::from(name);
+    format!("event: {name}\ndata: {data}\n\n")
+}
+
+pub(crate) fn piece(names: &EventNames, id: &str, model: &str, piece: &Piece) -> String {
+    match piece {
+        Piece::Start(usage) => {
+            let message = message(id, model, json!([]), None, *usage);
+            let block = json!({ "index": 0, "content_block": { "type": "text", "text": "" } });
+            event(names, "message_start", json!({ "message": message }))
+                + &event(names, "content_block_start", block)
+        }
+        Piece::Text(text) => {
+            let delta = json!({ "type": "text_delta", "text": text });
+            event(names, "content_block_delta", json!({ "index": 0, "delta": delta }))
+        }
+        Piece::Ping => event(names, "ping", json!({})),
+        Piece::End(stop, usage) => {
+            let (reason, sequence) = reason(stop);
+            let delta = json!({ "stop_reason": reason, "stop_sequence": sequence });
+            event(names, "content_block_stop", json!({ "index": 0 }))
+                + &event(names, "message_delta", json!({ "delta": delta, "usage": usage_of(*usage) }))
+                + &event(names, "message_stop", json!({}))
+        }
+        Piece::Error(error) => event(names, "error", json!({ "error": error.detail() })),
+    }
+}
--- a/crates/messages/src/request.rs
+++ b/crates/messages/src/request.rs
@@ -1,9 +1,12 @@
+//! The request as all forms share it, and how the messages API writes it.
+
 use serde::Deserialize;
 
 use crate::error::ApiError;
 
-/// A parsed `POST /v1/messages`. Fields that are unknown are passed over, as the published API may grow.
-#[derive(Clone, Debug, PartialEq)]
+/// What a client asks for, in whatever form. Fields of the forms that are unknown are passed over: the published APIs
+/// grow.
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Request {
     pub model: String,
     /// The most tokens of the answer; at least 1.
@@ -11,7 +14,10 @@
     pub system: String,
     /// At least one.
     pub turns: Vec<Turn>,
+    pub stop_sequences: Vec<String>,
     pub stream: bool,
+    /// Whether a streamed answer's last chunk tells its usage (chat completions form).
+    pub stream_usage: bool,
     pub user_id: Option<String>,
 }
 
@@ -28,15 +34,22 @@
     Assistant,
 }
 
+/// Stop sequences of a request and bytes of each, at most.
+const STOPS_MAX: usize = 16;
+const STOP_BYTES: usize = 512;
+
 #[derive(Deserialize)]
 struct Raw {
     model: String,
-    max_tokens: i64,
+    #[serde(default)]
+    max_tokens: Option<i64>,
     messages: Vec<RawTurn>,
     #[serde(default)]
     system: Option<Content>,
     #[serde(default)]
-    stream: bool,
+    stop_sequences: Option<Vec<String>>,
+    #[serde(default)]
+    stream: Option<bool>,
     #[serde(default)]
     metadata: Option<Metadata>,
 }
@@ -55,48 +68,79 @@
 
 #[derive(Deserialize)]
 #[serde(untagged)]
-enum Content {
+pub(crate) enum Content {
     Text(String),
     Blocks(Vec<Block>),
 }
 
 #[derive(Deserialize)]
-struct Block {
+pub(crate) struct Block {
     #[serde(rename = "type")]
     kind: String,
     #[serde(default)]
     text: Option<String>,
 }
 
-/// Parses a request's body.
-///
-/// # Errors
-/// `invalid_request_error` with what was wrong and, for JSON, where.
-pub fn parse(body: &[u8]) -> Result<Request, ApiError> {
+/// The body as text that is UTF-8, parsed.
+pub(crate) fn json<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, ApiError> {
     let text = std::str::from_utf8(body).map_err(|cause| {
         ApiError::invalid(format!("the body is not UTF-8 at byte {}", cause.valid_up_to()))
     })?;
-    let raw: Raw = serde_json::from_str(text).map_err(|cause| ApiError::invalid(format!("body: {cause}")))?;
+    serde_json::from_str(text).map_err(|cause| ApiError::invalid(format!("body: {cause}")))
+}
+
+/// Parses the body of a request of the messages API; `counts_only` where no answer is asked for.
+pub(crate) fn parse(body: &[u8], counts_only: bool) -> Result<Request, ApiError> {
+    let raw: Raw = json(body)?;
     if raw.messages.is_empty() {
         return Err(ApiError::invalid("messages: at least one message is required"));
     }
     if raw.messages[0].role != Role::User {
         return Err(ApiError::invalid("messages.0.role: the first message must be of role 'user'"));
     }
-    let max_tokens = u32::try_from(raw.max_tokens).ok().filter(|tokens| *tokens > 0);
-    let max_tokens = max_tokens.ok_or_else(|| {
-        ApiError::invalid(format!("max_tokens: {} is not between 1 and {}", raw.max_tokens, u32::MAX))
-    })?;
+    let max_tokens = match raw.max_tokens {
+        None if counts_only => 1,
+        None => return Err(ApiError::invalid("max_tokens: field required")),
+        Some(tokens) => most_tokens("max_tokens", tokens)?,
+    };
     let system = raw.system.map_or(Ok(String::new()), |system| flat(system, "system"))?;
     let mut turns = Vec::with_capacity(raw.messages.len());
     for (row, turn) in raw.messages.into_iter().enumerate() {
         turns.push(Turn { role: turn.role, text: flat(turn.content, &format!("messages.{row}.content"))? });
     }
-    let user_id = raw.metadata.and_then(|metadata| metadata.user_id);
-    Ok(Request { model: raw.model, max_tokens, system, turns, stream: raw.stream, user_id })
+    Ok(Request {
+        model: raw.model,
+        max_tokens,
+        system,
+        turns,
+        stop_sequences: stops("stop_sequences", raw.stop_sequences.unwrap_or_default())?,
+        stream: raw.stream.unwrap_or(false),
+        stream_usage: true,
+        user_id: raw.metadata.and_then(|metadata| metadata.user_id),
+    })
 }
 
-fn flat(content: Content, place: &str) -> Result<String, ApiError> {
+pub(crate) fn most_tokens(name: &str, tokens: i64) -> Result<u32, ApiError> {
+    u32::try_from(tokens)
+        .ok()
+        .filter(|tokens| *tokens > 0)
+        .ok_or_else(|| ApiError::invalid(format!("{name}: {tokens} is not between 1 and {}", u32::MAX)))
+}
+
+pub(crate) fn stops(name: &str, stops: Vec<String>) -> Result<Vec<String>, ApiError> {
+    if stops.len() > STOPS_MAX {
+        return Err(ApiError::invalid(format!(
+            "{name}: {} are given, at most {STOPS_MAX} are taken",
+            stops.len()
+        )));
+    }
+    if let Some(row) = stops.iter().position(|stop| stop.is_empty() || stop.len() > STOP_BYTES) {
+        return Err(ApiError::invalid(format!("{name}.{row}: a stop sequence has 1 to {STOP_BYTES} bytes")));
+    }
+    Ok(stops)
+}
+
+pub(crate) fn flat(content: Content, place: &str) -> Result<String, ApiError> {
     let blocks = match content {
         Content::Text(text) => return Ok(text),
         Content::Blocks(blocks) => blocks,
@@ -107,7 +151,8 @@
             ("text", Some(text)) => whole.push_str(&text),
             ("text", None) => return Err(ApiError::invalid(format!("{place}.{row}.text: field required"))),
             (other, _) => {
-                let message = format!("{place}.{row}.type: '{other}' is not supported; allowed is 'text'");
+                let message =
+                    format!("{place}.{row}.type: '{other:.64}' is not supported; allowed is 'text'");
                 return Err(ApiError::invalid(message));
             }
         }
@@ -118,9 +163,9 @@
 impl Request {
     /// The prompt as one text, of which each turn's is a beginning of the next one's.
     pub fn prompt(&self) -> String {
-        let mut prompt = String::with_capacity(
-            self.system.len() + self.turns.iter().map(|turn| turn.text.len() + 16).sum::<usize>() + 16,
-        );
+        let length =
+            self.system.len() + self.turns.iter().map(|turn| turn.text.len() + 16).sum::<usize>() + 16;
+        let mut prompt = String::with_capacity(length);
         prompt.push_str(&self.system);
         for turn in &self.turns {
             prompt.push_str(match turn.role {
@@ -143,26 +188,33 @@
         let first = parse(
             br#"{"model":"m","max_tokens":5,"system":[{"type":"text","text":"S"}],
             "messages":[{"role":"user","content":"a"}]}"#,
-        )
-        .unwrap();
+            false,
+        );
         let second = parse(
             br#"{"model":"m","max_tokens":5,"system":"S","messages":[{"role":"user","content":"a"},
             {"role":"assistant","content":" b"},{"role":"user","content":[{"type":"text","text":"c"}]}]}"#,
-        )
-        .unwrap();
-        assert_eq!(first.prompt(), "S\n\nHuman: a\n\nAssistant:");
-        assert!(second.prompt().starts_with("S\n\nHuman: a\n\nAssistant:"));
+            false,
+        );
+        assert_eq!(first.unwrap().prompt(), "S\n\nHuman: a\n\nAssistant:");
+        assert!(second.unwrap().prompt().starts_with("S\n\nHuman: a\n\nAssistant:"));
     }
 
     #[test]
     fn wrong_bodies_say_what_and_where() {
-        let wrong = |body: &[u8]| parse(body).unwrap_err().message;
+        let wrong = |body: &[u8]| parse(body, false).unwrap_err().message;
         assert_eq!(wrong(b"{\"model\":\xff}"), "the body is not UTF-8 at byte 9");
         assert!(wrong(b"{").contains("line 1 column 1"));
         let no_turns = br#"{"model":"m","max_tokens":5,"messages":[]}"#;
         assert_eq!(wrong(no_turns), "messages: at least one message is required");
-        let zero = br#"{"model":"m","max_tokens":0,"messages":[{"role":"user","content":"a"}]}"#;
-        assert!(wrong(zero).starts_with("max_tokens: 0"));
+        let with = |more: &str| {
+            let text = format!(r#"{{"model":"m","messages":[{{"role":"user","content":"a"}}]{more}}}"#);
+            parse(text.as_bytes(), false).map(|_| ()).map_err(|wrong| wrong.message)
+        };
+        assert_eq!(with("").unwrap_err(), "max_tokens: field required");
+        assert!(with(",\"max_tokens\":0").unwrap_err().starts_with("max_tokens: 0 is not between"));
+        let empty = with(",\"max_tokens\":1,\"stop_sequences\":[\"a\",\"\"]").unwrap_err();
+        assert!(empty.starts_with("stop_sequences.1: "), "{empty}");
+        assert_eq!(with(",\"max_tokens\":1,\"stop_sequences\":null,\"stream\":null"), Ok(()));
         let image =
             br#"{"model":"m","max_tokens":1,"messages":[{"role":"user","content":[{"type":"image"}]}]}"#;
         assert!(wrong(image).starts_with("messages.0.content.0.type: 'image'"));
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -8,6 +8,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use paddleproxy_routing::Reason;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
@@ -55,7 +56,7 @@
 
 fn metrics(front: &Front, status: &Status) -> String {
     let counts = &status.counts;
-    let rows: [(&str, u64); 17] = [
+    let rows: [(&str, u64); 20] = [
         ("completions_arrived_total", counts.arrived),
         ("completions_finished_total", counts.finished),
         ("completions_rate_limited_total", counts.rate_limited),
@@ -68,11 +69,19 @@
         ("answers_overdue_total", counts.overdue),
         ("answers_dropped_total", front.dropped.get()),
         ("states_unpinned_total", counts.unpinned),
-        ("requests_turned_away_total", front.turned_away.get()),
+        ("answers_again_total", front.answered_again.get()),
+        ("refused_by_key_total", front.refused_by_key.get()),
+        ("connections_refused_total", front.connections_refused.get()),
+        ("places_open", front.admission.borrow().open() as u64),
         ("completions_open", status.open as u64),
         ("connections_open", front.connections.get() as u64),
         ("servers_listed", status.servers as u64),
         ("list_version", status.version.unwrap_or(0)),
     ];
-    rows.iter().map(|(name, value)| format!("paddleproxy_{name} {value}\n")).collect()
+    let mut text: String = rows.iter().map(|(name, value)| format!("paddleproxy_{name} {value}\n")).collect();
+    for reason in Reason::ALL {
+        let (name, count) = (reason.name(), front.admission.borrow().turned_away(reason));
+        text.push_str(&format!("paddleproxy_requests_turned_away_total{{reason=\"{name}\"}} {count}\n"));
+    }
+    text
 }
--- a/crates/router/src/answer.rs
+++ b/crates/router/src/answer.rs
@@ -1,46 +1,85 @@
 //! The one final answer of a completion. `Owed` is consumed by each way to answer, so that a second answer does not
 //! compile; one that is forgotten is caught by its drop, which aborts and counts it.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use bytes::Bytes;
-use paddleproxy_messages::{Answer, ApiError, ErrorKind, StopReason, StreamEncoder, Usage};
+use paddleproxy_messages::{Answer, ApiError, Encoder, ErrorKind, Piece, Stop, Usage};
+use paddleproxy_routing::{Key, Repeats};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::timeout;
 
-use crate::clock::duration;
+use crate::clock::Clock;
 
 /// What the client's connection is handed.
 pub enum Reply {
     Whole(Answer),
     Error(ApiError),
-    Stream(mpsc::Receiver<Bytes>),
+    Stream(Pieces),
+}
+
+/// The pieces of a streamed answer, as its form writes them.
+pub struct Pieces {
+    pub pieces: mpsc::Receiver<Bytes>,
+    /// Whether the last piece was the answer's end; without it the connection breaks off.
+    pub ended: Rc<Cell<bool>>,
 }
 
 /// Answers that were dropped instead of given; 0 in a router without a fault.
 pub type Dropped = Rc<Cell<u64>>;
 
+/// What is remembered of a request that carries a key, once its fate is known.
+pub struct Keyed {
+    pub repeats: Rc<RefCell<Repeats>>,
+    pub key: Key,
+    pub may_repeat: bool,
+    pub clock: Clock,
+}
+
+impl Keyed {
+    fn answered(self, answer: Answer) {
+        self.repeats.borrow_mut().answered(self.clock.now_ms(), &self.key, answer);
+    }
+
+    fn lost(self) {
+        self.repeats.borrow_mut().lost(self.clock.now_ms(), &self.key);
+    }
+
+    /// A rate-limit says that trying again is harmless: it never ran, or servers drop the repeat.
+    fn rate_limited(self) {
+        if self.may_repeat {
+            self.lost();
+        } else {
+            self.never_ran();
+        }
+    }
+
+    pub fn never_ran(self) {
+        self.repeats.borrow_mut().never_ran(&self.key);
+    }
+}
+
 /// The duty to answer one completion.
 pub struct Owed {
     reply: Option<oneshot::Sender<Reply>>,
-    id: Rc<str>,
-    model: Rc<str>,
+    keyed: Option<Keyed>,
+    encoder: Encoder,
     pieces: usize,
-    slow_ms: f64,
     dropped: Dropped,
 }
 
+/// Bytes of one piece at most; longer texts are handed on in parts, so that a bound on pieces is one on bytes.
+const PIECE_BYTES: usize = 4096;
+
 impl Owed {
     pub fn new(
         reply: oneshot::Sender<Reply>,
-        id: Rc<str>,
-        model: Rc<str>,
+        keyed: Option<Keyed>,
+        encoder: Encoder,
         pieces: usize,
-        slow_ms: f64,
         dropped: Dropped,
     ) -> Self {
-        Owed { reply: Some(reply), id, model, pieces, slow_ms, dropped }
+        Owed { reply: Some(reply), keyed, encoder, pieces, dropped }
     }
 
     fn give(&mut self, reply: Reply) {
@@ -50,28 +89,41 @@
         }
     }
 
-    pub fn whole(mut self, text: String, stop: StopReason, usage: Usage) {
-        let answer =
-            Answer { id: format!("msg_{}", self.id), model: self.model.to_string(), text, stop, usage };
+    pub fn whole(mut self, answer: Answer) {
+        if let Some(keyed) = self.keyed.take() {
+            keyed.answered(answer.clone());
+        }
         self.give(Reply::Whole(answer));
     }
 
-    pub fn refuse(mut self, error: ApiError) {
+    /// Rate-limited: trying again is harmless.
+    pub fn rate_limit(mut self, error: ApiError) {
+        self.keyed.take().into_iter().for_each(Keyed::rate_limited);
+        self.give(Reply::Error(error));
+    }
+
+    /// Aborted: nothing is promised.
+    pub fn abort(mut self, error: ApiError) {
+        self.keyed.take().into_iter().for_each(Keyed::lost);
         self.give(Reply::Error(error));
     }
 
     /// For a client who has left: nobody waits for an answer.
     pub fn void(mut self) {
+        self.keyed.take().into_iter().for_each(Keyed::lost);
         self.reply = None;
     }
 
     pub fn begin(mut self) -> Stream {
-        let (sender, receiver) = mpsc::channel(self.pieces);
-        self.give(Reply::Stream(receiver));
+        let (sender, pieces) = mpsc::channel(self.pieces);
+        let ended = Rc::new(Cell::new(false));
+        self.give(Reply::Stream(Pieces { pieces, ended: ended.clone() }));
         Stream {
             pieces: Some(sender),
-            encoder: StreamEncoder::new(format!("msg_{}", self.id), self.model.to_string()),
-            slow_ms: self.slow_ms,
+            ended,
+            keyed: self.keyed.take(),
+            said: String::new(),
+            encoder: self.encoder.clone(),
             dropped: self.dropped.clone(),
         }
     }
@@ -79,6 +131,7 @@
 
 impl Drop for Owed {
     fn drop(&mut self) {
+        self.keyed.take().into_iter().for_each(Keyed::lost);
         if self.reply.is_some() {
             self.dropped.set(self.dropped.get() + 1);
             self.give(Reply::Error(ApiError::new(ErrorKind::Api, "the answer was lost inside the router")));
@@ -86,65 +139,86 @@
     }
 }
 
-/// Why a piece could not be handed on.
+/// The client takes nothing more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ClientGone {
-    Left,
-    Slow,
-}
+pub struct Left;
 
-/// A streamed answer under way; it ends by `finish` or `broken`.
+/// A streamed answer under way; it ends by `finish` or `broken`. A client who reads slowly makes its calls wait, and
+/// through them its server; one who takes nothing for too long is cut at its connection, which shows here as `Left`.
 pub struct Stream {
     pieces: Option<mpsc::Sender<Bytes>>,
-    encoder: StreamEncoder,
-    slow_ms: f64,
+    ended: Rc<Cell<bool>>,
+    keyed: Option<Keyed>,
+    /// All texts, where a key wants them remembered.
+    said: String,
+    encoder: Encoder,
     dropped: Dropped,
 }
 
 impl Stream {
-    async fn push(&mut self, text: String) -> Result<(), ClientGone> {
-        let Some(sender) = &self.pieces else { return Err(ClientGone::Left) };
-        let gone = match timeout(duration(self.slow_ms), sender.send(Bytes::from(text))).await {
-            Ok(Ok(())) => return Ok(()),
-            Ok(Err(_)) => ClientGone::Left,
-            Err(_) => ClientGone::Slow,
-        };
-        self.pieces = None;
-        Err(gone)
+    async fn push(&mut self, events: String) -> Result<(), Left> {
+        let mut events = Bytes::from(events);
+        while !events.is_empty() {
+            let piece = events.split_to(PIECE_BYTES.min(events.len()));
+            let Some(sender) = &self.pieces else { return Err(Left) };
+            if sender.send(piece).await.is_err() {
+                self.pieces = None;
+                return Err(Left);
+            }
+        }
+        Ok(())
     }
 
-    pub async fn start(&mut self, usage: Usage) -> Result<(), ClientGone> {
-        let events = self.encoder.start(usage);
+    pub async fn start(&mut self, usage: Usage) -> Result<(), Left> {
+        let events = self.encoder.piece(&Piece::Start(usage));
         self.push(events).await
     }
 
-    pub async fn text(&mut self, texts: &[String]) -> Result<(), ClientGone> {
-        let events: String = texts.iter().map(|text| self.encoder.text(text)).collect();
+    pub async fn text(&mut self, texts: &[String]) -> Result<(), Left> {
+        if self.keyed.is_some() {
+            self.said.extend(texts.iter().map(String::as_str));
+        }
+        let events: String = texts.iter().map(|text| self.encoder.piece(&Piece::Text(text))).collect();
         self.push(events).await
     }
 
-    pub async fn finish(mut self, stop: StopReason, usage: Usage) -> Result<(), ClientGone> {
-        let events = self.encoder.finish(stop, usage);
-        let result = self.push(events).await;
-        self.pieces = None;
-        result
+    pub async fn ping(&mut self) -> Result<(), Left> {
+        let events = self.encoder.piece(&Piece::Ping);
+        self.push(events).await
+    }
+
+    pub async fn finish(mut self, stop: Stop, usage: Usage) -> Result<(), Left> {
+        if let Some(keyed) = self.keyed.take() {
+            let text = std::mem::take(&mut self.said);
+            keyed.answered(Answer { text, stop: stop.clone(), usage });
+        }
+        let events = self.encoder.piece(&Piece::End(&stop, usage));
+        self.end(events).await
     }
 
     pub async fn broken(mut self, message: &str) {
-        let events = self.encoder.error(&ApiError::new(ErrorKind::Api, message));
-        let _ = self.push(events).await;
+        let events = self.encoder.piece(&Piece::Error(&ApiError::new(ErrorKind::Api, message)));
+        let _ = self.end(events).await;
+    }
+
+    async fn end(&mut self, events: String) -> Result<(), Left> {
+        let result = self.push(events).await;
+        self.ended.set(result.is_ok());
         self.pieces = None;
+        result
     }
 }
 
 impl Drop for Stream {
     fn drop(&mut self) {
+        self.keyed.take().into_iter().for_each(Keyed::lost);
         let Some(sender) = self.pieces.take() else { return };
         if sender.is_closed() {
             return;
         }
         self.dropped.set(self.dropped.get() + 1);
         let error = ApiError::new(ErrorKind::Api, "the answer was lost inside the router");
-        let _ = sender.try_send(Bytes::from(self.encoder.error(&error)));
+        let event = Bytes::from(self.encoder.piece(&Piece::Error(&error)));
+        self.ended.set(sender.try_send(event).is_ok());
     }
 }
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -10,7 +10,7 @@
 use paddleproxy::interface::*;
 use paddleproxy_engine as wire;
 use paddleproxy_engine::Load;
-use paddleproxy_messages::{ApiError, ErrorKind};
+use paddleproxy_messages::{Answer, ApiError, ErrorKind};
 use paddleproxy_routing::{Counts, Due, Effect, Facts, Heard, Input, Ledger, Membership, Saved, Sending};
 use paddleproxy_settings::router::RouterSettings;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -19,7 +19,7 @@
 
 use crate::answer::Owed;
 use crate::clock::{duration, Clock};
-use crate::dispatch::{request_id, Ask, Dispatch, End, Whole, Word};
+use crate::dispatch::{request_id, Ask, Dispatch, End, Word};
 use crate::engines::Engines;
 use crate::list::ListWord;
 
@@ -68,7 +68,7 @@
         next: oneshot::Sender<Option<u64>>,
     },
     ListFailed,
-    /// All completions still open are aborted.
+    /// All completions still open end now.
     Stop,
     Ask {
         status: oneshot::Sender<Status>,
@@ -97,7 +97,7 @@
     asks: BTreeMap<CompletionId, Rc<Ask>>,
     words: BTreeMap<(CompletionId, Seq), mpsc::Sender<Word>>,
     /// Whole answers that wait for the ledger's word.
-    wholes: BTreeMap<(CompletionId, Seq), Whole>,
+    wholes: BTreeMap<(CompletionId, Seq), Answer>,
     own: ToCore,
     list: mpsc::Sender<ListWord>,
     saves: watch::Sender<Option<Saved>>,
@@ -209,14 +209,7 @@
                 let _ = next.send(self.hear(&list));
             }
             Told::ListFailed => self.handle(Input::Listed { kind: ListKind::Failed, rows: [].into() }),
-            Told::Stop => {
-                for (_, owed) in std::mem::take(&mut self.owed) {
-                    owed.refuse(ApiError::new(ErrorKind::Api, "the router stops"));
-                }
-                for (_, words) in std::mem::take(&mut self.words) {
-                    let _ = words.try_send(Word::Stop);
-                }
-            }
+            Told::Stop => self.handle(Input::Stop),
             Told::Ask { status } => {
                 let _ = status.send(Status {
                     counts: self.ledger.counts(),
@@ -281,20 +274,20 @@
             Effect::Deliver { completion, seq } => {
                 let whole = self.wholes.remove(&(completion, seq));
                 if let (Some(owed), Some(whole)) = (self.owed.remove(&completion), whole) {
-                    owed.whole(whole.text, whole.stop, whole.usage);
+                    owed.whole(whole);
                 }
             }
             Effect::RateLimit { completion, retry_after_ms } => {
+                debug!(completion = completion.0, retry_after_ms, "rate-limited");
                 let mut error =
-                    ApiError::new(ErrorKind::Overloaded, "no server can take this now; it did not run");
-                error.retry_after_ms = (retry_after_ms > 0.0).then_some(retry_after_ms);
-                self.refuse(completion, error);
+                    ApiError::new(ErrorKind::Overloaded, "no server can take this now; come again");
+                error.retry_after_ms = Some(retry_after_ms);
+                self.owed.remove(&completion).into_iter().for_each(|owed| owed.rate_limit(error.clone()));
             }
             Effect::Abort { completion } => {
-                self.refuse(
-                    completion,
-                    ApiError::new(ErrorKind::Api, "the answer was lost; it may have run"),
-                );
+                debug!(completion = completion.0, "aborted");
+                let error = ApiError::new(ErrorKind::Api, "the answer was lost; it may have run");
+                self.owed.remove(&completion).into_iter().for_each(|owed| owed.abort(error.clone()));
             }
             Effect::Forget { completion } => {
                 self.owed.remove(&completion);
@@ -323,13 +316,6 @@
         let _ = self.list.try_send(word);
     }
 
-    fn refuse(&mut self, completion: CompletionId, error: ApiError) {
-        debug!(completion = completion.0, error = %error, "refused");
-        if let Some(owed) = self.owed.remove(&completion) {
-            owed.refuse(error);
-        }
-    }
-
     fn name(&self, completion: CompletionId, seq: Seq) -> String {
         request_id(self.settings.decisions.own_number, self.boot, completion, seq)
     }
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -10,12 +10,12 @@
 use paddleproxy::interface::{CompletionId, Seq};
 use paddleproxy_engine as wire;
 use paddleproxy_engine::{Data, SseReader, StateReference};
-use paddleproxy_messages::{StopReason, Usage};
-use paddleproxy_routing::{Sending, SocketEnd, Stage};
+use paddleproxy_messages::{Answer, Stop, Usage};
+use paddleproxy_routing::{Pace, Sending, SocketEnd, Stage};
 use tokio::sync::mpsc;
 use tokio::time::{sleep_until, Instant};
 
-use crate::answer::{ClientGone, Stream};
+use crate::answer::{Left, Stream};
 use crate::clock::{duration, Clock};
 use crate::core::{ToCore, Told};
 use crate::engines::{load, request, Connection, Engines};
@@ -25,6 +25,9 @@
     pub model: String,
     pub prompt: String,
     pub max_tokens: u32,
+    pub stop: Vec<String>,
+    /// What the prompt is taken to hold until its server says so.
+    pub prompt_tokens: u64,
     pub streamed: bool,
     pub client_id: Option<String>,
     pub effect_key: Option<String>,
@@ -36,19 +39,12 @@
     Stop,
 }
 
-/// An answer that came whole.
-pub struct Whole {
-    pub text: String,
-    pub stop: StopReason,
-    pub usage: Usage,
-}
-
 /// How it ended, with what it brought.
 pub struct End {
     pub end: SocketEnd,
     pub kept_tokens: f64,
     pub state: Option<StateReference>,
-    pub whole: Option<Whole>,
+    pub whole: Option<Answer>,
 }
 
 impl From<SocketEnd> for End {
@@ -89,6 +85,7 @@
             prompt: self.ask.prompt.clone(),
             max_tokens: if reads { 1 } else { self.ask.max_tokens },
             stream: !reads,
+            stop: if reads { Vec::new() } else { self.ask.stop.clone() },
             stream_options: (!reads).then_some(wire::StreamOptions { include_usage: true }),
             kv_transfer_params: match &self.sending.state {
                 _ if reads => Some(StateReference::ask()),
@@ -193,10 +190,13 @@
         let mut body = response.into_body();
         let mut reader = SseReader::new(self.engines.settings.line_bytes);
         let mut answer = Answering::default();
-        let mut stream: Option<Stream> = None;
-        let stall = duration(self.engines.settings.stall_ms);
+        answer.usage.input_tokens = self.ask.prompt_tokens;
+        answer.read_kept = self.sending.state.as_ref().map(|_| self.sending.read_kept as u64);
+        let mut stream: Option<(Stream, Pace)> = None;
+        let ping_ms = self.engines.settings.ping_ms;
+        let mut ping = Instant::now() + duration(ping_ms);
         let ended = loop {
-            let limit = if stream.is_some() { Instant::now() + stall } else { until };
+            let limit = stream.as_ref().map_or(until, |(_, pace)| self.clock.at(pace.until_ms()));
             let frame = tokio::select! {
                 biased;
                 _ = self.words.recv() => break Err(SocketEnd::Stopped),
@@ -204,6 +204,15 @@
                 () = sleep_until(limit) => {
                     break Err(if stream.is_some() { SocketEnd::Stalled } else { SocketEnd::TimedOut });
                 }
+                () = sleep_until(ping), if stream.is_some() => {
+                    ping = Instant::now() + duration(ping_ms);
+                    if let Some((stream, _)) = stream.as_mut() {
+                        if stream.ping().await.is_err() {
+                            break Err(client_left(Left));
+                        }
+                    }
+                    continue;
+                }
             };
             let bytes = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
@@ -222,23 +231,28 @@
                     Ok(mut granted) => {
                         let begun = granted.start(answer.usage).await;
                         let handed = if begun.is_ok() { granted.text(&texts).await } else { begun };
-                        stream = Some(granted);
-                        if let Err(gone) = handed {
-                            break Err(client_gone(gone));
+                        stream =
+                            Some((granted, Pace::new(self.clock.now_ms(), self.engines.settings.stall_ms)));
+                        if let Err(left) = handed {
+                            break Err(client_left(left));
                         }
                     }
                     Err(end) => break Err(end),
                 }
-            } else if let Some(stream) = stream.as_mut().filter(|_| !texts.is_empty()) {
-                if let Err(gone) = stream.text(&texts).await {
-                    break Err(client_gone(gone));
+            } else if let Some((stream, pace)) = stream.as_mut().filter(|_| !texts.is_empty()) {
+                // What the client takes its time for is not the server's silence.
+                let handed = stream.text(&texts).await;
+                pace.event(self.clock.now_ms());
+                ping = Instant::now() + duration(ping_ms);
+                if let Err(left) = handed {
+                    break Err(client_left(left));
                 }
             }
             if answer.done {
                 break Ok(());
             }
         };
-        match (ended, stream) {
+        match (ended, stream.map(|(stream, _)| stream)) {
             (Ok(()), stream) => {
                 let kept_tokens = answer.usage.cached_tokens as f64;
                 let whole = match stream {
@@ -247,7 +261,7 @@
                         let _ = stream.finish(answer.stop, answer.usage).await;
                         None
                     }
-                    None => Some(Whole { text: answer.text, stop: answer.stop, usage: answer.usage }),
+                    None => Some(Answer { text: answer.text, stop: answer.stop, usage: answer.usage }),
                 };
                 self.reuse(body, connection);
                 Ok(End { end: SocketEnd::AnswerDone, kept_tokens, state: None, whole })
@@ -289,33 +303,23 @@
 }
 
 /// Whether a client left or was cut for its slowness, the work is called off.
-fn client_gone(_: ClientGone) -> SocketEnd {
+fn client_left(_: Left) -> SocketEnd {
     SocketEnd::Stopped
 }
 
 /// What was read of an answer so far.
+#[derive(Default)]
 struct Answering {
     text: String,
     bytes: usize,
-    stop: StopReason,
+    stop: Stop,
     stopped: bool,
     usage: Usage,
+    /// What the read found kept, where another server did it.
+    read_kept: Option<u64>,
     done: bool,
 }
 
-impl Default for Answering {
-    fn default() -> Self {
-        Answering {
-            text: String::new(),
-            bytes: 0,
-            stop: StopReason::EndTurn,
-            stopped: false,
-            usage: Usage::default(),
-            done: false,
-        }
-    }
-}
-
 impl Answering {
     /// The texts of all events that are complete.
     fn take(&mut self, reader: &mut SseReader, bound: usize) -> Result<Vec<String>, String> {
@@ -334,7 +338,7 @@
             if let Some(usage) = chunk.usage {
                 self.usage = Usage {
                     input_tokens: usage.prompt_tokens,
-                    cached_tokens: usage.cached(),
+                    cached_tokens: self.read_kept.unwrap_or(usage.cached()),
                     output_tokens: usage.completion_tokens,
                 };
             }
@@ -343,10 +347,14 @@
                 if self.bytes > bound {
                     return Err(format!("an answer longer than {bound} bytes"));
                 }
-                match choice.finish_reason.as_deref() {
-                    None => {}
-                    Some("length") => (self.stop, self.stopped) = (StopReason::MaxTokens, true),
-                    Some(_) => self.stopped = true,
+                if self.stopped && !choice.text.is_empty() {
+                    return Err("text after the end of the answer".into());
+                }
+                self.stopped |= choice.finish_reason.is_some();
+                match (choice.finish_reason.as_deref(), choice.stop_reason) {
+                    (Some("length"), _) => self.stop = Stop::MaxTokens,
+                    (Some(_), Some(sequence)) => self.stop = Stop::Sequence(sequence),
+                    _ => {}
                 }
                 if !choice.text.is_empty() {
                     texts.push(choice.text);
--- a/crates/router/src/dispatch_tests.rs
+++ b/crates/router/src/dispatch_tests.rs
@@ -86,6 +86,7 @@
         idle_ms: 60_000.0,
         probe_ms: 100.0,
         stall_ms: 100.0,
+        ping_ms: 1000.0,
         line_bytes: 1000,
         answer_bytes: 2000,
         release_tries: 1,
@@ -94,7 +95,17 @@
 
 fn ask(streamed: bool) -> Rc<Ask> {
     let (model, prompt) = ("m".to_owned(), "p".to_owned());
-    Rc::new(Ask { model, prompt, max_tokens: 9, streamed, client_id: None, effect_key: None })
+    let (client_id, effect_key) = (None, None);
+    Rc::new(Ask {
+        model,
+        prompt,
+        max_tokens: 9,
+        stop: vec![],
+        prompt_tokens: 1,
+        streamed,
+        client_id,
+        effect_key,
+    })
 }
 
 /// Runs one dispatch as the core would, which grants each stream that begins.
@@ -115,6 +126,7 @@
         stage,
         until_ms: 400.0,
         state: None,
+        read_kept: 0.0,
     };
     let dispatch = Dispatch {
         sending,
@@ -131,10 +143,12 @@
         words.try_send(Word::Stop).ok().unwrap();
     }
     let (reply, client) = oneshot::channel();
-    let mut owed = Some(Owed::new(reply, "i".into(), "m".into(), 64, 100.0, Rc::default()));
+    let (dialect, id, model) = (paddleproxy_messages::Dialect::published(), "i".into(), "m".into());
+    let encoder = paddleproxy_messages::Encoder { dialect, id, model, created: 0, tells_usage: true };
+    let mut owed = Some(Owed::new(reply, None, encoder, 64, Rc::default()));
     let client = tokio::task::spawn_local(async move {
         if let Ok(crate::answer::Reply::Stream(mut pieces)) = client.await {
-            while pieces.recv().await.is_some() {}
+            while pieces.pieces.recv().await.is_some() {}
         }
     });
     loop {
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -15,18 +15,19 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use paddleproxy::interface::{CompletionId, CustomerId};
 use paddleproxy_engine as wire;
-use paddleproxy_messages::{parse, ApiError, ErrorKind};
-use paddleproxy_routing::facts::Headers;
-use paddleproxy_routing::{Admission, Requests, TurnedAway};
+use paddleproxy_messages::{ApiError, Dialect, Encoder, ErrorKind};
+use paddleproxy_routing::facts::{Headers, KeyRule};
+use paddleproxy_routing::{Admission, Facts, Key, Place, Reason, Repeats, Requests, TurnedAway, Verdict};
 use paddleproxy_settings::router::FrontSettings;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
+use tokio_io_timeout::TimeoutStream;
 use tracing::debug;
 
-use crate::answer::{Dropped, Owed, Reply};
+use crate::answer::{Dropped, Keyed, Owed, Pieces, Reply};
 use crate::clock::{duration, Clock};
-use crate::core::{ToCore, Told};
+use crate::core::{wall_ms, ToCore, Told};
 use crate::dispatch::Ask;
 
 /// What all connections of clients share.
@@ -34,6 +35,9 @@
     pub settings: FrontSettings,
     pub requests: Requests,
     pub admission: Rc<RefCell<Admission>>,
+    pub repeats: Rc<RefCell<Repeats>>,
+    /// Forms of the API by path.
+    pub dialects: Vec<(String, Dialect)>,
     pub clock: Clock,
     pub core: ToCore,
     pub next: Cell<u32>,
@@ -41,18 +45,25 @@
     /// Names a router's answers: router and start.
     pub prefix: String,
     pub dropped: Dropped,
-    pub turned_away: Cell<u64>,
+    /// Connections closed at once because there were too many.
+    pub connections_refused: Cell<u64>,
+    /// Requests answered from memory because an earlier one with their key had finished, and those refused by key.
+    pub answered_again: Cell<u64>,
+    pub refused_by_key: Cell<u64>,
 }
 
 /// Gives a place back when the last of a completion is gone from the front.
-struct Place {
+struct Taken {
     admission: Rc<RefCell<Admission>>,
-    customer: Option<CustomerId>,
+    clock: Clock,
+    place: Option<Place>,
 }
 
-impl Drop for Place {
+impl Drop for Taken {
     fn drop(&mut self) {
-        self.admission.borrow_mut().give(self.customer);
+        if let Some(place) = self.place.take() {
+            self.admission.borrow_mut().give(self.clock.now_ms(), place);
+        }
     }
 }
 
@@ -77,30 +88,33 @@
 /// The body of an answer: whole, or pieces as they come.
 pub enum ReplyBody {
     Whole(Option<Bytes>),
-    Pieces { pieces: mpsc::Receiver<Bytes>, leave: Leaving },
+    Pieces { pieces: Pieces, leave: Leaving },
 }
 
 /// Kept by a streamed body for as long as it runs.
 pub struct Leaving {
     leave: Leave,
-    _place: Place,
+    _taken: Taken,
 }
 
 impl Body for ReplyBody {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = std::io::Error;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
         match self.get_mut() {
             ReplyBody::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            ReplyBody::Pieces { pieces, leave } => pieces.poll_recv(cx).map(|piece| {
-                if piece.is_none() {
+            ReplyBody::Pieces { pieces, leave } => pieces.pieces.poll_recv(cx).map(|piece| match piece {
+                Some(bytes) => Some(Ok(Frame::data(bytes))),
+                None if pieces.ended.get() => {
                     leave.leave.core = None;
+                    None
                 }
-                piece.map(|bytes| Ok(Frame::data(bytes)))
+                // No end could be written: the connection must not look as if this were one.
+                None => Some(Err(std::io::Error::other("the answer broke off"))),
             }),
         }
     }
@@ -117,19 +131,47 @@
     }
 }
 
-fn error(error: &ApiError, request_id: &str) -> Response<ReplyBody> {
-    let mut response = Response::new(ReplyBody::Whole(Some(Bytes::from(error.body(request_id)))));
-    let status = hyper::StatusCode::from_u16(error.kind.status());
+fn answer_of(status: u16, kind: &'static str, body: String) -> Response<ReplyBody> {
+    let mut response = Response::new(ReplyBody::Whole(Some(Bytes::from(body))));
+    let status = hyper::StatusCode::from_u16(status);
     *response.status_mut() = status.unwrap_or(hyper::StatusCode::INTERNAL_SERVER_ERROR);
-    let headers = response.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    if let Some(ms) = error.retry_after_ms {
-        headers.insert(RETRY_AFTER, HeaderValue::from((ms / 1e3).ceil().max(1.0) as u64));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+}
+
+fn json(body: String) -> Response<ReplyBody> {
+    answer_of(200, "application/json", body)
+}
+
+fn error(dialect: &Dialect, error: &ApiError, request_id: &str) -> Response<ReplyBody> {
+    let body = dialect.error(error, request_id);
+    let mut response = answer_of(dialect.status(error.kind), "application/json", body);
+    if let Some(ms) = error.retry_after_ms.filter(|ms| *ms > 0.0) {
+        let headers = response.headers_mut();
+        headers.insert(RETRY_AFTER, HeaderValue::from((ms / 1e3).ceil() as u64));
         headers.insert("retry-after-ms", HeaderValue::from(ms.ceil() as u64));
     }
     response
 }
 
+fn turned_away(turned: TurnedAway) -> ApiError {
+    let (kind, message) = match turned.reason {
+        Reason::Stopping => (ErrorKind::Overloaded, "this router is about to stop"),
+        Reason::Full => (ErrorKind::Overloaded, "too many completions are open here"),
+        Reason::LeastValue => (ErrorKind::Overloaded, "only work of more value is taken here now"),
+        Reason::BeyondShare => {
+            (ErrorKind::RateLimited, "this customer holds more than its share of what is free")
+        }
+        Reason::CustomerOpen => (ErrorKind::RateLimited, "this customer has too many completions open"),
+        Reason::CustomerRequests => (ErrorKind::RateLimited, "this customer sends too many requests"),
+        Reason::CustomerTokens => (ErrorKind::RateLimited, "this customer sends too many tokens"),
+    };
+    ApiError::new(kind, message).with_retry(turned.retry_after_ms)
+}
+
+/// Where the tokens of a messages request are counted.
+const COUNT_TOKENS: &str = "/v1/messages/count_tokens";
+
 impl Front {
     /// Accepts until told to stop.
     pub async fn listen(self: Rc<Self>, listener: TcpListener, mut stop: tokio::sync::watch::Receiver<bool>) {
@@ -139,7 +181,7 @@
                 accepted = listener.accept() => match accepted {
                     // Beyond the bound a connection is closed at once; nothing of it was taken.
                     Ok(_) if self.connections.get() >= self.settings.connections => {
-                        self.turned_away.set(self.turned_away.get() + 1);
+                        self.connections_refused.set(self.connections_refused.get() + 1);
                     }
                     Ok((stream, _)) => {
                         tokio::task::spawn_local(self.clone().serve(stream, stop.clone()));
@@ -164,7 +206,11 @@
             .timer(TokioTimer::new())
             .header_read_timeout(duration(self.settings.header_ms))
             .max_headers(64);
-        let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+        // A client who takes nothing for too long is cut, whatever is being written to it.
+        let mut stream = TimeoutStream::new(stream);
+        stream.set_write_timeout(Some(duration(self.settings.slow_client_ms)));
+        let stream = TokioIo::new(Box::pin(stream));
+        let mut connection = std::pin::pin!(builder.serve_connection(stream, service));
         let ended = tokio::select! {
             ended = connection.as_mut() => ended,
             _ = stop.changed() => {
@@ -182,70 +228,120 @@
         let completion = CompletionId(self.next.get());
         self.next.set(self.next.get().wrapping_add(1));
         let id: Rc<str> = Rc::from(format!("{}.{}", self.prefix, completion.0));
-        let mut response = match self.completion(request, completion, id.clone()).await {
-            Ok(response) => response,
-            Err(refused) => error(&refused, &id),
+        let path = request.uri().path();
+        let known = self.dialects.iter().find(|(known, _)| known == path).map(|(_, dialect)| dialect.clone());
+        let dialect = known.clone().unwrap_or_else(Dialect::published);
+        let answered = match known {
+            Some(_) if request.method() != Method::POST => {
+                Err(ApiError::invalid(format!("{path:.64} takes POST")))
+            }
+            Some(dialect) => self.completion(request, dialect, completion, id.clone()).await,
+            None if path == COUNT_TOKENS && request.method() == Method::POST => self.count(request).await,
+            None => {
+                let paths: Vec<_> = self.dialects.iter().map(|(path, _)| path.as_str()).collect();
+                Err(ApiError::new(ErrorKind::NotFound, format!("served here are {}", paths.join(", "))))
+            }
         };
+        let mut response = answered.unwrap_or_else(|refused| error(&dialect, &refused, &id));
         if let Ok(id) = HeaderValue::from_str(&id) {
-            response.headers_mut().insert("request-id", id);
+            response.headers_mut().insert("request-id", id.clone());
+            response.headers_mut().insert("x-request-id", id);
         }
         response
     }
 
+    /// Counts tokens by the settings' estimate; no completion.
+    async fn count(&self, request: Request<Incoming>) -> Result<Response<ReplyBody>, ApiError> {
+        let (head, body) = request.into_parts();
+        let customer = self.customer(&head)?;
+        let _taken = self.enter(customer)?;
+        let asked = Dialect::published().parse_to_count(&self.body(body).await?)?;
+        let bytes = asked.system.len() + asked.turns.iter().map(|turn| turn.text.len()).sum::<usize>();
+        Ok(json(format!("{{\"input_tokens\":{}}}", self.requests.tokens(bytes) as u64)))
+    }
+
+    fn customer(&self, head: &Head) -> Result<Option<CustomerId>, ApiError> {
+        let bearer = header(head, "authorization")?.and_then(|value| value.strip_prefix("Bearer "));
+        self.requests.customer(header(head, "x-api-key")?.or(bearer))
+    }
+
+    fn enter(&self, customer: Option<CustomerId>) -> Result<Taken, ApiError> {
+        let place = self.admission.borrow_mut().enter(self.clock.now_ms(), customer).map_err(turned_away)?;
+        Ok(Taken { admission: self.admission.clone(), clock: self.clock, place: Some(place) })
+    }
+
     async fn completion(
         &self,
         request: Request<Incoming>,
+        dialect: Dialect,
         completion: CompletionId,
         id: Rc<str>,
     ) -> Result<Response<ReplyBody>, ApiError> {
         let received_ms = self.clock.now_ms();
-        if request.uri().path() != "/v1/messages" {
-            return Err(ApiError::new(ErrorKind::NotFound, "only /v1/messages is served here"));
-        }
-        if request.method() != Method::POST {
-            return Err(ApiError::invalid("/v1/messages takes POST"));
-        }
         let (head, body) = request.into_parts();
-        let header = |name: &str| -> Result<Option<&str>, ApiError> {
-            let value = head.headers.get(name).map(|value| value.to_str());
-            value.transpose().map_err(|_| ApiError::invalid(format!("{name}: header is not plain text")))
-        };
-        let bearer = header("authorization")?.and_then(|value| value.strip_prefix("Bearer "));
-        let customer = self.requests.customer(header("x-api-key")?.or(bearer))?;
-        let place = self.place(customer)?;
+        let customer = self.customer(&head)?;
+        let mut taken = self.enter(customer)?;
         let bytes = self.body(body).await?;
-        let asked = parse(&bytes)?;
-        drop(bytes);
+        let asked = dialect.parse(&bytes)?;
         let rules = self.requests.rules();
+        let key = header(&head, wire::EFFECT_KEY)?.filter(|key| !key.is_empty());
+        if key.is_some_and(|key| key.len() > 256) {
+            return Err(ApiError::invalid(format!("{}: at most 256 bytes", wire::EFFECT_KEY)));
+        }
         let headers = Headers {
             api_key: None,
-            session: header(&rules.session_header)?,
-            timeout: header(&rules.timeout_header)?,
+            session: header(&head, &rules.session_header)?,
+            timeout: header(&head, &rules.timeout_header)?,
+            keyed: key.is_some(),
         };
         let facts = self.requests.facts(&asked, customer, &headers)?;
-        let text =
-            |name| Ok::<_, ApiError>(header(name)?.filter(|text| text.len() <= 256).map(str::to_owned));
+        let encoder = Encoder {
+            dialect,
+            id,
+            model: Rc::from(asked.model.as_str()),
+            created: (wall_ms() / 1e3) as u64,
+            tells_usage: asked.stream_usage,
+        };
+        let mut keyed = None;
+        if let Some(key) = key {
+            let key = Key { customer, text: Rc::from(key) };
+            // The same wish may be streamed at one try and not at another.
+            let (stops, most) = (&asked.stop_sequences, asked.max_tokens);
+            let wish = format!("{}\n{most}\n{stops:?}\n{}", asked.model, asked.prompt());
+            match self.keyed(key, wish.as_bytes(), facts.key_rule)? {
+                Ok(guard) => keyed = Some(guard),
+                Err(answer) => return Ok(again(&encoder, &answer, asked.stream)),
+            }
+        }
+        drop(bytes);
+        let prompt = asked.prompt();
+        if let Err(refused) = self.admit(&mut taken, &facts, prompt.len()) {
+            keyed.into_iter().for_each(Keyed::never_ran);
+            return Err(refused);
+        }
+        let client_id = header(&head, wire::REQUEST_ID)?.filter(|text| text.len() <= 256).map(str::to_owned);
         let ask = Ask {
-            prompt: asked.prompt(),
+            prompt,
             max_tokens: asked.max_tokens,
+            stop: asked.stop_sequences,
+            prompt_tokens: facts.prompt_tokens as u64,
             streamed: asked.stream,
-            client_id: text(wire::REQUEST_ID)?,
-            effect_key: text(wire::EFFECT_KEY)?,
+            client_id,
+            // Keys of two customers must not meet at the servers.
+            effect_key: key.map(|key| self.requests.effect_key(customer, key)),
             model: asked.model,
         };
         let (reply, answer) = oneshot::channel();
-        let model = Rc::from(ask.model.as_str());
-        let (pieces, slow_ms) = (self.settings.pieces_waiting, self.settings.slow_client_ms);
-        let owed = Owed::new(reply, id, model, pieces, slow_ms, self.dropped.clone());
+        let owed =
+            Owed::new(reply, keyed, encoder.clone(), self.settings.pieces_waiting, self.dropped.clone());
         let mut leave = Leave { completion, core: Some(self.core.clone()) };
         let told = Told::Arrived { completion, facts, received_ms, ask: Rc::new(ask), owed };
         if self.core.send(told).await.is_err() {
             return Err(ApiError::new(ErrorKind::Api, "the router stops"));
         }
-        let reply = answer.await;
-        match reply {
+        match answer.await {
             Ok(Reply::Stream(pieces)) => {
-                let leave = Leaving { leave, _place: place };
+                let leave = Leaving { leave, _taken: taken };
                 let mut response = Response::new(ReplyBody::Pieces { pieces, leave });
                 response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
                 response.headers_mut().insert("cache-control", HeaderValue::from_static("no-cache"));
@@ -254,13 +350,7 @@
             other => {
                 leave.core = None;
                 match other {
-                    Ok(Reply::Whole(answer)) => {
-                        let mut response = Response::new(ReplyBody::Whole(Some(Bytes::from(answer.body()))));
-                        response
-                            .headers_mut()
-                            .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-                        Ok(response)
-                    }
+                    Ok(Reply::Whole(answer)) => Ok(json(encoder.whole(&answer))),
                     Ok(Reply::Error(refused)) => Err(refused),
                     _ => Err(ApiError::new(ErrorKind::Api, "the router stops")),
                 }
@@ -268,26 +358,48 @@
         }
     }
 
-    fn place(&self, customer: Option<CustomerId>) -> Result<Place, ApiError> {
-        let taken = self.admission.borrow_mut().take(customer);
-        let refused = |kind, message| {
-            self.turned_away.set(self.turned_away.get() + 1);
-            let mut error = ApiError::new(kind, message);
-            error.retry_after_ms = Some(1000.0);
-            error
+    /// What is known here of an earlier try with the same key: go on under its guard, or its answer.
+    fn keyed(
+        &self,
+        key: Key,
+        body: &[u8],
+        rule: KeyRule,
+    ) -> Result<Result<Keyed, Rc<paddleproxy_messages::Answer>>, ApiError> {
+        let now_ms = self.clock.now_ms();
+        let verdict = self.repeats.borrow_mut().ask(now_ms, &key, body, rule.window_ms, rule.may_repeat);
+        let conflict = |message| {
+            self.refused_by_key.set(self.refused_by_key.get() + 1);
+            Err(ApiError::new(ErrorKind::Conflict, message))
         };
-        match taken {
-            Ok(()) => Ok(Place { admission: self.admission.clone(), customer }),
-            Err(TurnedAway::Full) => {
-                Err(refused(ErrorKind::Overloaded, "too many completions are open here"))
+        match verdict {
+            Verdict::Go => {
+                let (repeats, clock, may_repeat) = (self.repeats.clone(), self.clock, rule.may_repeat);
+                Ok(Ok(Keyed { repeats, key, may_repeat, clock }))
             }
-            Err(TurnedAway::Stopping) => Err(refused(ErrorKind::Overloaded, "this router is about to stop")),
-            Err(TurnedAway::BeyondShare) => {
-                Err(refused(ErrorKind::RateLimited, "too many completions of this customer are open here"))
+            Verdict::Again(answer) => {
+                self.answered_again.set(self.answered_again.get() + 1);
+                Ok(Err(answer))
+            }
+            Verdict::Running => conflict("idempotency-key: a request with this key is under way"),
+            Verdict::Unknown => {
+                conflict("idempotency-key: a request with this key may have run; its answer is lost")
+            }
+            Verdict::Differs => conflict("idempotency-key: this key was used for another request"),
+            Verdict::Full => {
+                let error = ApiError::new(ErrorKind::Overloaded, "too many keys are remembered here");
+                Err(error.with_retry(rule.window_ms / 2.0))
             }
         }
     }
 
+    fn admit(&self, taken: &mut Taken, facts: &Facts, prompt_bytes: usize) -> Result<(), ApiError> {
+        let Some(place) = &mut taken.place else { return Ok(()) };
+        let tokens = facts.prompt_tokens + facts.max_tokens;
+        let now_ms = self.clock.now_ms();
+        let admitted = self.admission.borrow_mut().admit(now_ms, place, facts.workload, prompt_bytes, tokens);
+        admitted.map_err(turned_away)
+    }
+
     async fn body(&self, body: Incoming) -> Result<Bytes, ApiError> {
         let limit = self.settings.body_bytes;
         let too_large =
@@ -304,3 +416,22 @@
         }
     }
 }
+
+type Head = hyper::http::request::Parts;
+
+fn header<'a>(head: &'a Head, name: &str) -> Result<Option<&'a str>, ApiError> {
+    let value = head.headers.get(name).map(|value| value.to_str());
+    value.transpose().map_err(|_| ApiError::invalid(format!("{name}: header is not plain text")))
+}
+
+/// An answer that was given before, in the form now asked for.
+fn again(encoder: &Encoder, answer: &paddleproxy_messages::Answer, streamed: bool) -> Response<ReplyBody> {
+    use paddleproxy_messages::Piece;
+    if !streamed {
+        return json(encoder.whole(answer));
+    }
+    let pieces =
+        [Piece::Start(answer.usage), Piece::Text(&answer.text), Piece::End(&answer.stop, answer.usage)];
+    let events: String = pieces.iter().map(|piece| encoder.piece(piece)).collect();
+    answer_of(200, "text/event-stream", events)
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -15,7 +15,8 @@
 use std::rc::Rc;
 
 use anyhow::{Context, Result};
-use paddleproxy_routing::{Admission, Requests};
+use paddleproxy_messages::{Dialect, EventNames, EVENTS};
+use paddleproxy_routing::{Admission, Bounds, CustomerLimits, Repeats, Requests};
 use paddleproxy_settings::router::RouterSettings;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -72,19 +73,23 @@
     let mut state =
         Core::new(settings.clone(), clock, boot, seed, engines.clone(), core.clone(), list, saves);
     let after = state.recover(list::saved(&dir));
-    let quotas: Vec<_> = settings.decisions.customers.iter().map(|customer| customer.quota_per_s).collect();
-    let admission = Rc::new(RefCell::new(Admission::new(settings.front.open_completions, &quotas)));
+    let admission = Rc::new(RefCell::new(Admission::new(bounds(&settings))));
+    let (workloads, keys_ms) = (settings.decisions.workloads.clone(), settings.front.keys_ms);
     let front = Rc::new(Front {
         settings: settings.front.clone(),
-        requests: Requests::new(settings.names.clone(), settings.rules.clone()),
+        requests: Requests::new(settings.names.clone(), settings.rules.clone(), workloads, keys_ms),
         admission: admission.clone(),
+        repeats: Rc::new(RefCell::new(Repeats::new(settings.front.keys, settings.front.answer_memory_bytes))),
+        dialects: dialects(&settings),
         clock,
         core: core.clone(),
         next: Cell::new(0),
         connections: Cell::new(0),
         prefix: format!("{}.{boot:x}", settings.decisions.own_number),
         dropped: Rc::default(),
-        turned_away: Cell::new(0),
+        connections_refused: Cell::new(0),
+        answered_again: Cell::new(0),
+        refused_by_key: Cell::new(0),
     });
     tokio::task::spawn_local(state.run(told));
     tokio::task::spawn_local(list::save(dir, lists));
@@ -120,3 +125,42 @@
     info!(open = admission.borrow().open(), "stopped");
     Ok(())
 }
+
+fn bounds(settings: &RouterSettings) -> Bounds {
+    let names = settings.names.customers.iter();
+    let customer = |(rules, names): (&paddleproxy::interface::CustomerSettings, _)| {
+        let names: &paddleproxy_settings::router::CustomerNames = names;
+        let limits = names.limits;
+        let limits = CustomerLimits {
+            open: limits.open,
+            requests_per_s: limits.requests_per_s,
+            tokens_per_s: limits.tokens_per_s,
+            burst_ms: limits.burst_ms,
+        };
+        (rules.quota_per_s, limits)
+    };
+    Bounds {
+        places: settings.front.open_completions,
+        prompt_bytes: settings.front.prompt_bytes,
+        customers: settings.decisions.customers.iter().zip(names).map(customer).collect(),
+        values: settings.decisions.workloads.iter().map(|workload| workload.value).collect(),
+    }
+}
+
+/// The published forms, and those of the settings, by path.
+fn dialects(settings: &RouterSettings) -> Vec<(String, Dialect)> {
+    let own = settings.dialects.iter().map(|row| {
+        let mut names = EventNames::default();
+        for (event, other) in &row.events {
+            if let Some(event) = EVENTS.iter().find(|known| *known == event) {
+                names.others.insert(event, other.clone());
+            }
+        }
+        (row.path.clone(), Dialect::Messages(Rc::new(names)))
+    });
+    let published = [
+        ("/v1/messages".to_owned(), Dialect::published()),
+        ("/v1/chat/completions".to_owned(), Dialect::Chat),
+    ];
+    published.into_iter().chain(own).collect()
+}
--- a/crates/router/tests/paths.rs
+++ b/crates/router/tests/paths.rs
@@ -29,8 +29,12 @@
     local(async {
         let bench = start(&[]).await;
         for tokens in [10, 4000] {
-            let streamed = bench.ask(&asking("a", "chat-large", tokens, true)).await;
-            let plain = bench.ask(&asking("a", "chat-large", tokens, false)).await;
+            let mut asked = asking("a", "chat-large", tokens, true);
+            asked.effect_key = format!("streamed {tokens}");
+            let streamed = bench.ask(&asked).await;
+            asked.effect_key = format!("plain {tokens}");
+            asked.body = asked.body.replace("\"stream\":true", "\"stream\":false");
+            let plain = bench.ask(&asked).await;
             assert_eq!((finals(&streamed), finals(&plain)), (vec!["finished"], vec!["finished"]));
             assert!(text(&streamed).starts_with(" wort"));
             assert_eq!(text(&streamed), text(&plain));
--- /dev/null
+++ b/crates/routing/src/admission/mod.rs
@@ -0,0 +1,277 @@
+//! Who is taken when connections, open completions or memory run short, and what the others are told. Two gates: one
+//! when a request's head is there, before its body is read, and one when it is known what is asked for. A completion
+//! that passed both is the decisions' matter, its rate-limit included.
+
+mod bucket;
+
+use paddleproxy::interface::{CustomerId, WorkloadId};
+
+pub use bucket::Bucket;
+
+/// Of the places that customers inside their share do not use, the part that is kept free for them.
+const KEPT_FREE: f64 = 0.5;
+/// Least share of the places that stays free for customers inside their share.
+const LEAST_FREE: f64 = 1.0 / 16.0;
+/// A customer counts as active for so long after its last request, in ms; what it does not use is lent after that.
+const ACTIVE_MS: f64 = 2000.0;
+/// Share of places or memory left at which work of less than half the highest value is not taken.
+const SHORT: f64 = 1.0 / 8.0;
+/// Bounds of the time for which a client is sent away, in ms, and the steps in which clients are spread over twice it.
+const AWAY_MS: (f64, f64) = (100.0, 5000.0);
+const SPREAD: u64 = 8;
+
+/// What bounds one customer by itself; absent: nothing but its share when places run short.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct CustomerLimits {
+    pub open: Option<usize>,
+    pub requests_per_s: Option<f64>,
+    pub tokens_per_s: Option<f64>,
+    /// How much of either may come at once, as time of the rate, in ms.
+    pub burst_ms: f64,
+}
+
+/// What bounds the router.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bounds {
+    /// Open completions.
+    pub places: usize,
+    /// Bytes of the prompts of open completions.
+    pub prompt_bytes: usize,
+    /// By customer: share of the traffic (requests a second) and own limits.
+    pub customers: Vec<(f64, CustomerLimits)>,
+    /// By workload.
+    pub values: Vec<f64>,
+}
+
+/// Why a request is not taken. All of them prove that nothing ran.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reason {
+    Stopping,
+    /// All places, or all memory for prompts, are taken.
+    Full,
+    /// Places are short and this customer holds more than its share.
+    BeyondShare,
+    /// Places or memory are short and this workload is worth least.
+    LeastValue,
+    CustomerOpen,
+    CustomerRequests,
+    CustomerTokens,
+}
+
+impl Reason {
+    pub const ALL: [Reason; 7] = [
+        Reason::Stopping,
+        Reason::Full,
+        Reason::BeyondShare,
+        Reason::LeastValue,
+        Reason::CustomerOpen,
+        Reason::CustomerRequests,
+        Reason::CustomerTokens,
+    ];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Reason::Stopping => "stopping",
+            Reason::Full => "full",
+            Reason::BeyondShare => "beyond_share",
+            Reason::LeastValue => "least_value",
+            Reason::CustomerOpen => "customer_open",
+            Reason::CustomerRequests => "customer_requests",
+            Reason::CustomerTokens => "customer_tokens",
+        }
+    }
+
+    /// Whether it is this customer's own doing, rather than the router's state.
+    pub fn is_customers(self) -> bool {
+        !matches!(self, Reason::Stopping | Reason::Full | Reason::LeastValue)
+    }
+}
+
+/// A request that is not taken, and when to come again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TurnedAway {
+    pub reason: Reason,
+    pub retry_after_ms: f64,
+}
+
+/// A place that was taken; given back by [`Admission::give`].
+#[derive(Debug, PartialEq)]
+pub struct Place {
+    row: usize,
+    since_ms: f64,
+    prompt_bytes: usize,
+}
+
+/// Lives as long as one customer is known; those without a key share one.
+struct Row {
+    quota: f64,
+    limits: CustomerLimits,
+    open: usize,
+    asked_ms: f64,
+    requests: Option<Bucket>,
+    tokens: Option<Bucket>,
+}
+
+/// Lives as long as the router.
+pub struct Admission {
+    bounds: Bounds,
+    rows: Vec<Row>,
+    open: usize,
+    prompt_bytes: usize,
+    stopping: bool,
+    /// How long a place is held of late, in ms.
+    held_ms: f64,
+    turned_away: [u64; Reason::ALL.len()],
+}
+
+impl Admission {
+    pub fn new(bounds: Bounds) -> Self {
+        let row = |quota: f64, limits: CustomerLimits| {
+            let bucket = |per_s: f64| Bucket::new(per_s, limits.burst_ms);
+            Row {
+                quota,
+                limits,
+                open: 0,
+                asked_ms: f64::NEG_INFINITY,
+                requests: limits.requests_per_s.map(bucket),
+                tokens: limits.tokens_per_s.map(bucket),
+            }
+        };
+        let mut rows: Vec<_> = bounds.customers.iter().map(|(quota, limits)| row(*quota, *limits)).collect();
+        rows.push(row(0.0, CustomerLimits::default()));
+        Admission {
+            bounds,
+            rows,
+            open: 0,
+            prompt_bytes: 0,
+            stopping: false,
+            held_ms: AWAY_MS.0,
+            turned_away: [0; Reason::ALL.len()],
+        }
+    }
+
+    fn row(&self, customer: Option<CustomerId>) -> usize {
+        let last = self.rows.len() - 1;
+        customer.map_or(last, |customer| customer.0.min(last))
+    }
+
+    /// First gate, before the body is read.
+    ///
+    /// # Errors
+    /// Why there is no place, and when to come again.
+    pub fn enter(&mut self, now_ms: f64, customer: Option<CustomerId>) -> Result<Place, TurnedAway> {
+        let row = self.row(customer);
+        self.rows[row].asked_ms = now_ms;
+        if self.stopping {
+            return Err(self.away(Reason::Stopping, AWAY_MS.0));
+        }
+        if self.open >= self.bounds.places {
+            return Err(self.away(Reason::Full, self.held_ms));
+        }
+        if self.rows[row].limits.open.is_some_and(|most| self.rows[row].open >= most) {
+            return Err(self.away(Reason::CustomerOpen, self.held_ms));
+        }
+        // Guards against one customer that fills the router, whatever makes it. Harm: while others are active some
+        // places stay empty that it could use.
+        let beyond = self.rows[row].open as f64 >= self.part(row);
+        let free = (self.bounds.places - self.open) as f64;
+        if beyond && free <= self.kept_free(now_ms, row) {
+            return Err(self.away(Reason::BeyondShare, self.held_ms));
+        }
+        let waits = self.rows[row].requests.as_mut().map_or(Ok(()), |bucket| bucket.take(now_ms, 1.0));
+        if let Err(wait_ms) = waits {
+            return Err(self.away(Reason::CustomerRequests, wait_ms));
+        }
+        self.open += 1;
+        self.rows[row].open += 1;
+        Ok(Place { row, since_ms: now_ms, prompt_bytes: 0 })
+    }
+
+    /// Second gate, when it is known what is asked for. The place is kept if it is not passed; give it back then.
+    ///
+    /// # Errors
+    /// Why it is not taken, and when to come again.
+    pub fn admit(
+        &mut self,
+        now_ms: f64,
+        place: &mut Place,
+        workload: WorkloadId,
+        prompt_bytes: usize,
+        tokens: f64,
+    ) -> Result<(), TurnedAway> {
+        if self.prompt_bytes + prompt_bytes > self.bounds.prompt_bytes {
+            return Err(self.away(Reason::Full, self.held_ms));
+        }
+        let left = |used: usize, of: usize| 1.0 - used as f64 / of.max(1) as f64;
+        let places = left(self.open, self.bounds.places);
+        let memory = left(self.prompt_bytes + prompt_bytes, self.bounds.prompt_bytes);
+        // Guards what is worth most while all runs short. Harm: work of less value waits though a place is free.
+        let highest = self.bounds.values.iter().copied().fold(0.0, f64::max);
+        let value = self.bounds.values.get(workload.0).copied().unwrap_or(0.0);
+        if places.min(memory) < SHORT && value < highest / 2.0 {
+            return Err(self.away(Reason::LeastValue, self.held_ms));
+        }
+        let waits = self.rows[place.row].tokens.as_mut().map_or(Ok(()), |bucket| bucket.take(now_ms, tokens));
+        if let Err(wait_ms) = waits {
+            return Err(self.away(Reason::CustomerTokens, wait_ms));
+        }
+        self.prompt_bytes += prompt_bytes;
+        place.prompt_bytes = prompt_bytes;
+        Ok(())
+    }
+
+    /// A place is free again.
+    pub fn give(&mut self, now_ms: f64, place: Place) {
+        self.open = self.open.saturating_sub(1);
+        self.rows[place.row].open = self.rows[place.row].open.saturating_sub(1);
+        self.prompt_bytes = self.prompt_bytes.saturating_sub(place.prompt_bytes);
+        self.held_ms += ((now_ms - place.since_ms).max(0.0) - self.held_ms) / 16.0;
+    }
+
+    /// Places that are a customer's by its quota.
+    fn part(&self, row: usize) -> f64 {
+        let quotas: f64 = self.rows.iter().map(|row| row.quota).sum();
+        let share = if quotas > 0.0 { self.rows[row].quota / quotas } else { 1.0 };
+        share * self.bounds.places as f64
+    }
+
+    /// Places that stay free for the other customers inside their share.
+    fn kept_free(&self, now_ms: f64, but: usize) -> f64 {
+        let unused = |row: usize| {
+            let active = now_ms - self.rows[row].asked_ms < ACTIVE_MS;
+            if active && row != but {
+                (self.part(row) - self.rows[row].open as f64).max(0.0)
+            } else {
+                0.0
+            }
+        };
+        let unused: f64 = (0..self.rows.len()).map(unused).sum();
+        (KEPT_FREE * unused).max(LEAST_FREE * self.bounds.places as f64)
+    }
+
+    /// Clients that are sent away together come back spread over twice the time.
+    fn away(&mut self, reason: Reason, wait_ms: f64) -> TurnedAway {
+        let count = &mut self.turned_away[reason as usize];
+        let spread = 1.0 + (*count % SPREAD) as f64 / SPREAD as f64;
+        *count += 1;
+        TurnedAway { reason, retry_after_ms: (wait_ms * spread).clamp(AWAY_MS.0, AWAY_MS.1) }
+    }
+
+    pub fn open(&self) -> usize {
+        self.open
+    }
+
+    /// How many were turned away for a reason.
+    pub fn turned_away(&self, reason: Reason) -> u64 {
+        self.turned_away[reason as usize]
+    }
+
+    /// From now on nothing new is taken.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    pub fn stopping(&self) -> bool {
+        self.stopping
+    }
+}
--- a/crates/routing/src/facts.rs
+++ b/crates/routing/src/facts.rs
@@ -1,6 +1,8 @@
 //! What a request asks for, by the rules in the settings. Hashes are xxh3 and equal at all routers.
 
-use paddleproxy::interface::{Arrival, CompletionId, CustomerId, PrefixId, SessionId, WorkloadId};
+use paddleproxy::interface::{
+    Arrival, CompletionId, CustomerId, Effect, Group, PrefixId, SessionId, WorkloadId, WorkloadSettings,
+};
 use paddleproxy_messages::{ApiError, ErrorKind, Request};
 use paddleproxy_settings::router::{Names, Rules};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -15,6 +17,18 @@
 pub struct Requests {
     names: Names,
     rules: Rules,
+    workloads: Vec<WorkloadSettings>,
+    /// For how long a key is remembered where its workload does not say, in ms.
+    keys_ms: f64,
+}
+
+/// What a request's key means.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct KeyRule {
+    /// How long it is remembered, in ms.
+    pub window_ms: f64,
+    /// Whether another try is harmless even where an earlier one may have run.
+    pub may_repeat: bool,
 }
 
 /// What one request's headers say.
@@ -23,12 +37,15 @@
     pub api_key: Option<&'a str>,
     pub session: Option<&'a str>,
     pub timeout: Option<&'a str>,
+    /// Whether the request carries an idempotency key.
+    pub keyed: bool,
 }
 
 /// A request in the terms of the decisions, but for its id and clock.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Facts {
     pub workload: WorkloadId,
+    pub key_rule: KeyRule,
     pub customer: Option<CustomerId>,
     pub session: SessionId,
     pub prefix: Option<PrefixId>,
@@ -44,8 +61,28 @@
 }
 
 impl Requests {
-    pub fn new(names: Names, rules: Rules) -> Self {
-        Requests { names, rules }
+    pub fn new(names: Names, rules: Rules, workloads: Vec<WorkloadSettings>, keys_ms: f64) -> Self {
+        Requests { names, rules, workloads, keys_ms }
+    }
+
+    /// Tokens of so many bytes of text, by the settings' estimate.
+    pub fn tokens(&self, bytes: usize) -> f64 {
+        (bytes as f64 / self.rules.bytes_per_token).ceil()
+    }
+
+    /// The row of the decisions' settings, and what a key means there.
+    fn workload(&self, row: usize, keyed: bool) -> (WorkloadId, KeyRule) {
+        let own = self.names.workloads[row].keyed.filter(|_| keyed);
+        let row = own.unwrap_or(row);
+        let rules = self.workloads.get(row);
+        let tokened = rules.filter(|rules| rules.effect == Effect::Tokened);
+        let may_repeat = rules.is_some_and(|rules| match rules.effect {
+            Effect::Idempotent => true,
+            Effect::Tokened => rules.group == Group::All,
+            Effect::NonIdempotent => false,
+        });
+        let window_ms = tokened.map_or(self.keys_ms, |rules| rules.window_ms);
+        (WorkloadId(row), KeyRule { window_ms, may_repeat })
     }
 
     pub fn rules(&self) -> &Rules {
@@ -69,6 +106,12 @@
         }
     }
 
+    /// The key by which servers know an effect: the same at all routers, and apart for each customer.
+    pub fn effect_key(&self, customer: Option<CustomerId>, key: &str) -> String {
+        let name = customer.and_then(|customer| self.names.customers.get(customer.0));
+        name.map_or_else(|| format!(":{key}"), |customer| format!("{}:{key}", customer.name))
+    }
+
     /// Reads the facts of one request.
     ///
     /// # Errors
@@ -94,8 +137,8 @@
                 }
             },
         };
-        let tokens = |bytes: usize| (bytes as f64 / self.rules.bytes_per_token).ceil();
-        let prefix_tokens = tokens(request.system.len());
+        let (workload, key_rule) = self.workload(row, headers.keyed);
+        let prefix_tokens = self.tokens(request.system.len());
         let shared = prefix_tokens >= self.rules.shared_from_tokens && !request.system.is_empty();
         // A session that nobody names is known by how it began.
         let session = headers.session.or(request.user_id.as_deref()).map(|name| key(name, SESSION));
@@ -105,11 +148,12 @@
         });
         let turns: usize = request.turns.iter().map(|turn| turn.text.len()).sum();
         Ok(Facts {
-            workload: WorkloadId(row),
+            workload,
+            key_rule,
             customer,
             session: SessionId(session),
             prefix: shared.then(|| PrefixId(key(&request.system, PREFIX))),
-            prompt_tokens: tokens(request.system.len() + turns).max(1.0),
+            prompt_tokens: self.tokens(request.system.len() + turns).max(1.0),
             prefix_tokens: if shared { prefix_tokens } else { 0.0 },
             max_tokens: f64::from(request.max_tokens),
             client_timeout_ms,
--- a/crates/routing/src/ledger.rs
+++ b/crates/routing/src/ledger.rs
@@ -67,6 +67,8 @@
         held: bool,
     },
     Due(Due),
+    /// The router stops and its time for that is over: everything still open ends now.
+    Stop,
 }
 
 /// What a timer was set for.
@@ -89,6 +91,8 @@
     /// Clock time at which it times out, unless a streamed answer has begun.
     pub until_ms: f64,
     pub state: Option<Rc<StateReference>>,
+    /// Tokens that the read of that state found kept.
+    pub read_kept: f64,
 }
 
 /// What the sockets are to do.
@@ -181,6 +185,7 @@
     worker: WorkerId,
     seq: Seq,
     reference: Rc<StateReference>,
+    kept_tokens: f64,
 }
 
 /// Lives until a completion is answered and its last dispatch has ended.
@@ -196,6 +201,10 @@
     state: Option<Waiting>,
     /// A place held ahead: where, and by the name of which dispatch.
     place: Option<(WorkerId, Seq)>,
+    /// A dispatch that can have an effect is out, or ended without proof that it never ran.
+    may_have_run: bool,
+    /// One of those that ended was without that proof.
+    ran_before: bool,
 }
 
 impl Entry {
@@ -274,6 +283,8 @@
                     dispatches: Vec::new(),
                     state: None,
                     place: None,
+                    may_have_run: false,
+                    ran_before: false,
                 };
                 let completion = arrival.completion;
                 let in_ms = arrival.client_timeout_ms - now_ms + self.answer_slack_ms;
@@ -283,7 +294,7 @@
             }
             Input::Began { completion, seq, took_ms } => self.began(completion, seq, took_ms, effects),
             Input::Ended { completion, seq, took_ms, end, kept_tokens, state } => {
-                self.ended(now_ms, completion, seq, took_ms, &end, kept_tokens, state, effects);
+                self.ended(completion, seq, took_ms, &end, kept_tokens, state, effects);
             }
             Input::Left { completion } => self.left(completion, effects),
             Input::Reported { worker, load } => self.events.push_back(Event::Reported { worker, load }),
@@ -301,6 +312,7 @@
             Input::HoldAnswered { completion, seq, worker, held } => {
                 self.hold_answered(completion, seq, worker, held, effects);
             }
+            Input::Stop => self.stop(effects),
             Input::Due(Due::Decisions(timer)) => self.events.push_back(Event::TimerFired(timer)),
             Input::Due(Due::Overdue(completion)) => {
                 // Guards against decisions that miss the client timeout. Harm: none that the miss has not done.
@@ -351,7 +363,6 @@
     #[allow(clippy::too_many_arguments)]
     fn ended(
         &mut self,
-        now_ms: f64,
         completion: CompletionId,
         seq: Seq,
         took_ms: f64,
@@ -370,7 +381,8 @@
         let mut result = outcome(end);
         match (result, state) {
             (Outcome::Read, Some(reference)) => {
-                let waiting = Waiting { worker: worker.clone(), seq, reference: Rc::new(reference) };
+                let waiting =
+                    Waiting { worker: worker.clone(), seq, reference: Rc::new(reference), kept_tokens };
                 if let Some(old) = entry.state.replace(waiting) {
                     effects.push(Effect::Release { worker: old.worker, completion, seq: old.seq });
                 }
@@ -404,12 +416,38 @@
             let in_ms = self.settings.pin_limit_ms * PIN_PATIENCE;
             effects.push(Effect::Arm { in_ms, due: Due::Pinned(completion) });
         }
+        // With one dispatch at a time its proof clears the completion; a second copy leaves it in doubt.
+        if stage != Stage::Read && never_ran(result) && entry.dispatches.iter().all(|d| !d.out) {
+            entry.may_have_run = entry.ran_before;
+        }
+        entry.ran_before |= stage != Stage::Read && !never_ran(result);
         let over = entry.over();
-        let _ = now_ms;
         self.events.push_back(Event::Ended { completion, seq, took_ms, over, outcome: result, kept_tokens });
         self.touched.insert(completion);
     }
 
+    /// Each completion is answered by what is known of it: one that surely never ran may be tried at another router.
+    fn stop(&mut self, effects: &mut Vec<Effect>) {
+        for (completion, entry) in &mut self.open {
+            let completion = *completion;
+            if entry.owed {
+                entry.owed = false;
+                if entry.may_have_run {
+                    self.counts.aborted += 1;
+                    effects.push(Effect::Abort { completion });
+                } else {
+                    self.counts.rate_limited += 1;
+                    effects.push(Effect::RateLimit { completion, retry_after_ms: 0.0 });
+                }
+                self.events.push_back(Event::Expired { completion });
+            }
+            for (row, _) in entry.dispatches.iter().enumerate().filter(|(_, dispatch)| dispatch.out) {
+                effects.push(Effect::Stop { completion, seq: Seq(row as u32) });
+            }
+            self.touched.insert(completion);
+        }
+    }
+
     fn left(&mut self, completion: CompletionId, effects: &mut Vec<Effect>) {
         let Some(entry) = self.open.get_mut(&completion) else { return };
         if !entry.owed && entry.stream.is_none() {
@@ -551,6 +589,7 @@
             return;
         }
         self.counts.dispatches += 1;
+        entry.may_have_run |= stage != Stage::Read;
         let limit_ms = if timeout_ms > 0.0 { now_ms + timeout_ms } else { entry.deadline_ms };
         // A place held elsewhere is of no use once the answer is asked for here; one held here is taken.
         if stage != Stage::Read {
@@ -558,9 +597,11 @@
                 effects.push(Effect::Release { worker: at, completion, seq: by });
             }
         }
-        let state = entry.state.as_ref().filter(|_| uses_state).map(|state| state.reference.clone());
+        let used = entry.state.as_ref().filter(|_| uses_state);
+        let (state, read_kept) =
+            (used.map(|state| state.reference.clone()), used.map_or(0.0, |s| s.kept_tokens));
         let until_ms = limit_ms.min(entry.deadline_ms);
-        effects.push(Effect::Send(Sending { completion, seq, worker, stage, until_ms, state }));
+        effects.push(Effect::Send(Sending { completion, seq, worker, stage, until_ms, state, read_kept }));
     }
 
     fn hold(&mut self, completion: CompletionId, worker: WorkerId, effects: &mut Vec<Effect>) {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,9 +9,13 @@
 pub mod ledger;
 pub mod membership;
 pub mod outcomes;
+pub mod pace;
+pub mod repeats;
 
-pub use admission::{Admission, TurnedAway};
+pub use admission::{Admission, Bounds, CustomerLimits, Place, Reason, TurnedAway};
 pub use facts::{Facts, Requests};
 pub use ledger::{Counts, Due, Effect, Input, Ledger, Sending, Stage};
 pub use membership::{Heard, Membership, Refused, Saved};
 pub use outcomes::{outcome, SocketEnd};
+pub use pace::Pace;
+pub use repeats::{Key, Repeats, Verdict};
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -22,6 +22,7 @@
     pub rules: Rules,
     pub front: FrontSettings,
     pub engines: EngineSettings,
+    pub dialects: Vec<DialectSettings>,
 }
 
 #[derive(Clone, Debug)]
@@ -47,12 +48,34 @@
     pub models: Vec<String>,
     /// How long a client waits, in ms, where the request does not say.
     pub client_timeout_ms: f64,
+    /// Row of the decisions' settings for its requests that carry a key; absent where servers drop no repeats of it.
+    pub keyed: Option<usize>,
 }
 
 #[derive(Clone, Debug, Default)]
 pub struct CustomerNames {
     pub name: String,
     pub keys: Vec<String>,
+    pub limits: CustomerLimits,
+}
+
+/// What bounds one customer by itself; absent: nothing but its share when places run short.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct CustomerLimits {
+    pub open: Option<usize>,
+    pub requests_per_s: Option<f64>,
+    pub tokens_per_s: Option<f64>,
+    /// How much of either may come at once, as time of the rate, in ms.
+    pub burst_ms: f64,
+}
+
+/// The messages API on a path of its own, with other names for its events.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct DialectSettings {
+    pub name: String,
+    pub path: String,
+    /// Each event's other name, or none where it is left out.
+    pub events: Vec<(String, Option<String>)>,
 }
 
 /// Where in a request its facts stand.
@@ -75,6 +98,13 @@
     pub open_completions: usize,
     pub connections: usize,
     pub body_bytes: usize,
+    /// Of the prompts of all open completions.
+    pub prompt_bytes: usize,
+    /// Keys of clients' requests that are remembered, bytes of their answers, and for how long where the workload
+    /// does not say.
+    pub keys: usize,
+    pub answer_memory_bytes: usize,
+    pub keys_ms: f64,
     pub header_ms: f64,
     pub body_ms: f64,
     /// Pieces of an answer that may wait for a client who reads slowly.
@@ -94,6 +124,8 @@
     pub probe_ms: f64,
     /// Longest silence within an answer before it counts as broken.
     pub stall_ms: f64,
+    /// Silence within an answer after which its client gets a ping.
+    pub ping_ms: f64,
     pub line_bytes: usize,
     pub answer_bytes: usize,
     /// Longest wait between tries at letting go of a state, and how often it is tried.
@@ -139,6 +171,7 @@
         settings
     });
     let (workloads, workload_names) = workloads(top);
+    let dialects = dialects(top);
     let (customers, customer_names) = customers(top);
     let (kinds, kind_names) = kinds(top);
     let limits = top.need_block("rules")?;
@@ -205,6 +238,7 @@
         rules: rules?,
         front: front?,
         engines: engines?,
+        dialects,
     })
 }
 
@@ -243,6 +277,10 @@
         let models =
             block.need_block("models").map(|block| finish(block, Block::arguments)).unwrap_or_default();
         let value = block.need("value");
+        let keyed = block.block("keyed").map(|keyed| finish(keyed, |keyed| keyed.need::<Millis>("window").0));
+        if tokened && keyed.is_some() {
+            block.problem_of("keyed", "a \"tokened\" workload has its 'group' and 'window' already");
+        }
         block.done();
         let settings = house::WorkloadSettings {
             effect,
@@ -252,17 +290,99 @@
             latency_target_ms: target,
             target_per_token_ms: per_token,
         };
-        rows.push((settings, WorkloadNames { name, models, client_timeout_ms }));
+        rows.push((settings, WorkloadNames { name, models, client_timeout_ms, keyed: None }, keyed));
     }
     if rows.is_empty() {
         top.problem("there is no 'workload'; at least one is needed");
     }
-    let mut models: Vec<_> = rows.iter().flat_map(|(_, names)| &names.models).collect();
+    let mut models: Vec<_> = rows.iter().flat_map(|(_, names, _)| &names.models).collect();
     models.sort();
     if let Some(twice) = models.windows(2).find(|pair| pair[0] == pair[1]) {
         top.problem(format!("model \"{}\" belongs to two workloads", twice[0]));
     }
-    rows.into_iter().unzip()
+    // What carries a key is a workload of its own to the decisions: the same, but tokened among all servers.
+    let (mut settings, mut names): (Vec<_>, Vec<_>) =
+        rows.iter().map(|(settings, names, _)| (settings.clone(), names.clone())).unzip();
+    for (row, (base, _, keyed)) in rows.into_iter().enumerate() {
+        if let Some(window_ms) = keyed {
+            names[row].keyed = Some(settings.len());
+            let (effect, group) = (house::Effect::Tokened, house::Group::All);
+            settings.push(house::WorkloadSettings { effect, group, window_ms, ..base });
+        }
+    }
+    (settings, names)
+}
+
+/// Events that every answer needs.
+const NEEDED: [&str; 3] = ["content_block_delta", "message_stop", "error"];
+const EVENTS: [&str; 8] = [
+    "message_start",
+    "content_block_start",
+    "content_block_delta",
+    "content_block_stop",
+    "message_delta",
+    "message_stop",
+    "ping",
+    "error",
+];
+
+fn dialects(top: &Block) -> Vec<DialectSettings> {
+    let mut rows: Vec<DialectSettings> = Vec::new();
+    for block in top.blocks("dialect") {
+        let name: String = block.argument().unwrap_or_default();
+        let path: String = block.need("path");
+        let mut events: Vec<(String, Option<String>)> = Vec::new();
+        let mut add = |node: &Block, event: String, other: Option<String>| {
+            if !EVENTS.contains(&event.as_str()) {
+                node.problem(format!("there is no event \"{event}\"; known are {}", EVENTS.join(", ")));
+            } else if other.is_none() && NEEDED.contains(&event.as_str()) {
+                node.problem(format!("no answer can do without \"{event}\""));
+            } else if other.as_ref().is_some_and(|other| other.contains(|c: char| c.is_control())) {
+                node.problem("the name of an event has no control characters");
+            }
+            events.push((event, other));
+        };
+        for node in block.blocks("event") {
+            let (event, other) = (node.argument::<String>(), node.argument::<String>());
+            if other.is_none() {
+                node.problem("'event' needs the published name and the other one");
+            }
+            add(&node, event.unwrap_or_default(), other.or(Some(String::new())));
+            node.done();
+        }
+        for node in block.blocks("omit") {
+            add(&node, node.argument().unwrap_or_default(), None);
+            node.done();
+        }
+        block.done();
+        if !path.starts_with('/') || path.starts_with("/v1/") {
+            block.problem_of(
+                "path",
+                format!("'path' is \"{path}\"; allowed is one that begins with / but not /v1/"),
+            );
+        }
+        if rows.iter().any(|row| row.path == path) {
+            block.problem_of("path", format!("another dialect has the path \"{path}\""));
+        }
+        rows.push(DialectSettings { name, path, events });
+    }
+    rows
+}
+
+fn limits(block: &Block) -> CustomerLimits {
+    let rate = |count: Count| count.0 as f64;
+    let limits = CustomerLimits {
+        open: block.maybe::<Count>("open").map(|count| count.0 as usize),
+        requests_per_s: block.maybe::<f64>("requests-per-s"),
+        tokens_per_s: block.maybe::<Count>("tokens-per-s").map(rate),
+        burst_ms: block.need::<Millis>("burst").0,
+    };
+    for (name, value) in [("requests-per-s", limits.requests_per_s), ("tokens-per-s", limits.tokens_per_s)] {
+        if value == Some(0.0) {
+            block.problem_of(name, format!("'{name}' must be above 0"));
+        }
+    }
+    limits
 }
 
 fn customers(top: &Block) -> (Vec<house::CustomerSettings>, Vec<CustomerNames>) {
@@ -270,8 +390,9 @@
         let name = block.argument().unwrap_or_default();
         let keys = block.need_block("keys").map(|block| finish(block, Block::arguments)).unwrap_or_default();
         let quota_per_s = block.need("quota-per-s");
+        let limits = block.block("limits").map(|block| finish(block, limits)).unwrap_or_default();
         block.done();
-        (house::CustomerSettings { quota_per_s }, CustomerNames { name, keys })
+        (house::CustomerSettings { quota_per_s }, CustomerNames { name, keys, limits })
     };
     top.blocks("customer").into_iter().map(customer).unzip()
 }
@@ -313,6 +434,10 @@
         open_completions: at_least_one(block, "open-completions"),
         connections: at_least_one(block, "connections"),
         body_bytes: at_least_one(block, "body-bytes"),
+        prompt_bytes: at_least_one(block, "prompt-bytes"),
+        keys: at_least_one(block, "keys"),
+        answer_memory_bytes: at_least_one(block, "answer-memory"),
+        keys_ms: block.need::<Millis>("keys-for").0,
         header_ms: block.need::<Millis>("header-time").0,
         body_ms: block.need::<Millis>("body-time").0,
         pieces_waiting: at_least_one(block, "pieces-waiting"),
@@ -328,6 +453,7 @@
         idle_ms: block.need::<Millis>("idle").0,
         probe_ms: block.need::<Millis>("probe").0,
         stall_ms: block.need::<Millis>("stall").0,
+        ping_ms: block.need::<Millis>("ping").0.max(1.0),
         line_bytes: at_least_one(block, "line-bytes"),
         answer_bytes: at_least_one(block, "answer-bytes"),
         release_tries: at_least_one(block, "release-tries"),
--- a/crates/settings/tests/documents.rs
+++ b/crates/settings/tests/documents.rs
@@ -2,7 +2,7 @@
 
 use paddleproxy_settings::{fleet, router};
 
-const ROUTER: &str = include_str!("../../../examples/router.kdl");
+const ROUTER: &str = include_str!("router.kdl");
 
 fn problems(changes: &[(&str, &str)]) -> String {
     let mut text = ROUTER.to_owned();
@@ -14,7 +14,7 @@
 }
 
 #[test]
-fn the_example_is_good() {
+fn the_whole_document_is_good() {
     assert_eq!(problems(&[]), "");
 }
 
@@ -59,9 +59,21 @@
 
 #[test]
 fn a_fleet_names_only_kinds_it_has() {
-    let text = include_str!("../../../examples/fleet.kdl");
+    let text = include_str!("fleet.kdl");
     assert!(fleet::parse("f.kdl", text).is_ok());
     let wrong = text.replace("kind=\"writer\"", "kind=\"writr\"").replace("seed 7", "seed -7");
     let found = fleet::parse("f.kdl", &wrong).unwrap_err().to_string();
     insta::assert_snapshot!(found);
 }
+
+#[test]
+fn a_dialect_names_known_events_and_leaves_out_none_that_is_needed() {
+    let found = problems(&[
+        ("event \"message_start\"", "event \"message_strt\""),
+        ("omit \"ping\"", "omit \"error\""),
+        ("path \"/desk/messages\"", "path \"/v1/desk\""),
+        ("    burst \"2s\"\n", "    brst \"2s\"\n"),
+        ("    window \"10s\"\n    }\n}\nworkload \"ledger\"", "    window 10\n    }\n}\nworkload \"ledger\""),
+    ]);
+    insta::assert_snapshot!(found);
+}
