--- /dev/null
+++ b/crates/messages/tests/forms.rs
@@ -0,0 +1,119 @@
+//! The forms in which clients speak: what each writes, and that no request makes the parsers panic.
+
+use std::rc::Rc;
+
+use paddleproxy_messages::{Answer, ApiError, Dialect, Encoder, ErrorKind, EventNames, Piece, Stop, Usage};
+use proptest::prelude::*;
+
+fn encoder(dialect: Dialect, tells_usage: bool) -> Encoder {
+    Encoder { dialect, id: Rc::from("0.1.2"), model: Rc::from("m"), created: 1_700_000_000, tells_usage }
+}
+
+fn desk() -> Dialect {
+    let mut names = EventNames::default();
+    names.others.insert("content_block_delta", Some("answer.text".into()));
+    names.others.insert("ping", None);
+    Dialect::Messages(Rc::new(names))
+}
+
+const USAGE: Usage = Usage { input_tokens: 12, cached_tokens: 8, output_tokens: 2 };
+
+/// All pieces of an answer, and the end of one that broke.
+fn written(encoder: &Encoder) -> String {
+    let stop = Stop::Sequence("\n".into());
+    let broke = ApiError::new(ErrorKind::Api, "the model server broke off");
+    let pieces = [
+        Piece::Start(Usage { output_tokens: 0, ..USAGE }),
+        Piece::Text("He\"llo\n"),
+        Piece::Ping,
+        Piece::End(&stop, USAGE),
+        Piece::Error(&broke),
+    ];
+    let mut text: String = pieces.iter().map(|piece| encoder.piece(piece)).collect();
+    let answer = Answer { text: "Hello".into(), stop: Stop::MaxTokens, usage: USAGE };
+    text.push_str(&encoder.whole(&answer));
+    for kind in ErrorKind::ALL {
+        let error = ApiError::new(kind, "why");
+        text.push_str(&format!("\n{} {}", encoder.dialect.status(kind), encoder.dialect.error(&error, "0.1.2")));
+    }
+    text
+}
+
+#[test]
+fn the_messages_form() {
+    insta::assert_snapshot!(written(&encoder(Dialect::published(), true)));
+}
+
+#[test]
+fn the_chat_form() {
+    insta::assert_snapshot!(written(&encoder(Dialect::Chat, true)));
+}
+
+#[test]
+fn a_dialect_renames_and_leaves_out() {
+    let text = written(&encoder(desk(), true));
+    assert!(text.contains("event: answer.text\ndata: {\"delta\"") && text.contains("\"type\":\"answer.text\""));
+    assert!(!text.contains("ping") && !text.contains("content_block_delta"));
+    assert!(text.contains("event: message_stop\n"));
+}
+
+#[test]
+fn a_chat_stream_tells_usage_only_where_asked() {
+    assert!(!written(&encoder(Dialect::Chat, false)).split("[DONE]").next().unwrap().contains("usage"));
+}
+
+#[test]
+fn both_forms_ask_for_the_same() {
+    let messages = br#"{"model":"m","max_tokens":7,"system":"S","stop_sequences":["x"],"stream":true,
+        "metadata":{"user_id":"u"},"messages":[{"role":"user","content":"a"}]}"#;
+    let chat = br#"{"model":"m","max_completion_tokens":7,"stop":"x","stream":true,"user":"u",
+        "stream_options":{"include_usage":true},
+        "messages":[{"role":"developer","content":"S"},{"role":"user","content":[{"type":"text","text":"a"}]}]}"#;
+    assert_eq!(Dialect::published().parse(messages), Dialect::Chat.parse(chat));
+}
+
+#[test]
+fn wrong_chat_requests_say_what() {
+    let wrong = |body: &str| Dialect::Chat.parse(body.as_bytes()).unwrap_err().message;
+    assert!(wrong(r#"{"model":"m","messages":[]}"#).contains("at least one message"));
+    assert!(wrong(r#"{"model":"m","messages":[{"role":"user"}]}"#).starts_with("messages.0.content"));
+    assert!(wrong(r#"{"model":"m","n":2,"messages":[{"role":"user","content":"a"}]}"#).starts_with("n: "));
+    assert!(wrong(r#"{"model":"m","messages":[{"role":"tool","content":"a"}]}"#).contains("unknown variant"));
+    let most = r#"{"model":"m","max_tokens":-1,"messages":[{"role":"user","content":"a"}]}"#;
+    assert!(wrong(most).starts_with("max_tokens: -1"));
+}
+
+/// Bodies that are nearly right: pieces of requests in any order, and bytes.
+fn bodies() -> impl Strategy<Value = Vec<u8>> {
+    let parts = prop::sample::select(vec![
+        "{", "}", "[", "]", ":", ",", "\"model\"", "\"messages\"", "\"role\"", "\"user\"", "\"content\"", "\"max_tokens\"",
+        "\"stop\"", "\"system\"", "\"type\"", "\"text\"", "\"a\"", "1", "-1", "1e99", "null", "true", "\"\\ud800\"",
+    ]);
+    let nearly = prop::collection::vec(parts, 0..40).prop_map(|parts| parts.concat().into_bytes());
+    prop_oneof![nearly, prop::collection::vec(any::<u8>(), 0..200)]
+}
+
+proptest! {
+    #[test]
+    fn no_body_panics(body in bodies()) {
+        for dialect in [Dialect::published(), Dialect::Chat] {
+            if let Ok(request) = dialect.parse(&body) {
+                prop_assert!(!request.turns.is_empty() && request.max_tokens > 0);
+                let _ = request.prompt();
+            }
+            let _ = dialect.parse_to_count(&body);
+        }
+    }
+
+    #[test]
+    fn every_text_comes_back_from_its_event(text in ".*") {
+        for dialect in [Dialect::published(), Dialect::Chat, desk()] {
+            let events = encoder(dialect, true).piece(&Piece::Text(&text));
+            let data = events.split("data: ").nth(1).unwrap();
+            prop_assert!(events.ends_with("\n\n") && data.trim_end().lines().count() == 1);
+            let json: serde_json::Value = serde_json::from_str(data).unwrap();
+            let said = json["delta"]["text"].as_str().or(json["choices"][0]["delta"]["content"].as_str());
+            prop_assert_eq!(said, Some(text.as_str()));
+        }
+    }
+}
--- a/crates/routing/src/repeats.rs
+++ b/crates/routing/src/repeats.rs
@@ -101,10 +101,10 @@
     /// The try with this key finished. An answer too large to remember counts as lost.
     pub fn answered(&mut self, now_ms: f64, key: &Key, answer: Answer) {
         let bytes = answer.text.len();
-        while self.answer_bytes + bytes > self.most_bytes && self.let_go_of_one() {}
-        if self.answer_bytes + bytes > self.most_bytes {
+        if bytes > self.most_bytes {
             return self.lost(now_ms, key);
         }
+        while self.answer_bytes + bytes > self.most_bytes && self.let_go_of_one() {}
         if let Some(known) = self.known.get_mut(key) {
             self.answer_bytes += bytes;
             known.fate = Fate::Answered(Rc::new(answer));
