--- a/crates/day/src/play.rs
+++ b/crates/day/src/play.rs
@@ -44,6 +44,12 @@
 /// What could not be started or written.
 pub async fn play(day: DaySettings, program: &Path, dir: &Path) -> Result<(Facts, Vec<Line>)> {
     std::fs::create_dir_all(dir).with_context(|| format!("making {}", dir.display()))?;
+    for router in 0..day.routers {
+        let old = dir.join(format!("router-{router}"));
+        if old.exists() {
+            std::fs::remove_dir_all(&old).with_context(|| format!("removing {}", old.display()))?;
+        }
+    }
     let record = Record::default();
     let fleet = Fleet::start(day.fleet.clone(), record.clone()).await?;
     let day = Rc::new(day);
@@ -169,8 +175,10 @@
     pub async fn kill_router(&self, router: usize) {
         let child = self.children.borrow_mut()[router].take();
         if let Some(mut child) = child {
+            // Dying takes a moment: it is down from some time between the two.
             self.record.add(What::RouterDown { router });
             let _ = child.kill().await;
+            self.record.add(What::RouterDown { router });
         }
     }
 
--- a/crates/engine/src/wire.rs
+++ b/crates/engine/src/wire.rs
@@ -204,6 +204,9 @@
 /// What the list service answers: the whole list, or what changed after the version asked for.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServerList {
+    /// Names the service's own start: versions count anew with each.
+    #[serde(default)]
+    pub epoch: u64,
     pub version: u64,
     /// The version that changes build on; absent where the whole list is given.
     #[serde(default)]
--- a/crates/engine/tests/streams.rs
+++ b/crates/engine/tests/streams.rs
@@ -57,10 +57,13 @@
 
 #[test]
 fn a_report_is_read_as_published_and_nonsense_is_none() {
-    let load = Load::from_header(r#"JSON {"cpu_utilization":0.3,"mem_utilization":0.5,"named_metrics":{"x":2}}"#);
+    let load =
+        Load::from_header(r#"JSON {"cpu_utilization":0.3,"mem_utilization":0.5,"named_metrics":{"x":2}}"#);
     assert_eq!(load.as_ref().and_then(|load| load.metric("x")), Some(2.0));
     assert_eq!(load.and_then(|load| load.mem_utilization), Some(0.5));
-    for wrong in ["", "TEXT a=1", "JSON {", r#"JSON {"mem_utilization":-1}"#, r#"JSON {"named_metrics":{"x":1e999}}"#] {
+    for wrong in
+        ["", "TEXT a=1", "JSON {", r#"JSON {"mem_utilization":-1}"#, r#"JSON {"named_metrics":{"x":1e999}}"#]
+    {
         assert_eq!(Load::from_header(wrong), None, "{wrong}");
     }
 }
--- a/crates/fleet/src/http.rs
+++ b/crates/fleet/src/http.rs
@@ -405,7 +405,8 @@
                     let router = part("router").and_then(|text| text.parse().ok()).unwrap_or(0);
                     let wait_ms = part("wait_ms").and_then(|text| text.parse().ok()).unwrap_or(0.0);
                     let after = part("after").and_then(|text| text.parse().ok());
-                    let answer = list.poll(router, after, wait_ms).await;
+                    let epoch = part("epoch").and_then(|text| text.parse().ok()).unwrap_or(0);
+                    let answer = list.poll(router, epoch, after, wait_ms).await;
                     let body = serde_json::to_vec(&answer).unwrap_or_default();
                     Ok::<_, std::io::Error>(Response::new(Full::new(Bytes::from(body))))
                 }
--- a/crates/fleet/src/list.rs
+++ b/crates/fleet/src/list.rs
@@ -17,6 +17,7 @@
 
 pub struct ListService {
     record: Record,
+    epoch: u64,
     delay_ms: f64,
     hold_ms: f64,
     pub behind_ms: Cell<f64>,
@@ -26,10 +27,17 @@
     shown: Cell<usize>,
 }
 
+/// Another one for each start: the time of it.
+fn epoch() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(1, |since| since.as_micros() as u64)
+}
+
 impl ListService {
     pub fn new(record: Record, delay_ms: f64, hold_ms: f64) -> Rc<Self> {
         Rc::new(ListService {
             record,
+            epoch: epoch(),
             delay_ms,
             hold_ms,
             behind_ms: Cell::new(0.0),
@@ -56,7 +64,8 @@
     }
 
     /// The answer to one poll; waits for news as long as it may.
-    pub async fn poll(&self, router: usize, after: Option<usize>, wait_ms: f64) -> ServerList {
+    pub async fn poll(&self, router: usize, epoch: u64, after: Option<usize>, wait_ms: f64) -> ServerList {
+        let after = after.filter(|_| epoch == self.epoch);
         let until = self.record.now_ms() + wait_ms.min(self.hold_ms);
         while Some(self.version()) == after && self.record.now_ms() < until {
             tokio::time::sleep(Duration::from_millis(10)).await;
@@ -75,6 +84,11 @@
             let (server, readiness) = (entry.name.clone(), entry.readiness.clone());
             self.record.add(What::Told { router, server, readiness, cold: entry.age_ms.is_some() });
         }
-        ServerList { version: version as u64, after: after.map(|after| after as u64), servers }
+        ServerList {
+            epoch: self.epoch,
+            version: version as u64,
+            after: after.map(|after| after as u64),
+            servers,
+        }
     }
 }
--- a/crates/messages/tests/forms.rs
+++ b/crates/messages/tests/forms.rs
@@ -34,7 +34,11 @@
     text.push_str(&encoder.whole(&answer));
     for kind in ErrorKind::ALL {
         let error = ApiError::new(kind, "why");
-        text.push_str(&format!("\n{} {}", encoder.dialect.status(kind), encoder.dialect.error(&error, "0.1.2")));
+        text.push_str(&format!(
+            "\n{} {}",
+            encoder.dialect.status(kind),
+            encoder.dialect.error(&error, "0.1.2")
+        ));
     }
     text
 }
@@ -52,7 +56,9 @@
 #[test]
 fn a_dialect_renames_and_leaves_out() {
     let text = written(&encoder(desk(), true));
-    assert!(text.contains("event: answer.text\ndata: {\"delta\"") && text.contains("\"type\":\"answer.text\""));
+    assert!(
+        text.contains("event: answer.text\ndata: {\"delta\"") && text.contains("\"type\":\"answer.text\"")
+    );
     assert!(!text.contains("ping") && !text.contains("content_block_delta"));
     assert!(text.contains("event: message_stop\n"));
 }
@@ -86,8 +92,29 @@
 /// Bodies that are nearly right: pieces of requests in any order, and bytes.
 fn bodies() -> impl Strategy<Value = Vec<u8>> {
     let parts = prop::sample::select(vec![
-        "{", "}", "[", "]", ":", ",", "\"model\"", "\"messages\"", "\"role\"", "\"user\"", "\"content\"", "\"max_tokens\"",
-        "\"stop\"", "\"system\"", "\"type\"", "\"text\"", "\"a\"", "1", "-1", "1e99", "null", "true", "\"\\ud800\"",
+        "{",
+        "}",
+        "[",
+        "]",
+        ":",
+        ",",
+        "\"model\"",
+        "\"messages\"",
+        "\"role\"",
+        "\"user\"",
+        "\"content\"",
+        "\"max_tokens\"",
+        "\"stop\"",
+        "\"system\"",
+        "\"type\"",
+        "\"text\"",
+        "\"a\"",
+        "1",
+        "-1",
+        "1e99",
+        "null",
+        "true",
+        "\"\\ud800\"",
     ]);
     let nearly = prop::collection::vec(parts, 0..40).prop_map(|parts| parts.concat().into_bytes());
     prop_oneof![nearly, prop::collection::vec(any::<u8>(), 0..200)]
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -65,7 +65,7 @@
     /// An answer of the list service; the version to ask on from goes back, none for the whole.
     List {
         list: wire::ServerList,
-        next: oneshot::Sender<Option<u64>>,
+        next: oneshot::Sender<Known>,
     },
     ListFailed,
     /// All completions still open end now.
@@ -75,6 +75,9 @@
     },
 }
 
+/// Epoch and version of the list to ask on from; None for the whole.
+pub type Known = Option<(u64, u64)>;
+
 pub type ToCore = mpsc::Sender<Told>;
 
 /// Figures for the admin port.
@@ -138,7 +141,7 @@
 
     /// Takes in the list of an earlier run, if there is one; the version to ask on from. The decisions always get a
     /// saved list, if an empty one: with it they begin, and subscribe where that is theirs to do.
-    pub fn recover(&mut self, saved: Option<Saved>) -> Option<u64> {
+    pub fn recover(&mut self, saved: Option<Saved>) -> Known {
         let mut rows: std::sync::Arc<[Listing]> = [].into();
         if let Some(saved) = saved {
             match self.membership.recover(self.clock.now_ms(), wall_ms(), &saved) {
@@ -149,7 +152,7 @@
         }
         info!(servers = rows.len(), "saved list taken");
         self.handle(Input::Listed { kind: ListKind::Saved, rows });
-        self.membership.version()
+        self.membership.known()
     }
 
     pub async fn run(mut self, mut told: mpsc::Receiver<Told>) {
@@ -190,10 +193,9 @@
                 self.wholes.remove(&(completion, seq));
             }
             Told::Left { completion } => {
+                // Nobody waits for an answer any more, so none is lost.
+                self.owed.remove(&completion).into_iter().for_each(Owed::void);
                 self.handle(Input::Left { completion });
-                if let Some(owed) = self.owed.remove(&completion) {
-                    owed.void();
-                }
             }
             Told::Reported { worker, load } => self.reported(worker, &load),
             Told::Probed { worker, load, answered, took_ms } => {
@@ -221,7 +223,7 @@
         }
     }
 
-    fn hear(&mut self, list: &wire::ServerList) -> Option<u64> {
+    fn hear(&mut self, list: &wire::ServerList) -> Known {
         let now_ms = self.clock.now_ms();
         match self.membership.hear(now_ms, list) {
             Ok(Heard::Listed { kind, rows }) => {
@@ -233,7 +235,7 @@
             Ok(Heard::AskWhole) => return None,
             Err(cause) => warn!(%cause, version = list.version, "list refused"),
         }
-        self.membership.version()
+        self.membership.known()
     }
 
     fn reported(&mut self, worker: WorkerId, load: &Load) {
--- a/crates/router/src/core_tests.rs
+++ b/crates/router/src/core_tests.rs
@@ -64,7 +64,7 @@
         start: 1,
         age_ms: None,
     };
-    core.hear(&ServerList { version: 1, after: None, servers: vec![entry] });
+    core.hear(&ServerList { epoch: 1, version: 1, after: None, servers: vec![entry] });
     Stage { core, told, list, worker: WorkerId(Arc::from("a")) }
 }
 
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -169,15 +169,24 @@
     ApiError::new(kind, message).with_retry(turned.retry_after_ms)
 }
 
+/// After the word to stop the door stays open for this time, in ms, and then until nobody waits before it: whoever the
+/// system took on our behalf is told that this router stops.
+const LAST_LOOK_MS: f64 = 50.0;
+
 /// Where the tokens of a messages request are counted.
 const COUNT_TOKENS: &str = "/v1/messages/count_tokens";
 
 impl Front {
     /// Accepts until told to stop.
     pub async fn listen(self: Rc<Self>, listener: TcpListener, mut stop: tokio::sync::watch::Receiver<bool>) {
+        let mut closes = None;
         loop {
+            let last_look = closes.unwrap_or_else(tokio::time::Instant::now);
             tokio::select! {
-                _ = stop.changed() => return,
+                biased;
+                _ = stop.changed(), if closes.is_none() => {
+                    closes = Some(tokio::time::Instant::now() + duration(LAST_LOOK_MS));
+                }
                 accepted = listener.accept() => match accepted {
                     // Beyond the bound a connection is closed at once; nothing of it was taken.
                     Ok(_) if self.connections.get() >= self.settings.connections => {
@@ -189,6 +198,7 @@
                     // Out of descriptors, or a connection gone before it was taken: a short pause.
                     Err(_) => tokio::time::sleep(duration(10.0)).await,
                 },
+                () = tokio::time::sleep_until(last_look), if closes.is_some() => return,
             }
         }
     }
@@ -202,6 +212,8 @@
             async move { Ok::<_, Infallible>(front.answer(request).await) }
         });
         let mut builder = hyper::server::conn::http1::Builder::new();
+        // A connection that comes at the last moment gets one answer: that this router stops.
+        builder.keep_alive(!*stop.borrow());
         builder
             .timer(TokioTimer::new())
             .header_read_timeout(duration(self.settings.header_ms))
--- a/crates/router/src/list.rs
+++ b/crates/router/src/list.rs
@@ -12,7 +12,7 @@
 use tracing::{debug, warn};
 
 use crate::clock::duration;
-use crate::core::{ToCore, Told};
+use crate::core::{Known, ToCore, Told};
 use crate::engines::Engines;
 
 /// What the decisions want of the list.
@@ -33,7 +33,7 @@
     engines: Rc<Engines>,
     core: ToCore,
     mut words: mpsc::Receiver<ListWord>,
-    mut after: Option<u64>,
+    mut after: Known,
 ) {
     let asked = settings.decisions.must_subscribe;
     let mut subscribed = !asked;
@@ -84,11 +84,11 @@
 async fn poll(
     settings: &RouterSettings,
     engines: &Engines,
-    after: Option<u64>,
+    after: Known,
     wait: bool,
 ) -> Result<wire::ServerList, String> {
     let wait_ms = if wait { settings.list.poll_ms } else { 0.0 };
-    let after = after.map(|version| format!("&after={version}")).unwrap_or_default();
+    let after = after.map(|(epoch, version)| format!("&epoch={epoch}&after={version}")).unwrap_or_default();
     let number = settings.decisions.own_number;
     let path = format!("{}?router={number}&wait_ms={wait_ms}{after}", wire::SERVERS);
     let within_ms = wait_ms + engines.settings.connect_ms + settings.list.retry_ms;
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! A router and a fleet of stand-ins on free local ports, in this process.
+#![allow(dead_code)] // Each test file uses its part.
 
 use std::cell::RefCell;
 use std::future::Future;
@@ -31,8 +32,12 @@
 
 /// Runs a test's body on one thread with local tasks; a test that hangs fails after a minute.
 pub fn local(work: impl Future<Output = ()>) {
+    local_for(Duration::from_secs(60), work);
+}
+
+pub fn local_for(longest: Duration, work: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let bounded = async { tokio::time::timeout(Duration::from_secs(60), work).await.expect("it hangs") };
+    let bounded = async { tokio::time::timeout(longest, work).await.expect("it hangs") };
     tokio::task::LocalSet::new().block_on(&runtime, bounded);
 }
 
--- /dev/null
+++ b/crates/router/tests/matrix.rs
@@ -0,0 +1,355 @@
+//! Client's end x server's end x stage, generated: each completion gets one final answer, and nothing is held or open
+//! afterwards. `MATRIX_COMPLETIONS=20000` runs the long form.
+
+mod common;
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use common::{local_for, raw, start_router};
+use paddleproxy_engine::{Refusal, ServerEntry, ServerList, StateReference};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+
+/// How a server ends a dispatch, by the name that the client's request carries.
+const SERVER_ENDS: [&str; 15] = [
+    "well",
+    "full",
+    "error",
+    "no-byte",
+    "head-only",
+    "head-hangs",
+    "first-dies",
+    "first-hangs",
+    "torn-event",
+    "torn-heals",
+    "ends-twice",
+    "more-after-end",
+    "no-reason",
+    "silent",
+    "resets",
+];
+const CLIENT_ENDS: [&str; 7] = [
+    "reads",
+    "leaves-at-once",
+    "leaves-soon",
+    "leaves-mid-event",
+    "half-closes",
+    "leaves-at-last",
+    "reads-late",
+];
+/// Where the server's end comes: a short prompt at one server, at the read, at the write.
+const STAGES: [&str; 3] = ["whole", "read", "write"];
+const FORMS: [(&str, bool); 3] =
+    [("/v1/messages", true), ("/v1/messages", false), ("/v1/chat/completions", true)];
+
+/// States held at the stand-ins, by dispatch.
+type Held = Rc<RefCell<BTreeSet<String>>>;
+
+struct Asked {
+    path: String,
+    headers: BTreeMap<String, String>,
+    body: String,
+}
+
+async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Asked> {
+    loop {
+        let text = String::from_utf8_lossy(buffer).into_owned();
+        if let Some((head, _)) = text.split_once("\r\n\r\n") {
+            let mut lines = head.lines();
+            let path = lines.next()?.split(' ').nth(1)?.to_owned();
+            let pairs = lines.filter_map(|line| line.split_once(": "));
+            let headers: BTreeMap<_, _> =
+                pairs.map(|(name, value)| (name.to_lowercase(), value.to_owned())).collect();
+            let length: usize =
+                headers.get("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+            let from = head.len() + 4;
+            if buffer.len() >= from + length {
+                let body = String::from_utf8_lossy(&buffer[from..from + length]).into_owned();
+                buffer.drain(..from + length);
+                return Some(Asked { path, headers, body });
+            }
+        }
+        let mut more = [0; 16384];
+        match stream.read(&mut more).await {
+            Ok(0) | Err(_) => return None,
+            Ok(read) => buffer.extend_from_slice(&more[..read]),
+        }
+    }
+}
+
+fn whole(status: u16, body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 {status} X\r\ncontent-type: application/json\r\ncontent-length: {length}\r\n\r\n{body}")
+}
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\n";
+const WORD: &str = "data: {\"choices\":[{\"text\":\" w\"}]}\n\n";
+const END: &str = "data: {\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n";
+
+/// What each end writes after the head, with pauses between; then the connection closes or hangs.
+fn play(end: &str) -> (Vec<String>, bool) {
+    let half = WORD.len() / 2;
+    let parts = |parts: &[&str]| parts.iter().map(|part| (*part).to_owned()).collect::<Vec<_>>();
+    match end {
+        "no-byte" | "resets" => (vec![], false),
+        "silent" => (vec![], true),
+        "head-only" => (parts(&[HEAD]), false),
+        "head-hangs" => (parts(&[HEAD]), true),
+        "first-dies" => (parts(&[HEAD, WORD]), false),
+        "first-hangs" => (parts(&[HEAD, WORD]), true),
+        "torn-event" => (parts(&[HEAD, WORD, &WORD[..half]]), false),
+        "torn-heals" => (parts(&[HEAD, WORD, &WORD[..half], &WORD[half..], END]), false),
+        "ends-twice" => (parts(&[HEAD, WORD, END, END]), false),
+        "more-after-end" => (parts(&[HEAD, WORD, END, WORD, WORD]), false),
+        "no-reason" => (parts(&[HEAD, WORD, "data: [DONE]\n\n"]), false),
+        _ => (parts(&[HEAD, WORD, WORD, END]), false),
+    }
+}
+
+async fn server(listener: TcpListener, role: &'static str, held: Held) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let held = held.clone();
+        tokio::task::spawn_local(async move {
+            let _ = connection(stream, role, held).await;
+        });
+    }
+}
+
+async fn connection(mut stream: TcpStream, role: &str, held: Held) -> std::io::Result<()> {
+    let mut buffer = Vec::new();
+    while let Some(asked) = read_request(&mut stream, &mut buffer).await {
+        let request = asked.headers.get("x-request-id").cloned().unwrap_or_default();
+        if asked.path == "/x/release" {
+            let body: serde_json::Value = serde_json::from_str(&asked.body).unwrap();
+            held.borrow_mut().remove(body["request_id"].as_str().unwrap());
+            stream.write_all(whole(200, "{}").as_bytes()).await?;
+            continue;
+        }
+        if asked.path != "/v1/completions" {
+            stream.write_all(whole(200, "{}").as_bytes()).await?;
+            continue;
+        }
+        // The client's name is `number:stage:end`; the end comes at its stage and at the first dispatch there alone.
+        let client = asked.headers.get("x-client-request-id").cloned().unwrap_or_default();
+        let mut parts = client.split(':').skip(1);
+        let (stage, end) = (parts.next().unwrap_or(""), parts.next().unwrap_or(""));
+        let here = match role {
+            "reader" => "read",
+            _ if asked.body.contains("remote_engine_id\":\"r") => "write",
+            _ => "whole",
+        };
+        let tried = request.rsplit('.').next().and_then(|seq| seq.parse::<u32>().ok()).unwrap_or(0);
+        let first = tried <= u32::from(here == "write");
+        let end = if here == stage && first { end } else { "well" };
+        if here == "write" && !matches!(end, "full" | "error" | "no-byte" | "silent" | "resets") {
+            // The state has moved here.
+            let completion = request.rsplit_once('.').unwrap().0.to_owned();
+            held.borrow_mut().retain(|state| !state.starts_with(&format!("{completion}.")));
+        }
+        match end {
+            "full" => stream.write_all(whole(503, &Refusal::Full.body()).as_bytes()).await?,
+            "error" => stream.write_all(whole(500, "{}").as_bytes()).await?,
+            "well" if here == "read" => {
+                held.borrow_mut().insert(request.clone());
+                let state = StateReference {
+                    do_remote_prefill: true,
+                    remote_engine_id: Some("r".into()),
+                    remote_block_ids: Some(vec![1]),
+                    remote_host: Some("127.0.0.1".into()),
+                    remote_port: Some(1),
+                    ..StateReference::default()
+                };
+                let state = serde_json::to_string(&state).unwrap();
+                let answer = whole(200, &format!("{{\"choices\":[],\"kv_transfer_params\":{state}}}"));
+                if stream.write_all(answer.as_bytes()).await.is_err() {
+                    held.borrow_mut().remove(&request);
+                }
+            }
+            _ => {
+                let (parts, hangs) = play(end);
+                for part in parts {
+                    stream.write_all(part.as_bytes()).await?;
+                    sleep(Duration::from_millis(3)).await;
+                }
+                if hangs {
+                    // Until the router closes.
+                    let _ = stream.read(&mut [0; 64]).await;
+                }
+                if end == "resets" {
+                    let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                }
+                return Ok(());
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Final answers in what a client read.
+fn finals(answer: &str) -> usize {
+    let Some((head, body)) = answer.split_once("\r\n\r\n") else { return 0 };
+    if !head.starts_with("HTTP/1.1 200") {
+        return usize::from(body.contains("\"error\""));
+    }
+    if head.contains("text/event-stream") {
+        let ends =
+            ["event: message_stop\n", "event: error\n", "data: [DONE]\n", "data: {\"error\":{\"code\""];
+        return ends.iter().map(|end| body.matches(end).count()).sum();
+    }
+    usize::from(body.contains("\"stop_reason\":\"end_turn\""))
+}
+
+struct Case {
+    client: &'static str,
+    server: &'static str,
+    stage: &'static str,
+    form: (&'static str, bool),
+}
+
+/// What one client read; None where it left before an end could be told.
+async fn client(router: SocketAddr, number: usize, case: &Case) -> Option<String> {
+    let name = format!("{number}:{}:{}", case.stage, case.server);
+    let content =
+        if case.stage == "whole" { "short".to_owned() } else { format!("{number} {}", "word ".repeat(2000)) };
+    let body = serde_json::json!({
+        "model": "chat-large", "max_tokens": 5, "stream": case.form.1,
+        "messages": [{ "role": "user", "content": content }],
+    })
+    .to_string();
+    let request = format!(
+        "POST {} HTTP/1.1\r\nhost: x\r\nconnection: close\r\nx-api-key: app-key\r\nx-session-id: {number}\r\n\
+         x-client-timeout-ms: 500\r\nx-request-id: {name}\r\ncontent-length: {}\r\n\r\n{body}",
+        case.form.0,
+        body.len()
+    );
+    let mut stream = TcpStream::connect(router).await.unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    let mut buffer = [0; 700];
+    match case.client {
+        "leaves-at-once" => return None,
+        "leaves-soon" => {
+            sleep(Duration::from_millis(number as u64 % 12)).await;
+            return None;
+        }
+        "half-closes" => stream.shutdown().await.unwrap(),
+        "reads-late" => sleep(Duration::from_millis(40)).await,
+        _ => {}
+    }
+    loop {
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => break,
+            Ok(read) => answer.extend_from_slice(&buffer[..read]),
+        }
+        let text = String::from_utf8_lossy(&answer);
+        let leaves = match case.client {
+            "leaves-mid-event" => text.contains("content_block_delta") || text.contains("\"delta\""),
+            "leaves-at-last" => finals(&text) > 0,
+            _ => false,
+        };
+        if leaves {
+            let mid = case.client == "leaves-mid-event";
+            return (!mid).then(|| text.into_owned());
+        }
+    }
+    // A half-closed client counts as one who left: it may get an answer or none.
+    let text = String::from_utf8_lossy(&answer).into_owned();
+    (case.client != "half-closes" || finals(&text) > 0).then_some(text)
+}
+
+#[test]
+fn every_end_of_clients_and_servers_gives_one_final_answer() {
+    let wanted =
+        std::env::var("MATRIX_COMPLETIONS").ok().and_then(|count| count.parse().ok()).unwrap_or(0usize);
+    let mut cases = Vec::new();
+    for client in CLIENT_ENDS {
+        for server in SERVER_ENDS {
+            for stage in STAGES {
+                cases.extend(FORMS.map(|form| Case { client, server, stage, form }));
+            }
+        }
+    }
+    let count = if wanted > 0 { wanted } else { cases.len() };
+    local_for(Duration::from_secs(60 + count as u64 / 20), async move {
+        let held = Held::default();
+        let mut servers = Vec::new();
+        for (name, role) in [("r", "reader"), ("w", "writer"), ("m", "mixed"), ("n", "mixed")] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            servers.push(ServerEntry {
+                name: name.into(),
+                address: listener.local_addr().unwrap().to_string(),
+                zone: "north".into(),
+                kind: role.into(),
+                cell: 0,
+                readiness: "ready".into(),
+                weight: 1.0,
+                start: 1,
+                age_ms: None,
+            });
+            tokio::task::spawn_local(server(listener, role, held.clone()));
+        }
+        let list = serde_json::to_string(&ServerList { epoch: 1, version: 1, after: None, servers }).unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let service = listener.local_addr().unwrap();
+        let answer = whole(200, &list).replace("HTTP/1.1 200 X", "HTTP/1.1 200 X\r\nconnection: close");
+        tokio::task::spawn_local(paddleproxy_fleet::http::listen_raw(listener, answer.into_bytes()));
+        let short = [("stall \"3s\"", "stall \"150ms\""), ("memory \"200k\"", "memory \"200M\"")];
+        let (router, admin, stop, serving, _dir) = start_router(service, &short).await;
+        let get = |path: &'static str| async move {
+            raw(admin, format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n").as_bytes())
+                .await
+        };
+        while !get("/healthz").await.contains("ok") {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let cases = Rc::new(cases);
+        let (next, wrong) = (Rc::new(Cell::new(0)), Rc::new(RefCell::new(Vec::new())));
+        let tally: Rc<RefCell<BTreeMap<String, usize>>> = Rc::default();
+        let mut clients = tokio::task::JoinSet::new();
+        for _ in 0..48 {
+            let (cases, next, wrong, tally) = (cases.clone(), next.clone(), wrong.clone(), tally.clone());
+            clients.spawn_local(async move {
+                while next.get() < count {
+                    let number = next.replace(next.get() + 1);
+                    // A step that shares no factor with the cases visits all of them in an order that mixes them.
+                    let case = &cases[number * 389 % cases.len()];
+                    let answer = client(router, number, case).await;
+                    let found = answer.as_deref().map(finals);
+                    *tally.borrow_mut().entry(format!("{found:?}")).or_default() += 1;
+                    if found.is_some_and(|finals| finals != 1) {
+                        let Case { client, server, stage, form } = case;
+                        let what = format!("{client} x {server} at {stage} {form:?}: {answer:?}");
+                        wrong.borrow_mut().push(what);
+                    }
+                }
+            });
+        }
+        while let Some(done) = clients.join_next().await {
+            done.unwrap();
+        }
+        println!("{count} completions, finals seen: {:?}", tally.borrow());
+        assert!(wrong.borrow().is_empty(), "{} wrong, first: {}", wrong.borrow().len(), wrong.borrow()[0]);
+        // All that was begun ends by itself.
+        let calm =
+            ["completions_open 0\n", "places_open 0\n", "connections_open 0\n", "answers_dropped_total 0\n"];
+        for _ in 0..400 {
+            let metrics = get("/metrics").await;
+            if calm.iter().all(|line| metrics.contains(line)) && held.borrow().is_empty() {
+                break;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        let metrics = get("/metrics").await;
+        assert!(calm.iter().all(|line| metrics.contains(line)), "{metrics}");
+        assert!(held.borrow().is_empty(), "states held: {:?}", held.borrow());
+        assert!(metrics.contains("answers_overdue_total 0\n"), "{metrics}");
+        println!("{metrics}");
+        stop.send_replace(true);
+        serving.await.unwrap().unwrap();
+    });
+}
--- a/crates/routing/src/membership.rs
+++ b/crates/routing/src/membership.rs
@@ -35,6 +35,8 @@
 /// The list as it is kept for the next start.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Saved {
+    #[serde(default)]
+    pub epoch: u64,
     pub version: u64,
     /// Wall clock at which it was saved, in ms since 1970; ages count from there.
     pub saved_at_ms: f64,
@@ -51,13 +53,14 @@
 pub struct Membership {
     zones: Vec<String>,
     kinds: Vec<(String, Role)>,
+    epoch: u64,
     version: Option<u64>,
     rows: BTreeMap<WorkerId, Row>,
 }
 
 impl Membership {
     pub fn new(zones: Vec<String>, kinds: Vec<(String, Role)>) -> Self {
-        Membership { zones, kinds, version: None, rows: BTreeMap::new() }
+        Membership { zones, kinds, epoch: 0, version: None, rows: BTreeMap::new() }
     }
 
     /// The version that stands.
@@ -65,6 +68,11 @@
         self.version
     }
 
+    /// What to ask the list service on from: its epoch and version; None for the whole.
+    pub fn known(&self) -> Option<(u64, u64)> {
+        Some((self.epoch, self.version?))
+    }
+
     pub fn address(&self, worker: &WorkerId) -> Option<SocketAddr> {
         self.rows.get(worker).map(|row| row.address)
     }
@@ -77,12 +85,13 @@
         self.rows.is_empty()
     }
 
-    /// Takes in one answer of the list service, at our clock.
+    /// Takes in one answer of the list service, at our clock. A service that started anew counts its versions anew:
+    /// its whole list is taken, however low the version. Harm: a stray old service could bring back an old list.
     ///
     /// # Errors
     /// Why the version is refused; what stood before still stands.
     pub fn hear(&mut self, now_ms: f64, list: &ServerList) -> Result<Heard, Refused> {
-        if let Some(have) = self.version {
+        if let Some(have) = self.version.filter(|_| self.epoch == list.epoch) {
             if list.version < have {
                 return Err(Refused::Older { got: list.version, have });
             }
@@ -92,7 +101,9 @@
         }
         match list.after {
             None => self.take(now_ms, list, ListKind::Whole),
-            Some(after) if Some(after) == self.version => self.take(now_ms, list, ListKind::Changes),
+            Some(after) if Some(after) == self.version && self.epoch == list.epoch => {
+                self.take(now_ms, list, ListKind::Changes)
+            }
             Some(_) => Ok(Heard::AskWhole),
         }
     }
@@ -108,7 +119,7 @@
             ..entry.clone()
         };
         let servers = saved.servers.iter().map(aged).collect();
-        let list = ServerList { version: saved.version, after: None, servers };
+        let list = ServerList { epoch: saved.epoch, version: saved.version, after: None, servers };
         self.take(now_ms, &list, ListKind::Saved)
     }
 
@@ -119,7 +130,7 @@
             ..row.entry.clone()
         };
         let servers = self.rows.values().map(entry).collect();
-        Some(Saved { version: self.version?, saved_at_ms: wall_ms, servers })
+        Some(Saved { epoch: self.epoch, version: self.version?, saved_at_ms: wall_ms, servers })
     }
 
     fn take(&mut self, now_ms: f64, list: &ServerList, kind: ListKind) -> Result<Heard, Refused> {
@@ -137,7 +148,7 @@
             }
             rows.push(row);
         }
-        self.version = Some(list.version);
+        (self.epoch, self.version) = (list.epoch, Some(list.version));
         let listings = rows.iter().map(|row| row.listing.clone()).collect();
         if kind != ListKind::Changes {
             self.rows.clear();
@@ -211,7 +222,7 @@
     }
 
     fn list(version: u64, after: Option<u64>, servers: Vec<ServerEntry>) -> ServerList {
-        ServerList { version, after, servers }
+        ServerList { epoch: 1, version, after, servers }
     }
 
     fn membership() -> Membership {
@@ -237,6 +248,21 @@
         assert_eq!((m.version(), m.len()), (Some(5), 1));
     }
 
+    #[test]
+    fn a_list_service_that_started_anew_is_believed_by_its_whole_list() {
+        let mut m = membership();
+        m.hear(0.0, &list(40, None, vec![entry("a", "ready", 1, 10.0)])).unwrap();
+        let anew = |after| ServerList { epoch: 2, ..list(3, after, vec![entry("b", "ready", 1, 0.0)]) };
+        assert!(matches!(m.hear(1.0, &anew(Some(40))), Ok(Heard::AskWhole)));
+        assert!(matches!(m.hear(1.0, &anew(None)), Ok(Heard::Listed { kind: ListKind::Whole, .. })));
+        assert_eq!(m.known(), Some((2, 3)));
+        // The same after a restart of the router, whose saved list is of the old service.
+        let saved = m.save(1.0, 0.0).unwrap();
+        let mut next = membership();
+        next.recover(0.0, 0.0, &saved).unwrap();
+        assert_eq!(next.known(), Some((2, 3)));
+    }
+
     #[test]
     fn a_start_is_kept_for_the_same_process_and_anew_for_another() {
         let mut m = membership();
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -35,7 +35,14 @@
         self.ask_for(name, customer, times, 0, bytes)
     }
 
-    fn ask_for(&mut self, name: &str, customer: Option<CustomerId>, times: usize, workload: usize, bytes: usize) -> &mut Self {
+    fn ask_for(
+        &mut self,
+        name: &str,
+        customer: Option<CustomerId>,
+        times: usize,
+        workload: usize,
+        bytes: usize,
+    ) -> &mut Self {
         let mut taken = 0;
         let mut away: Vec<TurnedAway> = Vec::new();
         for _ in 0..times {
@@ -50,13 +57,22 @@
         let _ = write!(self.trace, "{:>6} {name} asks {times} times: {taken} taken", self.now_ms);
         if let (Some(first), Some(last)) = (away.first(), away.last()) {
             let (reason, count) = (first.reason.name(), away.len());
-            let _ = write!(self.trace, ", {count} {reason}, back in {:.0} to {:.0} ms", first.retry_after_ms, last.retry_after_ms);
+            let _ = write!(
+                self.trace,
+                ", {count} {reason}, back in {:.0} to {:.0} ms",
+                first.retry_after_ms, last.retry_after_ms
+            );
         }
         self.trace.push('\n');
         self
     }
 
-    fn try_one(&mut self, customer: Option<CustomerId>, workload: usize, bytes: usize) -> Result<Place, TurnedAway> {
+    fn try_one(
+        &mut self,
+        customer: Option<CustomerId>,
+        workload: usize,
+        bytes: usize,
+    ) -> Result<Place, TurnedAway> {
         let mut place = self.admission.enter(self.now_ms, customer)?;
         match self.admission.admit(self.now_ms, &mut place, WorkloadId(workload), bytes, bytes as f64) {
             Ok(()) => Ok(place),
@@ -138,7 +154,7 @@
 #[test]
 fn a_key_runs_once_at_a_time_and_is_answered_again() {
     let mut repeats = Repeats::new(10, 100);
-    let mut ask = |repeats: &mut Repeats, wish: &str| repeats.ask(0.0, &key("a"), wish.as_bytes(), 1000.0, false);
+    let ask = |repeats: &mut Repeats, wish: &str| repeats.ask(0.0, &key("a"), wish.as_bytes(), 1000.0, false);
     assert_eq!(ask(&mut repeats, "w"), Verdict::Go);
     assert_eq!(ask(&mut repeats, "w"), Verdict::Running);
     assert_eq!(ask(&mut repeats, "v"), Verdict::Differs);
@@ -154,7 +170,7 @@
 fn what_may_have_run_goes_again_only_where_that_is_harmless() {
     for (may_repeat, verdict) in [(true, Verdict::Go), (false, Verdict::Unknown)] {
         let mut repeats = Repeats::new(10, 100);
-        let mut ask = |repeats: &mut Repeats| repeats.ask(0.0, &key("a"), b"w", 1000.0, may_repeat);
+        let ask = |repeats: &mut Repeats| repeats.ask(0.0, &key("a"), b"w", 1000.0, may_repeat);
         assert_eq!(ask(&mut repeats), Verdict::Go);
         repeats.never_ran(&key("a"));
         assert_eq!(ask(&mut repeats), Verdict::Go);
