The published client libraries against the demo's routers, and a demo that stays

Two forms of the API are spoken by libraries that nobody here wrote; whether they understand the router is seen only by running them.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -49,6 +49,9 @@
     },
     /// Plays the short day that comes with the program: 3 routers, 12 stand-ins, some troubles; prints the verdict.
     Demo {
+        /// Plays nothing, but keeps the routers and stand-ins running until it is told to stop, and says where.
+        #[arg(long)]
+        keep: bool,
         #[arg(long, value_enum, default_value_t = Format::Text)]
         format: Format,
     },
@@ -99,7 +102,8 @@
     let done = match arguments.command {
         Command::Serve { config } => run::serve(&config),
         Command::Check { files, format } => run::check(&files, format == Format::Json),
-        Command::Demo { format } => run::demo(format == Format::Json),
+        Command::Demo { keep: true, .. } => run::keep(),
+        Command::Demo { format, .. } => run::demo(format == Format::Json),
         Command::Day { file, out, format } => run::day(&file, out, format == Format::Json),
         Command::Audit { dir, format } => run::audit(&dir, format == Format::Json),
         Command::Bench { quick, format } => run::bench(quick, format == Format::Json),
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -116,6 +116,26 @@
     Ok(good)
 }
 
+/// The demo's routers and stand-ins, for clients to try.
+pub fn keep() -> Result<bool> {
+    let parts = DEMO.map(|(file, text)| (file.to_owned(), text.to_owned()));
+    let day = settings::day::parse(&parts)?;
+    let dir = std::env::temp_dir().join(format!("paddleproxy-demo-{}", std::process::id()));
+    let program = std::env::current_exe().context("finding this program")?;
+    let names = &day.router.names;
+    let models: Vec<_> = names.workloads.iter().flat_map(|row| row.models.clone()).collect();
+    let keys: Vec<_> = names.customers.iter().flat_map(|row| row.keys.clone()).collect();
+    let kept = on_one_thread(async {
+        let stop = stopped()?;
+        let ready = |routers: &[std::net::SocketAddr]| {
+            say(&json!({ "routers": routers, "models": models, "keys": keys }));
+        };
+        play::keep(day.clone(), &program, &dir, ready, stop).await
+    });
+    std::fs::remove_dir_all(&dir).with_context(|| format!("removing {}", dir.display()))?;
+    kept.map(|()| true)
+}
+
 pub fn day(file: &Path, out: Option<PathBuf>, as_json: bool) -> Result<bool> {
     let day = settings::day::load(file)?;
     let dir =
--- a/crates/day/src/play.rs
+++ b/crates/day/src/play.rs
@@ -43,33 +43,9 @@
 /// # Errors
 /// What could not be started or written.
 pub async fn play(day: DaySettings, program: &Path, dir: &Path) -> Result<(Facts, Vec<Line>)> {
-    std::fs::create_dir_all(dir).with_context(|| format!("making {}", dir.display()))?;
-    for router in 0..day.routers {
-        let old = dir.join(format!("router-{router}"));
-        if old.exists() {
-            std::fs::remove_dir_all(&old).with_context(|| format!("removing {}", old.display()))?;
-        }
-    }
-    let record = Record::default();
-    let fleet = Fleet::start(day.fleet.clone(), record.clone()).await?;
     let day = Rc::new(day);
-    let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
-    let stage = Rc::new(Stage {
-        record: record.clone(),
-        fleet,
-        mood: Rc::default(),
-        program: program.to_owned(),
-        dir: dir.to_owned(),
-        addresses: Rc::new(RefCell::new(vec![nowhere; day.routers])),
-        children: RefCell::new((0..day.routers).map(|_| None).collect()),
-        failure: RefCell::default(),
-        day: day.clone(),
-    });
-    for router in 0..day.routers {
-        stage.start_router(router).await;
-    }
-    stage.check()?;
-    sleep(Duration::from_millis(300)).await;
+    let stage = Stage::start(day.clone(), program, dir).await?;
+    let record = stage.record.clone();
     // The day's clock starts once all are up.
     record.restart();
     let clients = Clients::new(day.clone(), record.clone(), stage.mood.clone(), stage.addresses.clone());
@@ -99,7 +75,58 @@
     Ok((facts, lines))
 }
 
+/// Keeps the fleet and the routers of a day running, without its clients and troubles, until `stop` turns true.
+///
+/// # Errors
+/// What could not be started.
+pub async fn keep(
+    day: DaySettings,
+    program: &Path,
+    dir: &Path,
+    ready: impl FnOnce(&[SocketAddr]),
+    mut stop: tokio::sync::watch::Receiver<bool>,
+) -> Result<()> {
+    let stage = Stage::start(Rc::new(day), program, dir).await?;
+    ready(&stage.addresses.borrow());
+    while !*stop.borrow_and_update() && stop.changed().await.is_ok() {}
+    for router in 0..stage.day.routers {
+        stage.stop_router(router).await;
+    }
+    stage.check()
+}
+
 impl Stage {
+    /// Starts the fleet here and each router as a process, and waits until they have their list.
+    async fn start(day: Rc<DaySettings>, program: &Path, dir: &Path) -> Result<Rc<Stage>> {
+        for router in 0..day.routers {
+            let old = dir.join(format!("router-{router}"));
+            if old.exists() {
+                std::fs::remove_dir_all(&old).with_context(|| format!("removing {}", old.display()))?;
+            }
+        }
+        std::fs::create_dir_all(dir).with_context(|| format!("making {}", dir.display()))?;
+        let record = Record::default();
+        let fleet = Fleet::start(day.fleet.clone(), record.clone()).await?;
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+        let stage = Rc::new(Stage {
+            record,
+            fleet,
+            mood: Rc::default(),
+            program: program.to_owned(),
+            dir: dir.to_owned(),
+            addresses: Rc::new(RefCell::new(vec![nowhere; day.routers])),
+            children: RefCell::new((0..day.routers).map(|_| None).collect()),
+            failure: RefCell::default(),
+            day,
+        });
+        for router in 0..stage.day.routers {
+            stage.start_router(router).await;
+        }
+        stage.check()?;
+        sleep(Duration::from_millis(300)).await;
+        Ok(stage)
+    }
+
     /// Keeps the first thing that went wrong with the stage itself.
     pub fn fail(&self, what: String) {
         self.failure.borrow_mut().get_or_insert(what);
@@ -125,7 +152,7 @@
         if self.children.borrow()[router].is_some() {
             return;
         }
-        match self.start(router).await {
+        match self.spawn(router).await {
             Ok((child, address)) => {
                 self.addresses.borrow_mut()[router] = address;
                 self.children.borrow_mut()[router] = Some(child);
@@ -135,7 +162,7 @@
         }
     }
 
-    async fn start(&self, router: usize) -> Result<(Child, SocketAddr)> {
+    async fn spawn(&self, router: usize) -> Result<(Child, SocketAddr)> {
         let state_dir = self.dir.join(format!("router-{router}"));
         let own = Own {
             number: router,
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -111,6 +111,7 @@
     let turn = serde_json::json!({ "role": "user", "content": content });
     let body = serde_json::json!({ "model": model, "max_tokens": 8, "stream": streamed, "messages": [turn] });
     Asking {
+        path: String::new(),
         key: "app-key".into(),
         session: id.into(),
         id: id.into(),
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -45,6 +45,8 @@
     pub retries: usize,
     pub retry_after_ms: f64,
     pub stream: bool,
+    /// Path of the form in which they speak.
+    pub path: String,
     /// Share of the requests whose client leaves early.
     pub leaves: f64,
 }
@@ -302,6 +304,7 @@
         retries: block.need::<Count>("retries").0 as usize,
         retry_after_ms: block.need::<Millis>("retry-wait").0,
         stream: block.need("stream"),
+        path: block.maybe("path").unwrap_or_else(|| "/v1/messages".into()),
         leaves: block.maybe::<Share>("leaves").map_or(0.0, |share| share.0),
     };
     block.done();
