--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -13,7 +13,7 @@
 
 use crate::load::{Load, Measured, Target};
 use crate::process::Program;
-pub use crate::report::{Added, Memory, ModuleShare, Report};
+pub use crate::report::{Added, Form, Memory, ModuleShare, Refusals, Report};
 
 /// How long and how hard to measure.
 #[derive(Clone, Debug)]
@@ -65,10 +65,15 @@
 
 impl Pair {
     async fn start(program: &Path, servers: usize, token_ms: f64) -> Result<Pair> {
+        Pair::start_with(program, servers, token_ms, 20_000).await
+    }
+
+    async fn start_with(program: &Path, servers: usize, token_ms: f64, places: usize) -> Result<Pair> {
         let dir = tempfile::tempdir()?;
         let fleet = Program::start(program, "fleet", &process::fleet(servers, token_ms), dir.path()).await?;
         let list: SocketAddr = fleet.said["list"].as_str().context("no list")?.parse()?;
-        let router = Program::start(program, "serve", &process::router(list, dir.path()), dir.path()).await?;
+        let router =
+            Program::start(program, "serve", &process::router(list, dir.path(), places), dir.path()).await?;
         let clients = router.said["listening"].as_str().context("no address")?.parse()?;
         let admin = router.said["admin"].as_str().context("no admin address")?.parse()?;
         process::ready(admin).await?;
@@ -77,7 +82,7 @@
     }
 
     fn through(&self) -> Target {
-        Target::Router(self.clients)
+        Target::Router(self.clients, load::MESSAGES)
     }
 
     async fn end(self) {
@@ -86,6 +91,33 @@
     }
 }
 
+/// How many requests a second a full router turns away while the streams that fill it run on.
+async fn refusals(program: &Path, plan: &Plan) -> Result<Refusals> {
+    const TOKEN_MS: f64 = 100.0;
+    const PLACES: usize = 64;
+    let mut best = Refusals::default();
+    for rate in plan.ramp.iter().map(|rate| 2.0 * rate) {
+        let pair = Pair::start_with(program, 10, TOKEN_MS, PLACES).await?;
+        let streams = load::open_streams(pair.clients, PLACES).await;
+        let open = streams.len();
+        let (sender, stop) = tokio::sync::watch::channel(false);
+        let silence = tokio::task::spawn_local(load::longest_silence(streams, stop));
+        let load = Load { rate, length_ms: plan.each_ms / 2.0, tokens: SHORT, targets: vec![pair.through()] };
+        let before = pair.router.cpu_us();
+        let measured = load::run(&load).await.swap_remove(0);
+        let core = (pair.router.cpu_us() - before) / (plan.each_ms / 2.0 * 1e3);
+        sender.send_replace(true);
+        let longest_ms = silence.await?;
+        pair.end().await;
+        let unharmed = longest_ms <= 2.0 * TOKEN_MS && measured.turned_away == measured.asked;
+        if !unharmed {
+            break;
+        }
+        best = Refusals { rate, streams: open, longest_silence_ms: longest_ms, token_ms: TOKEN_MS, core };
+    }
+    Ok(best)
+}
+
 /// Runs the whole plan with `program` as router and fleet.
 ///
 /// # Errors
@@ -142,7 +174,27 @@
     let ((short_us, short_events), (long_us, long_events)) = (cost(SHORT).await, cost(LONG).await);
     report.event_us = (long_us - short_us) / (long_events - short_events).max(1.0);
     report.completion_us = short_us;
+    for path in [load::MESSAGES, "/v1/chat/completions", "/desk/messages"] {
+        say(&format!("the form at {path}"));
+        let through = Target::Router(pair.clients, path);
+        let targets = vec![through, Target::Server(pair.server)];
+        let both = Load { rate: plan.rate, length_ms: plan.each_ms, tokens: SHORT, targets };
+        let measured = load::run(&both).await;
+        let added = Added::of(plan.rate / 2.0, &measured[0], &measured[1]);
+        let mut cost = Vec::new();
+        for tokens in [SHORT, LONG] {
+            let load = Load { rate: 500.0, length_ms: plan.each_ms / 2.0, tokens, targets: vec![through] };
+            let before = pair.router.cpu_us();
+            let done = load::run(&load).await.swap_remove(0);
+            let each = done.done.max(1) as f64;
+            cost.push(((pair.router.cpu_us() - before) / each, done.events as f64 / each));
+        }
+        let event_us = (cost[1].0 - cost[0].0) / (cost[1].1 - cost[0].1).max(1.0);
+        report.forms.push(Form { path: path.to_owned(), added, event_us });
+    }
     pair.end().await;
+    say("refusals while streams run");
+    report.refusals = Some(refusals(program, plan).await?);
     for streams in &plan.streams {
         say(&format!("memory with {streams} streams"));
         let pair = Pair::start(program, 10, 1000.0).await?;
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -20,8 +20,8 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Target {
-    /// A router, by the messages API.
-    Router(SocketAddr),
+    /// A router, by the form of its API at that path.
+    Router(SocketAddr, &'static str),
     /// A stand-in, by the engine's wire.
     Server(SocketAddr),
 }
@@ -29,7 +29,7 @@
 impl Target {
     fn address(self) -> SocketAddr {
         match self {
-            Target::Router(address) | Target::Server(address) => address,
+            Target::Router(address, _) | Target::Server(address) => address,
         }
     }
 }
@@ -49,6 +49,8 @@
     pub asked: usize,
     pub done: usize,
     pub failed: usize,
+    /// Of those, turned away with 429 or 529.
+    pub turned_away: usize,
     pub events: usize,
 }
 
@@ -58,6 +60,9 @@
 type Sender = SendRequest<Full<Bytes>>;
 type Idle = Rc<RefCell<BTreeMap<SocketAddr, Vec<Sender>>>>;
 
+/// Path of the messages API.
+pub const MESSAGES: &str = "/v1/messages";
+
 /// Requests open at once; what is due beyond counts as failed.
 const OPEN_MAX: usize = 4000;
 
@@ -91,7 +96,12 @@
                         let _ = row.first_us.record(first.as_micros() as u64);
                     }
                 }
-                _ => row.borrow_mut().failed += 1,
+                failed => {
+                    let turned = matches!(&failed, Ok(Err(cause)) if cause.is::<TurnedAway>());
+                    let mut row = row.borrow_mut();
+                    row.failed += 1;
+                    row.turned_away += usize::from(turned);
+                }
             }
             drop(open);
         });
@@ -104,7 +114,7 @@
 impl Measured {
     fn new() -> Self {
         let first_us = Histogram::new(3).unwrap_or_else(|_| unreachable!("3 digits are allowed"));
-        Measured { first_us, asked: 0, done: 0, failed: 0, events: 0 }
+        Measured { first_us, asked: 0, done: 0, failed: 0, turned_away: 0, events: 0 }
     }
 
     pub fn quantile_ms(&self, quantile: f64) -> f64 {
@@ -112,6 +122,51 @@
     }
 }
 
+/// Not taken, at once.
+#[derive(Debug)]
+struct TurnedAway;
+
+impl std::fmt::Display for TurnedAway {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "turned away")
+    }
+}
+
+impl std::error::Error for TurnedAway {}
+
+/// Reads streams on until told to stop; the longest silence that any of them saw, in ms.
+pub async fn longest_silence(
+    streams: Vec<(Sender, Incoming)>,
+    stop: tokio::sync::watch::Receiver<bool>,
+) -> f64 {
+    let mut tasks = tokio::task::JoinSet::new();
+    for (sender, mut body) in streams {
+        let mut stop = stop.clone();
+        tasks.spawn_local(async move {
+            let (mut longest, mut at) = (0.0f64, Instant::now());
+            loop {
+                tokio::select! {
+                    _ = stop.changed() => break,
+                    frame = body.frame() => match frame {
+                        Some(Ok(_)) => {
+                            longest = longest.max(at.elapsed().as_secs_f64() * 1e3);
+                            at = Instant::now();
+                        }
+                        _ => break,
+                    },
+                }
+            }
+            drop(sender);
+            longest
+        });
+    }
+    let mut longest = 0.0f64;
+    while let Some(one) = tasks.join_next().await {
+        longest = longest.max(one.unwrap_or(f64::INFINITY));
+    }
+    longest
+}
+
 async fn connect(address: SocketAddr) -> Result<Sender> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
@@ -123,12 +178,9 @@
 fn request(target: Target, number: usize, tokens: u32) -> Result<Request<Full<Bytes>>> {
     let text = format!("question {number} of a load that measures");
     let (path, body) = match target {
-        Target::Router(_) => {
+        Target::Router(_, path) => {
             let turn = json!({ "role": "user", "content": text });
-            (
-                "/v1/messages",
-                json!({ "model": "chat-large", "max_tokens": tokens, "stream": true, "messages": [turn] }),
-            )
+            (path, json!({ "model": "chat-large", "max_tokens": tokens, "stream": true, "messages": [turn] }))
         }
         Target::Server(_) => (
             paddleproxy_engine::COMPLETIONS,
@@ -153,6 +205,11 @@
         None => connect(address).await?,
     };
     let response = sender.send_request(request(target, number, tokens)?).await?;
+    if matches!(response.status().as_u16(), 429 | 529) {
+        response.into_body().collect().await?;
+        idle.borrow_mut().entry(address).or_default().push(sender);
+        return Err(TurnedAway.into());
+    }
     ensure!(response.status().is_success(), "status {}", response.status());
     let mut body = response.into_body();
     let (first, mut events) = first_event(&mut body, due).await?;
@@ -188,7 +245,7 @@
             number += 1;
             tasks.spawn_local(async move {
                 let mut sender = connect(address).await?;
-                let request = request(Target::Router(address), number, 120)?;
+                let request = request(Target::Router(address, MESSAGES), number, 120)?;
                 let response = sender.send_request(request).await?;
                 ensure!(response.status().is_success(), "status {}", response.status());
                 let mut body = response.into_body();
--- a/crates/bench/src/module.rs
+++ b/crates/bench/src/module.rs
@@ -11,7 +11,7 @@
 
 /// CPU of all decisions of one completion with so many servers listed, in microseconds.
 pub fn cost_us(servers: usize) -> f64 {
-    let text = crate::process::router(([127, 0, 0, 1], 1).into(), std::path::Path::new("state"));
+    let text = crate::process::router(([127, 0, 0, 1], 1).into(), std::path::Path::new("state"), 1000);
     let Ok(settings) = paddleproxy_settings::router::parse("bench", &text) else { return f64::NAN };
     let settings = Settings { probes_allowed: false, ..settings.decisions };
     let mut control = Control::new(settings, 7);
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -63,13 +63,16 @@
 const ROUTER: &str = include_str!("../../../examples/router.kdl");
 const FLEET: &str = include_str!("../../../examples/fleet.kdl");
 
-pub fn router(list: SocketAddr, dir: &Path) -> String {
+pub fn router(list: SocketAddr, dir: &Path, places: usize) -> String {
     ROUTER
         .replace("127.0.0.1:8080", "127.0.0.1:0")
         .replace("127.0.0.1:8081", "127.0.0.1:0")
         .replace("127.0.0.1:8090", &list.to_string())
         .replace("state/router-0", &dir.join("state").display().to_string())
-        .replace("open-completions 4000", "open-completions 20000")
+        .replace("open-completions 4000", &format!("open-completions {places}"))
+        .replace("open 3000", "open 20000")
+        .replace("requests-per-s 2000", "requests-per-s 200000")
+        .replace("tokens-per-s \"20M\"", "tokens-per-s \"2000M\"")
         .replace("connections 6000", "connections 20000")
 }
 
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -14,6 +14,8 @@
     /// CPU of the router for one completion of few events, and for each further event, in microseconds.
     pub completion_us: f64,
     pub event_us: f64,
+    pub forms: Vec<Form>,
+    pub refusals: Option<Refusals>,
     pub memory: Vec<Memory>,
     pub module: Vec<ModuleShare>,
 }
@@ -52,6 +54,27 @@
     }
 }
 
+/// What one form of the API costs.
+#[derive(Clone, Debug, Serialize)]
+pub struct Form {
+    pub path: String,
+    pub added: Added,
+    /// CPU of the router for each further event, in microseconds.
+    pub event_us: f64,
+}
+
+/// The highest rate tried at which a full router turned all away and no stream that filled it was held up for as long
+/// as two of its tokens take.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Refusals {
+    pub rate: f64,
+    pub streams: usize,
+    pub longest_silence_ms: f64,
+    pub token_ms: f64,
+    /// Share of one core that the router used.
+    pub core: f64,
+}
+
 #[derive(Clone, Debug, Serialize)]
 pub struct Memory {
     /// Streams that were open.
@@ -76,6 +99,8 @@
             ramp: Vec::new(),
             completion_us: 0.0,
             event_us: 0.0,
+            forms: Vec::new(),
+            refusals: None,
             memory: Vec::new(),
             module: Vec::new(),
         }
@@ -102,6 +127,20 @@
             "\nCPU: {:.0} us a completion, {:.1} us a further event",
             self.completion_us, self.event_us
         );
+        for Form { path, added, event_us } in &self.forms {
+            let (p50, p99) = (added.p50_ms, added.p99_ms);
+            let _ = writeln!(
+                text,
+                "{path}: {p50:.3} ms added at p50, {p99:.3} at p99, {event_us:.1} us an event"
+            );
+        }
+        if let Some(row) = &self.refusals {
+            let _ = writeln!(
+                text,
+                "refusals: {:.0} a second beside {} streams, whose longest silence was {:.0} ms at {:.0} ms a token; {:.2} core",
+                row.rate, row.streams, row.longest_silence_ms, row.token_ms, row.core
+            );
+        }
         for row in &self.memory {
             let (streams, empty, now) = (row.streams, row.empty_mib, row.mib);
             let _ =
