An emulator of whole deployments in virtual time, with the routers' real books and gates

The operators want to rehearse incidents at 240 routers and 100 servers, which sockets on one machine do not reach.

Ledger, gates, membership and Control are the ones of the router; five baselines beside them. The module is unchanged; the book takes any decisions now.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -70,6 +70,26 @@
         #[arg(long, value_enum, default_value_t = Format::Text)]
         format: Format,
     },
+    /// Plays a day in virtual time: the real decisions of all routers, servers, links, list and clients as a model.
+    Rehearse {
+        file: PathBuf,
+        /// Routers instead of the day's.
+        #[arg(long)]
+        routers: Option<usize>,
+        /// Copies of the day's fleet, each with cells of its own.
+        #[arg(long, default_value_t = 1)]
+        fleets: usize,
+        /// Sessions begun, times the day's.
+        #[arg(long, default_value_t = 1.0)]
+        load: f64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Who decides: `design`, or one of the baselines.
+        #[arg(long, default_value = "design")]
+        policy: String,
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
     /// Loads a router on loopback: added latency, CPU a completion, memory.
     Bench {
         /// A few seconds in all instead of a minute or two.
@@ -107,6 +127,10 @@
         Command::Day { file, out, format } => run::day(&file, out, format == Format::Json),
         Command::Audit { dir, format } => run::audit(&dir, format == Format::Json),
         Command::Bench { quick, format } => run::bench(quick, format == Format::Json),
+        Command::Rehearse { file, routers, fleets, load, seed, policy, format } => {
+            let varied = run::Varied { routers, fleets, load, seed, policy };
+            run::rehearse(&file, &varied, format == Format::Json)
+        }
         Command::Fleet { config } => run::fleet(&config),
     };
     match done {
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -177,3 +177,56 @@
     }
     Ok(true)
 }
+
+/// How a rehearsal differs from its day.
+pub struct Varied {
+    pub routers: Option<usize>,
+    pub fleets: usize,
+    pub load: f64,
+    pub seed: u64,
+    pub policy: String,
+}
+
+pub fn rehearse(file: &Path, varied: &Varied, as_json: bool) -> Result<bool> {
+    use paddleproxy_emulator::{run, Options, Policy};
+    let day = std::rc::Rc::new(settings::day::load(file)?);
+    let policy = Policy::ALL.iter().find(|(name, _)| *name == varied.policy);
+    let names: Vec<_> = Policy::ALL.iter().map(|(name, _)| *name).collect();
+    let policy = policy.with_context(|| format!("--policy is one of {}", names.join(", ")))?.1;
+    let options = Options {
+        policy,
+        seed: varied.seed,
+        routers: varied.routers,
+        load: varied.load,
+        fleets: varied.fleets,
+        ..Options::default()
+    };
+    let began = std::time::Instant::now();
+    let run = run(&day, &options);
+    let took_s = began.elapsed().as_secs_f64();
+    let facts = audit::Facts::of(&day);
+    let report = report::report(&facts, &run.lines);
+    if as_json {
+        println!("{}", serde_json::to_string(&report)?);
+    } else {
+        print!(
+            "{}",
+            report.text().replace("real routers on local sockets", "real decisions in virtual time")
+        );
+        println!(
+            "{:.0} s of virtual time in {took_s:.1} s, {} events, {} dispatches",
+            run.ended_ms / 1e3,
+            run.events,
+            run.dispatches
+        );
+        println!(
+            "servers: {} arrived = {} done + {} refused + {} dropped + {} open; Little: {:.2} in hand, {:.2} by rate and stay",
+            run.balance[0], run.balance[1], run.balance[2], run.balance[3], run.balance[4],
+            run.mean_in_hand, run.rate_times_stay
+        );
+        if run.cut_short {
+            println!("cut short: the bound on events was reached");
+        }
+    }
+    Ok(report.kept && !run.cut_short)
+}
--- /dev/null
+++ b/crates/emulator/src/heap.rs
@@ -0,0 +1,80 @@
+//! Events in the order of their time; those of one time in the order in which they were put in.
+
+use std::cmp::{Ordering, Reverse};
+use std::collections::BinaryHeap;
+
+struct Entry<T> {
+    at_ms: f64,
+    number: u64,
+    what: T,
+}
+
+impl<T> PartialEq for Entry<T> {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl<T> Eq for Entry<T> {}
+
+impl<T> PartialOrd for Entry<T> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<T> Ord for Entry<T> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.at_ms.total_cmp(&other.at_ms).then(self.number.cmp(&other.number))
+    }
+}
+
+pub struct Heap<T> {
+    entries: BinaryHeap<Reverse<Entry<T>>>,
+    next: u64,
+    now_ms: f64,
+}
+
+impl<T> Default for Heap<T> {
+    fn default() -> Self {
+        Heap { entries: BinaryHeap::new(), next: 0, now_ms: 0.0 }
+    }
+}
+
+impl<T> Heap<T> {
+    /// Puts an event in; one that lies in the past, or at no time, comes at once.
+    pub fn put(&mut self, at_ms: f64, what: T) {
+        let at_ms = if at_ms > self.now_ms { at_ms } else { self.now_ms };
+        self.entries.push(Reverse(Entry { at_ms, number: self.next, what }));
+        self.next += 1;
+    }
+
+    pub fn take(&mut self) -> Option<(f64, T)> {
+        let Reverse(entry) = self.entries.pop()?;
+        self.now_ms = entry.at_ms;
+        Some((entry.at_ms, entry.what))
+    }
+
+    /// Events put in so far.
+    pub fn count(&self) -> u64 {
+        self.next
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn ties_keep_their_order_and_the_past_comes_at_once() {
+        let mut heap = Heap::default();
+        for (at, what) in [(5.0, 'b'), (1.0, 'a'), (5.0, 'c')] {
+            heap.put(at, what);
+        }
+        assert_eq!(heap.take(), Some((1.0, 'a')));
+        heap.put(0.5, 'x');
+        heap.put(f64::NAN, 'y');
+        let rest: Vec<_> = std::iter::from_fn(|| heap.take()).collect();
+        assert_eq!(rest, [(1.0, 'x'), (1.0, 'y'), (5.0, 'b'), (5.0, 'c')]);
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/server/mod.rs
@@ -0,0 +1,422 @@
+//! One model server as a state machine: continuous batching in steps, slots, a bounded queue, memory with kept texts,
+//! states that wait, warm-up by time and by work. Told what arrives and when a step ends; says what was done.
+
+mod memory;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+use paddleproxy::interface::Role;
+use paddleproxy_engine::Refusal;
+
+pub use memory::Kept;
+
+/// What a kind of server can do.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    pub role: Role,
+    pub slots: usize,
+    pub queue: usize,
+    pub memory_tokens: f64,
+    pub read_tokens_per_ms: f64,
+    /// Time for one token of every answer in a step.
+    pub token_ms: f64,
+    pub cold_share: f64,
+    /// A cold server is warm after this time at the latest, or after this much work, in ms of the warm server's time.
+    pub cold_ms: f64,
+    pub cold_work_ms: f64,
+    pub fall_multiple: f64,
+    pub fall_ms: f64,
+}
+
+/// Part of a step that reading may take beside answers, and the longest step that reads alone, in ms.
+const READ_SHARE: f64 = 0.5;
+const READ_STEP_MS: f64 = 20.0;
+
+/// A prompt as its beginnings: the key of each and where it ends, in tokens, ascending. Two prompts with a key in common
+/// begin with the same text up to it.
+pub type Prompt = Rc<[(u64, f64)]>;
+
+/// What one dispatch asks for.
+#[derive(Clone, Debug)]
+pub struct Work {
+    pub id: u64,
+    pub prompt: Prompt,
+    pub tokens: f64,
+    /// Tokens of the answer; readers write none.
+    pub answer: u32,
+    /// Its state comes from elsewhere, once a slot is free.
+    pub fetches: bool,
+}
+
+/// What a server did, by the dispatch's id.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Did {
+    /// A slot is free: its state may come now.
+    Fetch(u64),
+    /// The prompt is read and its state waits; tokens found kept.
+    Read {
+        id: u64,
+        kept: f64,
+    },
+    /// The first token of an answer is out.
+    First {
+        id: u64,
+        kept: f64,
+    },
+    Finished {
+        id: u64,
+    },
+    /// Turned away after it had waited: memory ran out.
+    Refused {
+        id: u64,
+        refusal: Refusal,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Phase {
+    Fetching,
+    Reading { left: f64 },
+    Writing { left: u32 },
+}
+
+struct Running {
+    work: Work,
+    phase: Phase,
+    kept: f64,
+    memory: f64,
+    begun: bool,
+}
+
+/// What befalls a server at present.
+#[derive(Clone, Debug, Default)]
+pub struct Befalls {
+    pub silent: bool,
+    pub slow: f64,
+    /// Since when and by which factor a second it grows slower.
+    pub ageing: Option<(f64, f64)>,
+    pub pausing: Option<(f64, f64)>,
+    pub draining: bool,
+}
+
+pub struct Server {
+    pub kind: Kind,
+    pub befalls: Befalls,
+    started_ms: Option<f64>,
+    worked_ms: f64,
+    queue: VecDeque<Work>,
+    running: BTreeMap<u64, Running>,
+    /// States that wait, by the dispatch that read them.
+    states: BTreeMap<u64, f64>,
+    kept: Kept,
+    /// Memory held by running work and waiting states.
+    held: f64,
+    arrivals: VecDeque<(f64, f64)>,
+    step_ends_ms: Option<f64>,
+    /// Tokens that each reading dispatch gets in the step under way.
+    reads: Vec<(u64, f64)>,
+    report: Option<(f64, Load)>,
+}
+
+/// What a server says of itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    pub in_hand: f64,
+    pub queue: f64,
+    pub slots_share: f64,
+    pub memory_share: f64,
+    pub waiting_tokens: f64,
+}
+
+impl Server {
+    pub fn new(kind: Kind) -> Self {
+        let kept = Kept::new(kind.memory_tokens);
+        Server {
+            kind,
+            befalls: Befalls::default(),
+            started_ms: None,
+            worked_ms: 0.0,
+            queue: VecDeque::new(),
+            running: BTreeMap::new(),
+            states: BTreeMap::new(),
+            kept,
+            held: 0.0,
+            arrivals: VecDeque::new(),
+            step_ends_ms: None,
+            reads: Vec::new(),
+            report: None,
+        }
+    }
+
+    /// A new process: it has kept nothing and is cold. The states that were lost with the old one.
+    pub fn restart(&mut self, now_ms: f64) -> Vec<u64> {
+        let lost = self.states.keys().copied().collect();
+        let befalls = Befalls { draining: false, silent: false, ..self.befalls.clone() };
+        *self = Server::new(self.kind.clone());
+        self.befalls = befalls;
+        self.started_ms = Some(now_ms);
+        lost
+    }
+
+    /// The share of its capacity that it has by its age and by the work it has done since its start.
+    pub fn capacity(&self, now_ms: f64) -> f64 {
+        let Some(started) = self.started_ms else { return 1.0 };
+        let by_time = (now_ms - started) / self.kind.cold_ms.max(1.0);
+        let by_work = self.worked_ms / self.kind.cold_work_ms.max(1.0);
+        let warm = by_time.max(by_work).clamp(0.0, 1.0);
+        self.kind.cold_share + (1.0 - self.kind.cold_share) * warm
+    }
+
+    /// Time of the warm server that a dispatch costs.
+    pub fn work_ms(&self, work: &Work) -> f64 {
+        let read = if work.fetches { 0.0 } else { work.tokens / self.kind.read_tokens_per_ms };
+        let write = f64::from(work.answer) * self.kind.token_ms / self.kind.slots.max(1) as f64;
+        read + if self.kind.role == Role::Reader { 0.0 } else { write }
+    }
+
+    /// Notes work that arrives, whether it is taken or not; true where a cold server falls over under it.
+    pub fn presses(&mut self, now_ms: f64, work_ms: f64) -> bool {
+        if self.started_ms.is_none() {
+            return false;
+        }
+        let by_time = (now_ms - self.started_ms.unwrap_or(0.0)) / self.kind.cold_ms.max(1.0);
+        let capacity = self.kind.cold_share + (1.0 - self.kind.cold_share) * by_time;
+        self.arrivals.push_back((now_ms, work_ms));
+        while self.arrivals.front().is_some_and(|(at, _)| *at < now_ms - self.kind.fall_ms) {
+            self.arrivals.pop_front();
+        }
+        let sum: f64 = self.arrivals.iter().map(|(_, work)| work).sum();
+        capacity < 1.0 && sum > self.kind.fall_multiple * capacity * self.kind.fall_ms
+    }
+
+    fn free_memory(&self) -> f64 {
+        self.kind.memory_tokens - self.held
+    }
+
+    fn slots_used(&self) -> usize {
+        self.running.len()
+    }
+
+    /// A dispatch arrives.
+    ///
+    /// # Errors
+    /// Why it is turned away; nothing ran.
+    pub fn arrive(&mut self, now_ms: f64, work: Work, did: &mut Vec<Did>) -> Result<(), Refusal> {
+        if self.befalls.draining {
+            return Err(Refusal::Draining);
+        }
+        if self.kind.role == Role::Writer && !work.fetches {
+            return Err(Refusal::StateGone);
+        }
+        let waits = self.slots_used() >= self.kind.slots
+            || !self.queue.is_empty()
+            || work.tokens > self.free_memory();
+        if waits && self.queue.len() >= self.kind.queue {
+            return Err(Refusal::Full);
+        }
+        self.queue.push_back(work);
+        self.admit(now_ms, did);
+        Ok(())
+    }
+
+    /// Takes what waits into free slots, in order.
+    fn admit(&mut self, now_ms: f64, did: &mut Vec<Did>) {
+        while self.slots_used() < self.kind.slots {
+            let Some(next) = self.queue.front() else { break };
+            let memory = next.tokens + f64::from(next.answer);
+            if memory > self.kind.memory_tokens {
+                // Never fits: it would block all behind it.
+                did.push(Did::Refused { id: next.id, refusal: Refusal::Full });
+                self.queue.pop_front();
+                continue;
+            }
+            if memory > self.free_memory() {
+                break;
+            }
+            let Some(work) = self.queue.pop_front() else { break };
+            self.held += memory;
+            let (id, tokens) = (work.id, work.tokens);
+            let (phase, kept) = if work.fetches {
+                did.push(Did::Fetch(id));
+                (Phase::Fetching, tokens)
+            } else {
+                let kept = self.kept.find(now_ms, &work.prompt).min(tokens);
+                (Phase::Reading { left: tokens - kept }, kept)
+            };
+            self.running.insert(id, Running { work, phase, kept, memory, begun: false });
+        }
+        self.kept.shrink_to(self.kind.memory_tokens - self.held);
+        self.begin_step(now_ms);
+    }
+
+    /// The state that a dispatch waited for is here, or is nowhere.
+    pub fn fetched(&mut self, now_ms: f64, id: u64, there: bool, did: &mut Vec<Did>) {
+        let Some(running) = self.running.get_mut(&id).filter(|running| running.phase == Phase::Fetching)
+        else {
+            return;
+        };
+        if there {
+            running.phase = Phase::Writing { left: running.work.answer.max(1) };
+            self.begin_step(now_ms);
+        } else {
+            self.drop_running(id);
+            did.push(Did::Refused { id, refusal: Refusal::StateGone });
+            self.admit(now_ms, did);
+        }
+    }
+
+    fn drop_running(&mut self, id: u64) -> Option<Running> {
+        let running = self.running.remove(&id)?;
+        self.held -= running.memory;
+        Some(running)
+    }
+
+    /// Nobody waits for a dispatch any more. What waits for its state or its slot goes; what reads or writes goes on
+    /// unless `stops`.
+    pub fn cancel(&mut self, now_ms: f64, id: u64, stops: bool, did: &mut Vec<Did>) {
+        self.queue.retain(|work| work.id != id);
+        let goes = self.running.get(&id).is_some_and(|running| {
+            stops
+                || running.phase == Phase::Fetching
+                || matches!(running.phase, Phase::Writing { .. }) && running.begun
+        });
+        if goes {
+            self.drop_running(id);
+        }
+        self.admit(now_ms, did);
+    }
+
+    /// A waiting state goes; false where there is none.
+    pub fn let_go(&mut self, now_ms: f64, id: u64, did: &mut Vec<Did>) -> bool {
+        let Some(tokens) = self.states.remove(&id) else { return false };
+        self.held -= tokens;
+        self.admit(now_ms, did);
+        true
+    }
+
+    pub fn holds(&self, id: u64) -> Option<f64> {
+        self.states.get(&id).copied()
+    }
+
+    pub fn flush(&mut self) {
+        self.kept = Kept::new(self.kind.memory_tokens);
+    }
+
+    /// When the step under way ends.
+    pub fn wakes_ms(&self) -> Option<f64> {
+        self.step_ends_ms
+    }
+
+    fn begin_step(&mut self, now_ms: f64) {
+        if self.step_ends_ms.is_some() {
+            return;
+        }
+        let writing = self.running.values().any(|running| matches!(running.phase, Phase::Writing { .. }));
+        let room_ms = if writing { self.kind.token_ms * READ_SHARE } else { READ_STEP_MS };
+        let mut room = room_ms * self.kind.read_tokens_per_ms;
+        self.reads.clear();
+        let mut read = 0.0;
+        for (id, running) in &self.running {
+            if let Phase::Reading { left } = running.phase {
+                let part = left.min(room);
+                room -= part;
+                read += part;
+                self.reads.push((*id, part));
+                if room <= 0.0 {
+                    break;
+                }
+            }
+        }
+        if !writing && self.reads.is_empty() {
+            return;
+        }
+        let busy_ms = read / self.kind.read_tokens_per_ms + if writing { self.kind.token_ms } else { 0.0 };
+        self.worked_ms += if self.started_ms.is_some() { busy_ms } else { 0.0 };
+        let aged = self
+            .befalls
+            .ageing
+            .map_or(1.0, |(since, factor)| 1.0 + (factor - 1.0) * (now_ms - since).max(0.0) / 1e3);
+        let slow = self.befalls.slow.max(1.0) * aged.max(1.0);
+        let pause_ms = self.befalls.pausing.map_or(0.0, |(pause, every)| (pause - now_ms % every).max(0.0));
+        self.step_ends_ms = Some(now_ms + busy_ms * slow / self.capacity(now_ms) + pause_ms);
+    }
+
+    /// The step under way ends: each reading dispatch has read its part, each answer has one more token.
+    pub fn step(&mut self, now_ms: f64, did: &mut Vec<Did>) {
+        if self.step_ends_ms.take().is_none() {
+            return;
+        }
+        for (id, part) in std::mem::take(&mut self.reads) {
+            if let Some(Running { phase: Phase::Reading { left }, .. }) = self.running.get_mut(&id) {
+                *left -= part;
+            }
+        }
+        let mut ended = Vec::new();
+        for (id, running) in &mut self.running {
+            match &mut running.phase {
+                Phase::Reading { left } if *left <= 1e-9 => {
+                    if self.kind.role == Role::Reader {
+                        ended.push(*id);
+                    } else {
+                        running.phase = Phase::Writing { left: running.work.answer.max(1) };
+                    }
+                    self.kept.keep(now_ms, &running.work.prompt);
+                }
+                Phase::Writing { left } => {
+                    *left -= 1;
+                    if !std::mem::replace(&mut running.begun, true) {
+                        did.push(Did::First { id: *id, kept: running.kept });
+                    }
+                    if *left == 0 {
+                        did.push(Did::Finished { id: *id });
+                        self.kept.keep(now_ms, &running.work.prompt);
+                        ended.push(*id);
+                    }
+                }
+                _ => {}
+            }
+        }
+        for id in ended {
+            let Some(running) = self.drop_running(id) else { continue };
+            if self.kind.role == Role::Reader {
+                self.states.insert(id, running.work.tokens);
+                self.held += running.work.tokens;
+                did.push(Did::Read { id, kept: running.kept });
+            }
+        }
+        self.admit(now_ms, did);
+    }
+
+    /// Its load as of a while back.
+    pub fn load(&mut self, now_ms: f64, every_ms: f64) -> Load {
+        if let Some((_, load)) = self.report.filter(|(at, _)| *at > now_ms - every_ms) {
+            return load;
+        }
+        let load = self.true_load();
+        self.report = Some((now_ms, load));
+        load
+    }
+
+    /// Its load at this very moment; nobody but a bound may look at it.
+    pub fn true_load(&self) -> Load {
+        let reading = |running: &Running| match running.phase {
+            Phase::Reading { left } => left,
+            _ => 0.0,
+        };
+        let waiting: f64 = self.running.values().map(reading).sum();
+        let queued: f64 = self.queue.iter().filter(|work| !work.fetches).map(|work| work.tokens).sum();
+        Load {
+            in_hand: (self.running.len() + self.queue.len() + self.states.len()) as f64,
+            queue: self.queue.len() as f64,
+            slots_share: self.slots_used() as f64 / self.kind.slots.max(1) as f64,
+            memory_share: (self.held / self.kind.memory_tokens).clamp(0.0, 1.0),
+            waiting_tokens: waiting + queued,
+        }
+    }
+
+    /// Dispatches in hand, waiting ones and states included.
+    pub fn open(&self) -> usize {
+        self.running.len() + self.queue.len()
+    }
+}
--- a/crates/routing/src/ledger.rs
+++ b/crates/routing/src/ledger.rs
@@ -220,9 +220,26 @@
 /// Part of the limit on pinned states after which this book lets go by itself.
 const PIN_PATIENCE: f64 = 0.8;
 
+/// Who decides: the module, or a baseline to measure it against.
+pub trait Decisions {
+    fn handle(&mut self, now_ms: f64, event: &Event, actions: &mut Vec<Action>);
+}
+
+impl Decisions for Control {
+    fn handle(&mut self, now_ms: f64, event: &Event, actions: &mut Vec<Action>) {
+        Control::handle(self, now_ms, event, actions);
+    }
+}
+
+impl<D: Decisions + ?Sized> Decisions for Box<D> {
+    fn handle(&mut self, now_ms: f64, event: &Event, actions: &mut Vec<Action>) {
+        (**self).handle(now_ms, event, actions);
+    }
+}
+
 /// Lives as long as the router.
-pub struct Ledger {
-    control: Control,
+pub struct Ledger<D = Control> {
+    control: D,
     settings: Settings,
     answer_slack_ms: f64,
     roles: BTreeMap<WorkerId, Role>,
@@ -234,8 +251,15 @@
 
 impl Ledger {
     pub fn new(settings: Settings, answer_slack_ms: f64, seed: u64) -> Self {
+        Ledger::with(Control::new(settings.clone(), seed), settings, answer_slack_ms)
+    }
+}
+
+impl<D: Decisions> Ledger<D> {
+    /// A book whose decisions are another's than the module's.
+    pub fn with(decisions: D, settings: Settings, answer_slack_ms: f64) -> Self {
         Ledger {
-            control: Control::new(settings.clone(), seed),
+            control: decisions,
             settings,
             answer_slack_ms,
             roles: BTreeMap::new(),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use admission::{Admission, Bounds, CustomerLimits, Place, Reason, TurnedAway};
 pub use facts::{Facts, Requests};
-pub use ledger::{Counts, Due, Effect, Input, Ledger, Sending, Stage};
+pub use ledger::{Counts, Decisions, Due, Effect, Input, Ledger, Sending, Stage};
 pub use membership::{Heard, Membership, Refused, Saved};
 pub use outcomes::{outcome, SocketEnd};
 pub use pace::Pace;
