--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -87,6 +87,9 @@
         /// Who decides: `design`, or one of the baselines.
         #[arg(long, default_value = "design")]
         policy: String,
+        /// Writes a page with plots over time.
+        #[arg(long)]
+        html: Option<PathBuf>,
         #[arg(long, value_enum, default_value_t = Format::Text)]
         format: Format,
     },
@@ -127,9 +130,9 @@
         Command::Day { file, out, format } => run::day(&file, out, format == Format::Json),
         Command::Audit { dir, format } => run::audit(&dir, format == Format::Json),
         Command::Bench { quick, format } => run::bench(quick, format == Format::Json),
-        Command::Rehearse { file, routers, fleets, load, seed, policy, format } => {
+        Command::Rehearse { file, routers, fleets, load, seed, policy, html, format } => {
             let varied = run::Varied { routers, fleets, load, seed, policy };
-            run::rehearse(&file, &varied, format == Format::Json)
+            run::rehearse(&file, &varied, html.as_deref(), format == Format::Json)
         }
         Command::Fleet { config } => run::fleet(&config),
     };
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -187,7 +187,7 @@
     pub policy: String,
 }
 
-pub fn rehearse(file: &Path, varied: &Varied, as_json: bool) -> Result<bool> {
+pub fn rehearse(file: &Path, varied: &Varied, html: Option<&Path>, as_json: bool) -> Result<bool> {
     use paddleproxy_emulator::{run, Options, Policy};
     let day = std::rc::Rc::new(settings::day::load(file)?);
     let policy = Policy::ALL.iter().find(|(name, _)| *name == varied.policy);
@@ -206,27 +206,44 @@
     let took_s = began.elapsed().as_secs_f64();
     let facts = audit::Facts::of(&day);
     let report = report::report(&facts, &run.lines);
+    let rehearsal = paddleproxy_rehearsal::rehearsal(&facts, &run.lines);
+    let routers = varied.routers.unwrap_or(day.routers);
+    let servers = day.fleet.servers.len() * varied.fleets.max(1);
+    let how = format!(
+        "Simulated: {routers} routers with {} decisions, {servers} servers, {:.0} s of virtual time, seed {}.",
+        varied.policy,
+        run.ended_ms / 1e3,
+        varied.seed
+    );
+    if let Some(path) = html {
+        let page = paddleproxy_rehearsal::page(&report, &rehearsal, &how)?;
+        std::fs::write(path, page).with_context(|| format!("writing {}", path.display()))?;
+    }
     if as_json {
-        println!("{}", serde_json::to_string(&report)?);
-    } else {
-        print!(
-            "{}",
-            report.text().replace("real routers on local sockets", "real decisions in virtual time")
-        );
-        println!(
-            "{:.0} s of virtual time in {took_s:.1} s, {} events, {} dispatches",
-            run.ended_ms / 1e3,
-            run.events,
-            run.dispatches
-        );
+        println!("{}", json!({ "report": report, "rehearsal": rehearsal, "events": run.events }));
+        return Ok(report.kept && !run.cut_short);
+    }
+    print!("{}", report.text().replace("real routers on local sockets", "real decisions in virtual time"));
+    let share = |value: Option<f64>| value.map_or("-".into(), |value| format!("{value:.3}"));
+    for phase in &rehearsal.troubles {
+        let back =
+            phase.recovered_after_ms.map_or("not within the day".into(), |ms| format!("{:.1} s", ms / 1e3));
+        let (name, from, to) = (&phase.span.name, phase.span.from_ms / 1e3, phase.span.to_ms / 1e3);
+        let rows = phase.workloads.iter();
+        let rows: Vec<_> =
+            rows.map(|(name, around)| format!("{name} {}", around.map(share).join("/"))).collect();
         println!(
-            "servers: {} arrived = {} done + {} refused + {} dropped + {} open; Little: {:.2} in hand, {:.2} by rate and stay",
-            run.balance[0], run.balance[1], run.balance[2], run.balance[3], run.balance[4],
-            run.mean_in_hand, run.rate_times_stay
+            "{name} {from:.1} to {to:.1} s, before/during/after: {}; recovered after {back}",
+            rows.join(", ")
         );
-        if run.cut_short {
-            println!("cut short: the bound on events was reached");
-        }
+    }
+    println!("{how}");
+    println!("took {took_s:.1} s, {} events, {} dispatches", run.events, run.dispatches);
+    let [came, done, refused, dropped, open] = run.balance;
+    println!("at servers: {came} came = {done} done + {refused} refused + {dropped} dropped + {open} open");
+    println!("law of Little: {:.2} in hand, {:.2} by rate and stay", run.mean_in_hand, run.rate_times_stay);
+    if run.cut_short {
+        println!("cut short: the bound on events was reached");
     }
     Ok(report.kept && !run.cut_short)
 }
--- /dev/null
+++ b/crates/rehearsal/src/lib.rs
@@ -0,0 +1,8 @@
+//! What the record of a day, played on sockets or in virtual time, says over time: service before, during and after
+//! each trouble, how long it takes to recover, and a page with plots.
+
+mod page;
+mod phases;
+
+pub use page::page;
+pub use phases::{rehearsal, Phase, Point, Rehearsal, Span};
