--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -90,9 +90,19 @@
         /// Writes a page with plots over time.
         #[arg(long)]
         html: Option<PathBuf>,
+        /// Writes the record, for `audit`.
+        #[arg(long)]
+        out: Option<PathBuf>,
         #[arg(long, value_enum, default_value_t = Format::Text)]
         format: Format,
     },
+    /// Plays a grid of variations of a day in virtual time over all cores; goes on where it was cut off.
+    Experiment {
+        file: PathBuf,
+        /// A line for each run; what stands there is not played again.
+        #[arg(long)]
+        csv: PathBuf,
+    },
     /// Loads a router on loopback: added latency, CPU a completion, memory.
     Bench {
         /// A few seconds in all instead of a minute or two.
@@ -130,10 +140,11 @@
         Command::Day { file, out, format } => run::day(&file, out, format == Format::Json),
         Command::Audit { dir, format } => run::audit(&dir, format == Format::Json),
         Command::Bench { quick, format } => run::bench(quick, format == Format::Json),
-        Command::Rehearse { file, routers, fleets, load, seed, policy, html, format } => {
+        Command::Rehearse { file, routers, fleets, load, seed, policy, html, out, format } => {
             let varied = run::Varied { routers, fleets, load, seed, policy };
-            run::rehearse(&file, &varied, html.as_deref(), format == Format::Json)
+            run::rehearse(&file, &varied, html.as_deref(), out.as_deref(), format == Format::Json)
         }
+        Command::Experiment { file, csv } => run::experiment(&file, &csv),
         Command::Fleet { config } => run::fleet(&config),
     };
     match done {
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -187,7 +187,13 @@
     pub policy: String,
 }
 
-pub fn rehearse(file: &Path, varied: &Varied, html: Option<&Path>, as_json: bool) -> Result<bool> {
+pub fn rehearse(
+    file: &Path,
+    varied: &Varied,
+    html: Option<&Path>,
+    out: Option<&Path>,
+    as_json: bool,
+) -> Result<bool> {
     use paddleproxy_emulator::{run, Options, Policy};
     let day = std::rc::Rc::new(settings::day::load(file)?);
     let policy = Policy::ALL.iter().find(|(name, _)| *name == varied.policy);
@@ -215,6 +221,10 @@
         run.ended_ms / 1e3,
         varied.seed
     );
+    if let Some(dir) = out {
+        std::fs::create_dir_all(dir).with_context(|| format!("making {}", dir.display()))?;
+        play::write(dir, &facts, &run.lines)?;
+    }
     if let Some(path) = html {
         let page = paddleproxy_rehearsal::page(&report, &rehearsal, &how)?;
         std::fs::write(path, page).with_context(|| format!("writing {}", path.display()))?;
@@ -247,3 +257,16 @@
     }
     Ok(report.kept && !run.cut_short)
 }
+
+pub fn experiment(file: &Path, csv: &Path) -> Result<bool> {
+    use paddleproxy_rehearsal::experiment::{experiment, summary};
+    let settings = settings::experiment::load(file)?;
+    let bar = indicatif::ProgressBar::new(1);
+    let rows = experiment(&settings, csv, |done, all| {
+        bar.set_length(all as u64);
+        bar.set_position(done as u64);
+    })?;
+    bar.finish_and_clear();
+    print!("{}", summary(&settings, &rows));
+    Ok(rows.iter().all(|row| row.figures[6] == 0.0))
+}
--- a/crates/day/src/play.rs
+++ b/crates/day/src/play.rs
@@ -233,7 +233,11 @@
     }
 }
 
-fn write(dir: &Path, facts: &Facts, lines: &[Line]) -> Result<()> {
+/// Writes the record of a day into a folder that is there.
+///
+/// # Errors
+/// A file that can't be written.
+pub fn write(dir: &Path, facts: &Facts, lines: &[Line]) -> Result<()> {
     std::fs::write(dir.join(FACTS), serde_json::to_vec_pretty(facts)?)?;
     let mut out = std::io::BufWriter::new(std::fs::File::create(dir.join(RECORD))?);
     for line in lines {
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -8,6 +8,7 @@
 mod links;
 pub mod policies;
 pub mod record;
+pub mod repeats;
 pub mod server;
 mod troubles;
 mod world;
--- a/crates/fleet/src/http.rs
+++ b/crates/fleet/src/http.rs
@@ -218,6 +218,7 @@
     asked: CompletionRequest,
     names: Names,
 ) -> Result<Response<Reply>, ()> {
+    let arrived_ms = server.now_ms();
     let tokens = (asked.prompt.len().div_ceil(TOKEN_BYTES)) as f64;
     let reads = server.kind.role == Role::Reader;
     let reference = asked.kv_transfer_params.clone().filter(|state| state.do_remote_prefill);
@@ -277,7 +278,7 @@
             Ok(json(&server, 200, serde_json::to_string(&done).unwrap_or_default()))
         }
         Done::Answer { slot, kept } => {
-            server.effect(&names.request, &names.key, &asked.model);
+            server.effect(&names.request, &names.key, &asked.model, arrived_ms);
             let lost = server.shared.by_chance(trouble.answer_lost);
             let (sender, pieces) = mpsc::channel(8);
             let usage = usage(tokens, kept, answer_tokens);
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -8,7 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use paddleproxy::interface::{Group, Role};
+use paddleproxy::interface::Role;
+use paddleproxy_emulator::repeats::{self, Seen};
 use paddleproxy_engine::{Load, ServerEntry, IN_HAND, QUEUE, WAITING_TOKENS};
 use paddleproxy_settings::fleet::{FleetSettings, KindOfServer, ServerRow};
 use tokio::sync::oneshot;
@@ -24,8 +25,8 @@
     pub list: Rc<ListService>,
     /// How much slower a cell's links are.
     pub links: RefCell<BTreeMap<u32, f64>>,
-    /// When a key was first seen by a group of servers that drops repeats.
-    seen: RefCell<BTreeMap<(String, String), f64>>,
+    /// What the servers that drop repeats remember.
+    seen: RefCell<Seen>,
     pub chance: RefCell<fastrand::Rng>,
 }
 
@@ -372,22 +373,11 @@
     }
 
     /// Work takes its effect, once for each key in the group of servers that drops repeats.
-    pub fn effect(&self, request: &str, key: &str, model: &str) {
+    pub fn effect(&self, request: &str, key: &str, model: &str, arrived_ms: f64) {
         let rule = self.shared.settings.repeats.iter().find(|rule| rule.model == model);
         let repeat = rule.filter(|_| !key.is_empty()).is_some_and(|rule| {
-            let group = match rule.group {
-                Group::All => "all".to_owned(),
-                Group::Zone => format!("zone {}", self.row.zone),
-                Group::Cell => format!("cell {}", self.row.cell),
-            };
-            let now_ms = self.now_ms();
-            let mut seen = self.shared.seen.borrow_mut();
-            let first = seen.entry((group, key.to_owned())).or_insert(now_ms);
-            let known = *first < now_ms && now_ms - *first < rule.window_ms;
-            if !known {
-                *first = now_ms;
-            }
-            known
+            let group = repeats::group(rule.group, &self.row.zone, self.row.cell);
+            self.shared.seen.borrow_mut().repeats(group, key, arrived_ms, self.now_ms(), rule.window_ms)
         });
         let (server, request, key) = (self.name(), request.to_owned(), key.to_owned());
         self.record(What::Effect { server, request, key, repeat });
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,6 +1,7 @@
 //! What the record of a day, played on sockets or in virtual time, says over time: service before, during and after
 //! each trouble, how long it takes to recover, and a page with plots.
 
+pub mod experiment;
 mod page;
 mod phases;
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,6 +2,7 @@
 //! reported with file, line and column, and a document with one is not used.
 
 pub mod day;
+pub mod experiment;
 pub mod fleet;
 pub mod reader;
 pub mod router;
@@ -25,12 +26,16 @@
     Router,
     Fleet,
     Day,
+    Experiment,
 }
 
 impl Kind {
     pub fn of(text: &str) -> Kind {
         let names = kdl::KdlDocument::parse(text).ok();
         let has = |name| names.as_ref().is_some_and(|document| document.get(name).is_some());
+        if has("experiment") {
+            return Kind::Experiment;
+        }
         match (has("day"), has("fleet")) {
             (true, _) => Kind::Day,
             (false, true) => Kind::Fleet,
@@ -58,6 +63,7 @@
         Kind::Router => router::parse(&file, &text).map(drop)?,
         Kind::Fleet => fleet::parse(&file, &text).map(drop)?,
         Kind::Day => day::load(path).map(drop)?,
+        Kind::Experiment => experiment::load(path).map(drop)?,
     }
     Ok(kind)
 }
