Bytes that are no HTTP get the API's error form too

hyper answers what it can't parse by itself, with an empty 400; the operators ask for a clear error in the form of the messages API for every bad input.

The connection's writer replaces a head that hyper wrote by itself (the front's own carry a request id) with an error of that form.

--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -29,6 +29,7 @@
 use crate::clock::{duration, Clock};
 use crate::core::{wall_ms, ToCore, Told};
 use crate::dispatch::Ask;
+use crate::polite::Polite;
 
 /// What all connections of clients share.
 pub struct Front {
@@ -221,7 +222,7 @@
         // A client who takes nothing for too long is cut, whatever is being written to it.
         let mut stream = TimeoutStream::new(stream);
         stream.set_write_timeout(Some(duration(self.settings.slow_client_ms)));
-        let stream = TokioIo::new(Box::pin(stream));
+        let stream = TokioIo::new(Polite::new(Box::pin(stream)));
         let mut connection = std::pin::pin!(builder.serve_connection(stream, service));
         let ended = tokio::select! {
             ended = connection.as_mut() => ended,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,6 +9,7 @@
 mod engines;
 mod front;
 mod list;
+mod polite;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
--- a/crates/router/tests/paths.rs
+++ b/crates/router/tests/paths.rs
@@ -85,8 +85,12 @@
             assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{name}: {answer}");
             assert!(answer.contains(said) && answer.contains("\"type\":\"error\""), "{name}: {answer}");
         }
-        let malformed = raw(bench.clients, b"BREW /v1/messages\r\n\r\n").await;
-        assert!(malformed.starts_with("HTTP/1.1 400 "), "{malformed}");
+        let many = format!("GET / HTTP/1.1\r\n{}\r\n", "a: b\r\n".repeat(500));
+        for bytes in ["BREW /v1/messages\r\n\r\n", "\u{1}\u{2}\r\n\r\n", &many] {
+            let malformed = raw(bench.clients, bytes.as_bytes()).await;
+            assert!(malformed.starts_with("HTTP/1.1 400 "), "{malformed}");
+            assert!(malformed.contains("\"type\":\"invalid_request_error\""), "{malformed}");
+        }
         assert!(raw(bench.clients, &post(good.as_bytes(), "")).await.contains("end_turn"));
         assert_eq!(bench.metric("completions_arrived_total").await, 1);
     });
