One place for the bounds of the gate and for the names of events; lints of the emulator

The router and the emulator each turned the settings into the gate's bounds, and settings and messages each listed the events. A clean clone's checks failed on a lint in the emulator.

Bounds::of reads a router's settings, used by both; settings take the events' names from messages.

--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -7,8 +7,8 @@
 use paddleproxy::interface::{CompletionId, ListKind, LoadReport, Role, Seq, WorkerId};
 use paddleproxy_engine::{Refusal, ServerEntry, ServerList, StateReference};
 use paddleproxy_routing::{
-    Admission, Bounds, Counts, CustomerLimits, Decisions, Effect, Heard, Input, Ledger, Membership, Place,
-    Saved, Sending, SocketEnd, Stage,
+    Admission, Bounds, Counts, Decisions, Effect, Heard, Input, Ledger, Membership, Place, Saved, Sending,
+    SocketEnd, Stage,
 };
 use paddleproxy_settings::day::{DaySettings, Dead};
 
@@ -487,7 +487,7 @@
             Err(turned) => {
                 self.run.turned_away += 1;
                 let what = Sees::RateLimited { retry_after_ms: turned.retry_after_ms };
-                return self.to_client(op, attempt, what);
+                return self.send_client(op, attempt, what);
             }
         };
         let completion = CompletionId(node.next);
@@ -510,7 +510,7 @@
         }
     }
 
-    fn to_client(&mut self, op: usize, attempt: u32, what: Sees) {
+    fn send_client(&mut self, op: usize, attempt: u32, what: Sees) {
         self.heap.put(self.now_ms + self.options.net_ms, Ev::Sees { op, attempt, what });
     }
 
@@ -529,7 +529,7 @@
     fn answer(&mut self, router: usize, completion: CompletionId, what: Sees) {
         let Some(asked) = self.routers[router].asked.get(&completion) else { return };
         let (op, attempt) = (asked.op, asked.attempt);
-        self.to_client(op, attempt, what);
+        self.send_client(op, attempt, what);
     }
 
     fn carry_out(&mut self, router: usize, boot: u64, effect: Effect) {
@@ -1209,22 +1209,5 @@
 }
 
 fn admission(day: &DaySettings) -> Admission {
-    let rows = day.router.decisions.customers.iter().zip(&day.router.names.customers);
-    let customer = |(rules, names): (&paddleproxy::interface::CustomerSettings, _)| {
-        let names: &paddleproxy_settings::router::CustomerNames = names;
-        let limits = names.limits;
-        let limits = CustomerLimits {
-            open: limits.open,
-            requests_per_s: limits.requests_per_s,
-            tokens_per_s: limits.tokens_per_s,
-            burst_ms: limits.burst_ms,
-        };
-        (rules.quota_per_s, limits)
-    };
-    Admission::new(Bounds {
-        places: day.router.front.open_completions,
-        prompt_bytes: day.router.front.prompt_bytes,
-        customers: rows.map(customer).collect(),
-        values: day.router.decisions.workloads.iter().map(|workload| workload.value).collect(),
-    })
+    Admission::new(Bounds::of(&day.router))
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -17,7 +17,7 @@
 
 use anyhow::{Context, Result};
 use paddleproxy_messages::{Dialect, EventNames, EVENTS};
-use paddleproxy_routing::{Admission, Bounds, CustomerLimits, Repeats, Requests};
+use paddleproxy_routing::{Admission, Bounds, Repeats, Requests};
 use paddleproxy_settings::router::RouterSettings;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -74,7 +74,7 @@
     let mut state =
         Core::new(settings.clone(), clock, boot, seed, engines.clone(), core.clone(), list, saves);
     let after = state.recover(list::saved(&dir));
-    let admission = Rc::new(RefCell::new(Admission::new(bounds(&settings))));
+    let admission = Rc::new(RefCell::new(Admission::new(Bounds::of(&settings))));
     let (workloads, keys_ms) = (settings.decisions.workloads.clone(), settings.front.keys_ms);
     let front = Rc::new(Front {
         settings: settings.front.clone(),
@@ -127,27 +127,6 @@
     Ok(())
 }
 
-fn bounds(settings: &RouterSettings) -> Bounds {
-    let names = settings.names.customers.iter();
-    let customer = |(rules, names): (&paddleproxy::interface::CustomerSettings, _)| {
-        let names: &paddleproxy_settings::router::CustomerNames = names;
-        let limits = names.limits;
-        let limits = CustomerLimits {
-            open: limits.open,
-            requests_per_s: limits.requests_per_s,
-            tokens_per_s: limits.tokens_per_s,
-            burst_ms: limits.burst_ms,
-        };
-        (rules.quota_per_s, limits)
-    };
-    Bounds {
-        places: settings.front.open_completions,
-        prompt_bytes: settings.front.prompt_bytes,
-        customers: settings.decisions.customers.iter().zip(names).map(customer).collect(),
-        values: settings.decisions.workloads.iter().map(|workload| workload.value).collect(),
-    }
-}
-
 /// The published forms, and those of the settings, by path.
 fn dialects(settings: &RouterSettings) -> Vec<(String, Dialect)> {
     let own = settings.dialects.iter().map(|row| {
--- a/crates/routing/src/admission/mod.rs
+++ b/crates/routing/src/admission/mod.rs
@@ -5,6 +5,8 @@
 mod bucket;
 
 use paddleproxy::interface::{CustomerId, WorkloadId};
+pub use paddleproxy_settings::router::CustomerLimits;
+use paddleproxy_settings::router::RouterSettings;
 
 pub use bucket::Bucket;
 
@@ -20,16 +22,6 @@
 const AWAY_MS: (f64, f64) = (100.0, 5000.0);
 const SPREAD: u64 = 8;
 
-/// What bounds one customer by itself; absent: nothing but its share when places run short.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct CustomerLimits {
-    pub open: Option<usize>,
-    pub requests_per_s: Option<f64>,
-    pub tokens_per_s: Option<f64>,
-    /// How much of either may come at once, as time of the rate, in ms.
-    pub burst_ms: f64,
-}
-
 /// What bounds the router.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Bounds {
@@ -43,6 +35,19 @@
     pub values: Vec<f64>,
 }
 
+impl Bounds {
+    /// Those that a router's settings give.
+    pub fn of(settings: &RouterSettings) -> Self {
+        let rules = settings.decisions.customers.iter().map(|customer| customer.quota_per_s);
+        Bounds {
+            places: settings.front.open_completions,
+            prompt_bytes: settings.front.prompt_bytes,
+            customers: rules.zip(settings.names.customers.iter().map(|names| names.limits)).collect(),
+            values: settings.decisions.workloads.iter().map(|workload| workload.value).collect(),
+        }
+    }
+}
+
 /// Why a request is not taken. All of them prove that nothing ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Reason {
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use paddleproxy::interface as house;
+use paddleproxy_messages::EVENTS;
 
 use crate::reader::{Block, Count, Local, Millis, Problems, Share, Source};
 
@@ -315,17 +316,6 @@
 
 /// Events that every answer needs.
 const NEEDED: [&str; 3] = ["content_block_delta", "message_stop", "error"];
-const EVENTS: [&str; 8] = [
-    "message_start",
-    "content_block_start",
-    "content_block_delta",
-    "content_block_stop",
-    "message_delta",
-    "message_stop",
-    "ping",
-    "error",
-];
-
 fn dialects(top: &Block) -> Vec<DialectSettings> {
     let mut rows: Vec<DialectSettings> = Vec::new();
     for block in top.blocks("dialect") {
