An experiment that was cut off goes on without the line that was cut

An experiment's CSV is appended to; a line cut off at its end stayed there, and the next row was glued to it.

The file is written anew from the rows that were understood before it goes on. A test plays a grid on all cores against the same on one, cuts the file within its last line and goes on.

Measured: rows are equal on one thread and on all; one run of eight is played again.

--- a/crates/rehearsal/src/experiment.rs
+++ b/crates/rehearsal/src/experiment.rs
@@ -138,9 +138,11 @@
         .collect();
     let known: std::collections::BTreeSet<_> = rows.iter().map(|row| (row.point.clone(), row.seed)).collect();
     let open: Vec<_> = all.iter().filter(|(point, seed)| !known.contains(&(title(point), *seed))).collect();
-    let mut out = std::fs::File::options().create(true).append(true).open(csv)?;
-    if rows.is_empty() {
-        writeln!(out, "point,seed,{}", FIGURES.join(","))?;
+    // Written anew from what was understood: a line that was cut off must not stay.
+    let mut out = std::fs::File::create(csv)?;
+    writeln!(out, "point,seed,{}", FIGURES.join(","))?;
+    for row in &rows {
+        writeln!(out, "{}", line(row))?;
     }
     let next = AtomicUsize::new(0);
     let threads = std::thread::available_parallelism().map_or(1, usize::from).min(open.len().max(1));
@@ -164,8 +166,7 @@
         let mut count = all.len() - open.len();
         for row in receiver {
             let row = row?;
-            let figures: Vec<_> = row.figures.iter().map(f64::to_string).collect();
-            writeln!(out, "{},{},{}", row.point, row.seed, figures.join(","))?;
+            writeln!(out, "{}", line(&row))?;
             out.flush()?;
             rows.push(row);
             count += 1;
@@ -180,6 +181,11 @@
     Ok(rows)
 }
 
+fn line(row: &Row) -> String {
+    let figures: Vec<_> = row.figures.iter().map(f64::to_string).collect();
+    format!("{},{},{}", row.point, row.seed, figures.join(","))
+}
+
 fn read(csv: &Path) -> Result<Vec<Row>> {
     let text = match std::fs::read_to_string(csv) {
         Ok(text) => text,
@@ -262,6 +268,42 @@
 mod tests {
     use super::*;
 
+    fn settings() -> ExperimentSettings {
+        let text = r#"experiment "small" {
+            question "?"
+            day "../../days/crash.kdl"
+            seeds 2
+            policies "design" "least-own"
+            load 0.3 0.6
+        }"#;
+        let read = paddleproxy_settings::experiment::parse("small.kdl", text).unwrap();
+        let day = Path::new(env!("CARGO_MANIFEST_DIR")).join(&read.day);
+        ExperimentSettings { day, ..read }
+    }
+
+    #[test]
+    fn all_cores_find_what_one_does_and_a_run_goes_on_where_it_was_cut() {
+        let settings = settings();
+        let mut alone = Vec::new();
+        for point in points(&settings) {
+            for seed in 1..=settings.seeds {
+                let figures = play(&settings.day, &point, seed).unwrap();
+                alone.push(Row { point: title(&point), seed, figures });
+            }
+        }
+        alone.sort_by(|a, b| (&a.point, a.seed).cmp(&(&b.point, b.seed)));
+        let dir = tempfile::tempdir().unwrap();
+        let csv = dir.path().join("runs.csv");
+        assert_eq!(experiment(&settings, &csv, |_, _| {}).unwrap(), alone);
+        // Cut off within the last line.
+        let text = std::fs::read_to_string(&csv).unwrap();
+        std::fs::write(&csv, &text[..text.len() - 30]).unwrap();
+        let played = std::cell::Cell::new(0);
+        let again =
+            experiment(&settings, &csv, |done, _| played.set(played.get() + usize::from(done > 7))).unwrap();
+        assert_eq!((again, played.get()), (alone, 1));
+    }
+
     #[test]
     fn the_interval_is_students() {
         let (mean, half) = interval(&[1.0, 2.0, 3.0, 4.0, 5.0]);
