Read again: a prompt is built once, and what nothing used is gone

A second reading of the change found a keyed request's prompt built twice on the hot path, and parameters, a field and a method that nothing read: clocks in the memory of keys and of kept texts, the key among a request's facts, a kind of reason, a rate in the bench's report.

The prompt is built once and serves the key's identity too; the rest is removed. Behaviour is as before.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -123,7 +123,7 @@
 /// # Errors
 /// What could not be started or asked.
 pub async fn run(program: &Path, plan: &Plan, say: impl Fn(&str)) -> Result<Report> {
-    let mut report = Report::new(plan.rate);
+    let mut report = Report::new();
     say("added latency");
     let pair = Pair::start(program, 10, 0.0).await?;
     let warm = Load {
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -92,7 +92,7 @@
 }
 
 impl Report {
-    pub(crate) fn new(_rate: f64) -> Report {
+    pub(crate) fn new() -> Report {
         Report {
             schema: "paddleproxy.bench.v1",
             added: None,
--- a/crates/emulator/src/policies.rs
+++ b/crates/emulator/src/policies.rs
@@ -157,7 +157,7 @@
 }
 
 impl Decisions for Baseline {
-    fn handle(&mut self, _now_ms: f64, event: &Event, actions: &mut Vec<Action>) {
+    fn handle(&mut self, now_ms: f64, event: &Event, actions: &mut Vec<Action>) {
         match event {
             Event::Listed { kind, rows } if *kind != ListKind::Failed => {
                 if *kind != ListKind::Changes {
@@ -176,7 +176,7 @@
             Event::Arrived(facts) => {
                 let id = facts.completion;
                 let wake_ms = self.settings.resolution_ms * 2.0;
-                let in_ms = (facts.client_timeout_ms - _now_ms - wake_ms).max(0.0);
+                let in_ms = (facts.client_timeout_ms - now_ms - wake_ms).max(0.0);
                 let (facts, out, avoid) = (facts.clone(), Vec::new(), Vec::new());
                 self.open.insert(id, Open { facts, state_at: None, out, avoid, may_have_run: false });
                 actions.push(Action::Arm { in_ms, timer: Timer::Completion(id) });
--- a/crates/emulator/src/server/memory.rs
+++ b/crates/emulator/src/server/memory.rs
@@ -27,7 +27,7 @@
     }
 
     /// Tokens of a prompt that are kept: the longest beginning of which no part is missing.
-    pub fn find(&mut self, _now_ms: f64, prompt: &[(u64, f64)]) -> f64 {
+    pub fn find(&mut self, prompt: &[(u64, f64)]) -> f64 {
         let there = prompt.iter().take_while(|(key, _)| self.texts.contains_key(key)).count();
         let mut from = 0.0;
         for (key, end) in &prompt[..there] {
@@ -38,7 +38,7 @@
     }
 
     /// Keeps all of a prompt; what it pushes out is used least recently.
-    pub fn keep(&mut self, _now_ms: f64, prompt: &[(u64, f64)]) {
+    pub fn keep(&mut self, prompt: &[(u64, f64)]) {
         let mut from = 0.0;
         for (key, end) in prompt {
             self.touch(*key, end - from);
@@ -69,14 +69,14 @@
     #[test]
     fn a_beginning_counts_only_as_far_as_nothing_is_missing() {
         let mut kept = Kept::new(100.0);
-        kept.keep(0.0, &[(1, 40.0), (2, 70.0)]);
-        assert_eq!(kept.find(0.0, &[(1, 40.0), (2, 70.0), (3, 90.0)]), 70.0);
-        assert_eq!(kept.find(0.0, &[(1, 40.0), (9, 60.0), (2, 70.0)]), 40.0);
+        kept.keep(&[(1, 40.0), (2, 70.0)]);
+        assert_eq!(kept.find(&[(1, 40.0), (2, 70.0), (3, 90.0)]), 70.0);
+        assert_eq!(kept.find(&[(1, 40.0), (9, 60.0), (2, 70.0)]), 40.0);
         // The second part was used less recently than the first.
-        kept.keep(0.0, &[(4, 45.0)]);
-        assert_eq!(kept.find(0.0, &[(1, 40.0), (2, 70.0)]), 40.0);
+        kept.keep(&[(4, 45.0)]);
+        assert_eq!(kept.find(&[(1, 40.0), (2, 70.0)]), 40.0);
         assert_eq!(kept.tokens(), 85.0);
         kept.shrink_to(50.0);
-        assert_eq!((kept.find(0.0, &[(4, 45.0)]), kept.tokens()), (0.0, 40.0));
+        assert_eq!((kept.find(&[(4, 45.0)]), kept.tokens()), (0.0, 40.0));
     }
 }
--- a/crates/emulator/src/server/mod.rs
+++ b/crates/emulator/src/server/mod.rs
@@ -241,7 +241,7 @@
                 did.push(Did::Fetch(id));
                 (Phase::Fetching, tokens)
             } else {
-                let kept = self.kept.find(now_ms, &work.prompt).min(tokens);
+                let kept = self.kept.find(&work.prompt).min(tokens);
                 (Phase::Reading { left: tokens - kept }, kept)
             };
             self.running.insert(id, Running { work, phase, kept, memory, begun: false });
@@ -361,7 +361,7 @@
                     } else {
                         running.phase = Phase::Writing { left: running.work.answer.max(1) };
                     }
-                    self.kept.keep(now_ms, &running.work.prompt);
+                    self.kept.keep(&running.work.prompt);
                 }
                 Phase::Writing { left } => {
                     *left -= 1;
@@ -370,7 +370,7 @@
                     }
                     if *left == 0 {
                         did.push(Did::Finished { id: *id });
-                        self.kept.keep(now_ms, &running.work.prompt);
+                        self.kept.keep(&running.work.prompt);
                         ended.push(*id);
                     }
                 }
--- a/crates/router/src/answer.rs
+++ b/crates/router/src/answer.rs
@@ -9,8 +9,6 @@
 use paddleproxy_routing::{Key, Repeats};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::clock::Clock;
-
 /// What the client's connection is handed.
 pub enum Reply {
     Whole(Answer),
@@ -33,16 +31,15 @@
     pub repeats: Rc<RefCell<Repeats>>,
     pub key: Key,
     pub may_repeat: bool,
-    pub clock: Clock,
 }
 
 impl Keyed {
     fn answered(self, answer: Answer) {
-        self.repeats.borrow_mut().answered(self.clock.now_ms(), &self.key, answer);
+        self.repeats.borrow_mut().answered(&self.key, answer);
     }
 
     fn lost(self) {
-        self.repeats.borrow_mut().lost(self.clock.now_ms(), &self.key);
+        self.repeats.borrow_mut().lost(&self.key);
     }
 
     /// A rate-limit says that trying again is harmless: it never ran, or servers drop the repeat.
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -302,7 +302,6 @@
             return Err(ApiError::invalid(format!("{}: at most 256 bytes", wire::EFFECT_KEY)));
         }
         let headers = Headers {
-            api_key: None,
             session: header(&head, &rules.session_header)?,
             timeout: header(&head, &rules.timeout_header)?,
             keyed: key.is_some(),
@@ -315,19 +314,19 @@
             created: (wall_ms() / 1e3) as u64,
             tells_usage: asked.stream_usage,
         };
+        let prompt = asked.prompt();
         let mut keyed = None;
         if let Some(key) = key {
             let key = Key { customer, text: Rc::from(key) };
             // The same wish may be streamed at one try and not at another.
             let (stops, most) = (&asked.stop_sequences, asked.max_tokens);
-            let wish = format!("{}\n{most}\n{stops:?}\n{}", asked.model, asked.prompt());
+            let wish = format!("{}\n{most}\n{stops:?}\n{prompt}", asked.model);
             match self.keyed(key, wish.as_bytes(), facts.key_rule)? {
                 Ok(guard) => keyed = Some(guard),
                 Err(answer) => return Ok(again(&encoder, &answer, asked.stream)),
             }
         }
         drop(bytes);
-        let prompt = asked.prompt();
         if let Err(refused) = self.admit(&mut taken, &facts, prompt.len()) {
             keyed.into_iter().for_each(Keyed::never_ran);
             return Err(refused);
@@ -386,8 +385,8 @@
         };
         match verdict {
             Verdict::Go => {
-                let (repeats, clock, may_repeat) = (self.repeats.clone(), self.clock, rule.may_repeat);
-                Ok(Ok(Keyed { repeats, key, may_repeat, clock }))
+                let (repeats, may_repeat) = (self.repeats.clone(), rule.may_repeat);
+                Ok(Ok(Keyed { repeats, key, may_repeat }))
             }
             Verdict::Again(answer) => {
                 self.answered_again.set(self.answered_again.get() + 1);
--- a/crates/routing/src/admission/mod.rs
+++ b/crates/routing/src/admission/mod.rs
@@ -85,11 +85,6 @@
             Reason::CustomerTokens => "customer_tokens",
         }
     }
-
-    /// Whether it is this customer's own doing, rather than the router's state.
-    pub fn is_customers(self) -> bool {
-        !matches!(self, Reason::Stopping | Reason::Full | Reason::LeastValue)
-    }
 }
 
 /// A request that is not taken, and when to come again.
--- a/crates/routing/src/facts.rs
+++ b/crates/routing/src/facts.rs
@@ -34,7 +34,6 @@
 /// What one request's headers say.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Headers<'a> {
-    pub api_key: Option<&'a str>,
     pub session: Option<&'a str>,
     pub timeout: Option<&'a str>,
     /// Whether the request carries an idempotency key.
--- a/crates/routing/src/repeats.rs
+++ b/crates/routing/src/repeats.rs
@@ -99,10 +99,10 @@
     }
 
     /// The try with this key finished. An answer too large to remember counts as lost.
-    pub fn answered(&mut self, now_ms: f64, key: &Key, answer: Answer) {
+    pub fn answered(&mut self, key: &Key, answer: Answer) {
         let bytes = answer.text.len();
         if bytes > self.most_bytes {
-            return self.lost(now_ms, key);
+            return self.lost(key);
         }
         while self.answer_bytes + bytes > self.most_bytes && self.let_go_of_one() {}
         if let Some(known) = self.known.get_mut(key) {
@@ -113,7 +113,7 @@
     }
 
     /// It may have run, and its answer is lost.
-    pub fn lost(&mut self, _now_ms: f64, key: &Key) {
+    pub fn lost(&mut self, key: &Key) {
         if let Some(known) = self.known.get_mut(key) {
             known.fate = Fate::Lost;
             self.ended.push_back((known.since_ms + known.window_ms, key.clone()));
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -158,7 +158,7 @@
     assert_eq!(ask(&mut repeats, "w"), Verdict::Go);
     assert_eq!(ask(&mut repeats, "w"), Verdict::Running);
     assert_eq!(ask(&mut repeats, "v"), Verdict::Differs);
-    repeats.answered(10.0, &key("a"), said("yes"));
+    repeats.answered(&key("a"), said("yes"));
     assert_eq!(ask(&mut repeats, "w"), Verdict::Again(Rc::new(said("yes"))));
     // Another customer's key of the same text is another key.
     let other = Key { customer: DESK, text: Rc::from("a") };
@@ -174,7 +174,7 @@
         assert_eq!(ask(&mut repeats), Verdict::Go);
         repeats.never_ran(&key("a"));
         assert_eq!(ask(&mut repeats), Verdict::Go);
-        repeats.lost(5.0, &key("a"));
+        repeats.lost(&key("a"));
         assert_eq!(ask(&mut repeats), verdict);
     }
 }
@@ -186,9 +186,9 @@
         assert_eq!(repeats.ask(0.0, &key(text), b"w", 1000.0, false), Verdict::Go);
     }
     assert_eq!(repeats.ask(0.0, &key("d"), b"w", 1000.0, false), Verdict::Full);
-    repeats.answered(1.0, &key("a"), said("123456"));
-    repeats.answered(2.0, &key("b"), said("123456"));
-    repeats.answered(3.0, &key("c"), said("12345678901"));
+    repeats.answered(&key("a"), said("123456"));
+    repeats.answered(&key("b"), said("123456"));
+    repeats.answered(&key("c"), said("12345678901"));
     // The oldest answer made room for the next, the last was too large: both keys stay in doubt.
     assert_eq!(repeats.ask(4.0, &key("a"), b"w", 1000.0, false), Verdict::Unknown);
     assert_eq!(repeats.ask(4.0, &key("b"), b"w", 1000.0, false), Verdict::Again(Rc::new(said("123456"))));
