--- a/crates/day/src/troubles.rs
+++ b/crates/day/src/troubles.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use paddleproxy_fleet::record::What as Line;
-use paddleproxy_fleet::server::Trouble as Befalls;
+use paddleproxy_fleet::server::Server;
 use paddleproxy_settings::day::{Dead, Trouble, What};
 use tokio::time::{sleep, sleep_until};
 
@@ -29,10 +29,8 @@
     note(false);
 }
 
-fn each(stage: &Stage, servers: &[String], change: impl Fn(&mut Befalls)) {
-    for server in servers.iter().filter_map(|name| stage.fleet.server(name)) {
-        change(&mut server.state.borrow_mut().trouble);
-    }
+fn each(stage: &Stage, servers: &[String], change: impl Fn(&Server)) {
+    servers.iter().filter_map(|name| stage.fleet.server(name)).for_each(|server| change(server));
 }
 
 async fn begin(stage: &Rc<Stage>, trouble: &Trouble) {
@@ -43,21 +41,25 @@
                 stage.fleet.kill(name, *how).await;
             }
         }
-        What::Silent { servers } => each(stage, servers, |t| t.silent = true),
-        What::Slow { servers, factor } => each(stage, servers, |t| t.slow = *factor),
-        What::Ageing { servers, factor } => each(stage, servers, |t| t.ageing = Some((now_ms, *factor))),
-        What::Erring { servers, share, model } => each(stage, servers, |t| {
-            (t.erring, t.erring_model) = (*share, model.clone());
+        What::Silent { servers } => each(stage, servers, |s| s.befalls(|t| t.silent = true)),
+        What::Slow { servers, factor } => each(stage, servers, |s| s.befalls(|t| t.slow = *factor)),
+        What::Ageing { servers, factor } => {
+            each(stage, servers, |s| s.befalls(|t| t.ageing = Some((now_ms, *factor))))
+        }
+        What::Erring { servers, share, model } => each(stage, servers, |s| {
+            s.change_trouble(|t| (t.erring, t.erring_model) = (*share, model.clone()));
         }),
-        What::AnswerLost { servers, share } => each(stage, servers, |t| t.answer_lost = *share),
+        What::AnswerLost { servers, share } => {
+            each(stage, servers, |s| s.change_trouble(|t| t.answer_lost = *share))
+        }
         What::Pausing { servers, pause_ms, every_ms } => {
-            each(stage, servers, |t| t.pausing = Some((*pause_ms, *every_ms)));
+            each(stage, servers, |s| s.befalls(|t| t.pausing = Some((*pause_ms, *every_ms))));
         }
         What::Flush { servers } => {
             servers.iter().filter_map(|name| stage.fleet.server(name)).for_each(|server| server.flush());
         }
         What::Drain { servers, notice_ms } => {
-            each(stage, servers, |t| t.draining = true);
+            each(stage, servers, |s| s.befalls(|t| t.draining = true));
             servers
                 .iter()
                 .filter_map(|name| stage.fleet.server(name))
@@ -68,7 +70,7 @@
             }
         }
         What::Links { cell, factor } => {
-            stage.fleet.shared.links.borrow_mut().insert(*cell, *factor);
+            stage.fleet.shared.links.slow(*cell, *factor);
         }
         What::ZoneLost { zone, routers } => {
             for name in stage.fleet.in_zone(zone) {
@@ -106,15 +108,17 @@
                 stage.start_router(router).await;
             }
         }
-        What::Silent { servers } => each(stage, servers, |t| t.silent = false),
-        What::Slow { servers, .. } => each(stage, servers, |t| t.slow = 1.0),
-        What::Ageing { servers, .. } => each(stage, servers, |t| t.ageing = None),
-        What::Erring { servers, .. } => each(stage, servers, |t| t.erring = 0.0),
-        What::AnswerLost { servers, .. } => each(stage, servers, |t| t.answer_lost = 0.0),
-        What::Pausing { servers, .. } => each(stage, servers, |t| t.pausing = None),
+        What::Silent { servers } => each(stage, servers, |s| s.befalls(|t| t.silent = false)),
+        What::Slow { servers, .. } => each(stage, servers, |s| s.befalls(|t| t.slow = 1.0)),
+        What::Ageing { servers, .. } => each(stage, servers, |s| s.befalls(|t| t.ageing = None)),
+        What::Erring { servers, .. } => each(stage, servers, |s| s.change_trouble(|t| t.erring = 0.0)),
+        What::AnswerLost { servers, .. } => {
+            each(stage, servers, |s| s.change_trouble(|t| t.answer_lost = 0.0))
+        }
+        What::Pausing { servers, .. } => each(stage, servers, |s| s.befalls(|t| t.pausing = None)),
         What::Flush { .. } => {}
         What::Links { cell, .. } => {
-            stage.fleet.shared.links.borrow_mut().remove(cell);
+            stage.fleet.shared.links.slow(*cell, 1.0);
         }
         What::ListBehind { .. } => stage.fleet.shared.list.behind_ms.set(0.0),
         What::ListDown => stage.fleet.shared.list.down.set(false),
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -5,7 +5,7 @@
 mod chance;
 mod clients;
 mod heap;
-mod links;
+pub mod links;
 pub mod policies;
 pub mod record;
 pub mod repeats;
--- a/crates/emulator/src/links.rs
+++ b/crates/emulator/src/links.rs
@@ -32,6 +32,12 @@
         self.open.insert(transfer, tokens.max(0.0));
     }
 
+    /// A transfer that nobody waits for any more.
+    pub fn cancel(&mut self, now_ms: f64, transfer: u64) {
+        self.pass(now_ms);
+        self.open.remove(&transfer);
+    }
+
     pub fn set_slow(&mut self, now_ms: f64, factor: f64) {
         self.pass(now_ms);
         self.slow = factor.max(1e-3);
--- a/crates/emulator/src/server/mod.rs
+++ b/crates/emulator/src/server/mod.rs
@@ -8,6 +8,7 @@
 
 use paddleproxy::interface::Role;
 use paddleproxy_engine::Refusal;
+use paddleproxy_settings::fleet::{FleetSettings, KindOfServer};
 
 pub use memory::Kept;
 
@@ -29,6 +30,24 @@
     pub fall_ms: f64,
 }
 
+impl Kind {
+    pub fn of(fleet: &FleetSettings, kind: &KindOfServer) -> Self {
+        Kind {
+            role: kind.role,
+            slots: kind.slots,
+            queue: kind.queue,
+            memory_tokens: kind.memory_tokens,
+            read_tokens_per_ms: kind.read_tokens_per_s / 1e3,
+            token_ms: kind.token_ms,
+            cold_share: fleet.cold_share,
+            cold_ms: fleet.cold_ms,
+            cold_work_ms: fleet.cold_ms,
+            fall_multiple: fleet.fall_multiple,
+            fall_ms: fleet.fall_ms,
+        }
+    }
+}
+
 /// Part of a step that reading may take beside answers, and the longest step that reads alone, in ms.
 const READ_SHARE: f64 = 0.5;
 const READ_STEP_MS: f64 = 20.0;
@@ -47,6 +66,8 @@
     pub answer: u32,
     /// Its state comes from elsewhere, once a slot is free.
     pub fetches: bool,
+    /// The place that was held for it ahead.
+    pub place: Option<u64>,
 }
 
 /// What a server did, by the dispatch's id.
@@ -64,6 +85,8 @@
         id: u64,
         kept: f64,
     },
+    /// A further token; told only by servers that are asked to.
+    Token(u64),
     Finished {
         id: u64,
     },
@@ -76,9 +99,15 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Phase {
+    /// A place without its dispatch yet.
+    Held,
     Fetching,
-    Reading { left: f64 },
-    Writing { left: u32 },
+    Reading {
+        left: f64,
+    },
+    Writing {
+        left: u32,
+    },
 }
 
 struct Running {
@@ -89,6 +118,12 @@
     begun: bool,
 }
 
+impl Running {
+    fn is_held(&self) -> bool {
+        self.phase == Phase::Held
+    }
+}
+
 /// What befalls a server at present.
 #[derive(Clone, Debug, Default)]
 pub struct Befalls {
@@ -103,6 +138,8 @@
 pub struct Server {
     pub kind: Kind,
     pub befalls: Befalls,
+    /// Whether each token is told, not the first and the last alone.
+    pub tells_tokens: bool,
     started_ms: Option<f64>,
     worked_ms: f64,
     queue: VecDeque<Work>,
@@ -135,6 +172,7 @@
         Server {
             kind,
             befalls: Befalls::default(),
+            tells_tokens: false,
             started_ms: None,
             worked_ms: 0.0,
             queue: VecDeque::new(),
@@ -153,8 +191,7 @@
     pub fn restart(&mut self, now_ms: f64) -> Vec<u64> {
         let lost = self.states.keys().copied().collect();
         let befalls = Befalls { draining: false, silent: false, ..self.befalls.clone() };
-        *self = Server::new(self.kind.clone());
-        self.befalls = befalls;
+        *self = Server { befalls, tells_tokens: self.tells_tokens, ..Server::new(self.kind.clone()) };
         self.started_ms = Some(now_ms);
         lost
     }
@@ -209,6 +246,13 @@
         if self.kind.role == Role::Writer && !work.fetches {
             return Err(Refusal::StateGone);
         }
+        let place = work.place.filter(|place| self.running.get(place).is_some_and(Running::is_held));
+        if let Some(place) = place {
+            self.drop_running(place);
+            self.queue.push_front(work);
+            self.admit(now_ms, did);
+            return Ok(());
+        }
         let waits = self.slots_used() >= self.kind.slots
             || !self.queue.is_empty()
             || work.tokens > self.free_memory();
@@ -220,6 +264,28 @@
         Ok(())
     }
 
+    /// Keeps a slot and memory for a dispatch to come; false where there is none at once.
+    pub fn hold(&mut self, place: u64, tokens: f64) -> bool {
+        let full = self.slots_used() >= self.kind.slots || !self.queue.is_empty();
+        if self.befalls.draining || full || tokens > self.free_memory() {
+            return false;
+        }
+        let work = Work { id: place, prompt: [].into(), tokens, answer: 0, fetches: false, place: None };
+        self.held += tokens;
+        self.running
+            .insert(place, Running { work, phase: Phase::Held, kept: 0.0, memory: tokens, begun: false });
+        self.kept.shrink_to(self.kind.memory_tokens - self.held);
+        true
+    }
+
+    /// A place that was held goes, if it was not taken yet.
+    pub fn give_up(&mut self, now_ms: f64, place: u64, did: &mut Vec<Did>) {
+        if self.running.get(&place).is_some_and(Running::is_held) {
+            self.drop_running(place);
+            self.admit(now_ms, did);
+        }
+    }
+
     /// Takes what waits into free slots, in order.
     fn admit(&mut self, now_ms: f64, did: &mut Vec<Did>) {
         while self.slots_used() < self.kind.slots {
@@ -287,6 +353,11 @@
         self.admit(now_ms, did);
     }
 
+    /// Whether a dispatch waits or runs here.
+    pub fn has(&self, id: u64) -> bool {
+        self.running.contains_key(&id) || self.queue.iter().any(|work| work.id == id)
+    }
+
     /// A waiting state goes; false where there is none.
     pub fn let_go(&mut self, now_ms: f64, id: u64, did: &mut Vec<Did>) -> bool {
         let Some(tokens) = self.states.remove(&id) else { return false };
@@ -367,6 +438,8 @@
                     *left -= 1;
                     if !std::mem::replace(&mut running.begun, true) {
                         did.push(Did::First { id: *id, kept: running.kept });
+                    } else if self.tells_tokens {
+                        did.push(Did::Token(*id));
                     }
                     if *left == 0 {
                         did.push(Did::Finished { id: *id });
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -226,19 +226,7 @@
         for copy in 0..options.fleets.max(1) as u32 {
             for row in &fleet.servers {
                 let kind = &fleet.kinds[row.kind];
-                let model = Server::new(Kind {
-                    role: kind.role,
-                    slots: kind.slots,
-                    queue: kind.queue,
-                    memory_tokens: kind.memory_tokens,
-                    read_tokens_per_ms: kind.read_tokens_per_s / 1e3,
-                    token_ms: kind.token_ms,
-                    cold_share: fleet.cold_share,
-                    cold_ms: fleet.cold_ms,
-                    cold_work_ms: fleet.cold_ms,
-                    fall_multiple: fleet.fall_multiple,
-                    fall_ms: fleet.fall_ms,
-                });
+                let model = Server::new(Kind::of(fleet, kind));
                 let name = if copy == 0 { row.name.clone() } else { format!("{}+{copy}", row.name) };
                 nodes.push(Node {
                     model,
@@ -725,6 +713,7 @@
             tokens: self.dispatches[dispatch].tokens,
             answer: self.ops[op].answer,
             fetches,
+            place: None,
         };
         let work_ms = self.nodes[server].model.work_ms(&work);
         let request = self.dispatches[dispatch].name.clone();
@@ -813,6 +802,7 @@
                         self.heap.put(self.now_ms + net_ms, Ev::End { dispatch, end: SocketEnd::ReadDone });
                     }
                 }
+                Did::Token(_) => {}
                 Did::First { id, kept } => self.first(server, id as usize, kept),
                 Did::Finished { id } => {
                     let dispatch = id as usize;
--- a/crates/emulator/tests/theory.rs
+++ b/crates/emulator/tests/theory.rs
@@ -49,7 +49,11 @@
             let prompt = Rc::from([(next, tokens)].as_slice());
             came.insert(next, now_ms);
             server
-                .arrive(now_ms, Work { id: next, prompt, tokens, answer, fetches: !reads }, &mut did)
+                .arrive(
+                    now_ms,
+                    Work { id: next, prompt, tokens, answer, fetches: !reads, place: None },
+                    &mut did,
+                )
                 .unwrap();
             next += 1;
             next_ms = now_ms + gaps.sample(&mut rng);
--- a/crates/fleet/src/http.rs
+++ b/crates/fleet/src/http.rs
@@ -20,7 +20,7 @@
 use tokio::task::JoinSet;
 
 use crate::record::What;
-use crate::server::{completion_of, Server, Slot, TOKEN_BYTES};
+use crate::server::{Asker, Heard, Server};
 
 /// Largest body that a stand-in reads.
 const BODY_BYTES: usize = 64 << 20;
@@ -108,7 +108,7 @@
         |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("").to_owned();
     let wrong =
         |server: &Server| json(server, 400, error_body("invalid_request_error", "not understood", None));
-    if server.state.borrow().trouble.silent && head.uri.path() != COMPLETIONS {
+    if server.silent() && head.uri.path() != COMPLETIONS {
         std::future::pending::<()>().await;
     }
     Ok(match head.uri.path() {
@@ -120,7 +120,7 @@
             return completion(server, tasks, asked, names).await;
         }
         PROBE => {
-            server.arrives(0.3);
+            server.presses(0.3);
             json(&server, 200, "{}".into())
         }
         RELEASE => match serde_json::from_slice::<ReleaseRequest>(&body) {
@@ -132,11 +132,7 @@
         },
         HOLD => match serde_json::from_slice::<HoldRequest>(&body) {
             Ok(asked) => {
-                let slot = server.slot_now(asked.tokens as f64);
-                let held = slot.is_some();
-                let completion = completion_of(&asked.request_id).to_owned();
-                let old = slot.and_then(|slot| server.state.borrow_mut().places.insert(completion, slot));
-                drop(old);
+                let held = server.hold(&asked.request_id, asked.tokens as f64);
                 json(&server, 200, serde_json::to_string(&HoldReply { held }).unwrap_or_default())
             }
             Err(_) => wrong(&server),
@@ -151,22 +147,11 @@
 
 /// Moves a state over the links, after which it is let go here.
 async fn take(server: &Rc<Server>, block: u64, cell: &str) -> Response<Reply> {
-    let tokens = {
-        let mut state = server.state.borrow_mut();
-        let kept = state.states.get_mut(&block).filter(|kept| !kept.moving);
-        kept.map(|kept| {
-            kept.moving = true;
-            kept.tokens
-        })
-    };
-    let Some(tokens) = tokens else {
+    let Some(tokens) = server.begin_move(block) else {
         return json(server, 404, error_body("not_found", "no such state", None));
     };
-    let s = &server.shared.settings;
     let near = cell == server.row.cell.to_string();
-    let rate = if near { s.near_tokens_per_s } else { s.far_tokens_per_s };
-    let slow = server.shared.links.borrow().get(&server.row.cell).copied().unwrap_or(1.0);
-    tokio::time::sleep(std::time::Duration::from_secs_f64(tokens / rate * slow)).await;
+    server.shared.links.transfer(server.row.cell, near, tokens).await;
     server.drop_state(block, "taken");
     json(server, 200, serde_json::to_string(&TakeReply { tokens: tokens as u64 }).unwrap_or_default())
 }
@@ -190,28 +175,6 @@
     key: String,
 }
 
-/// What a dispatch's work comes to, before its answer streams.
-enum Done {
-    Refused(Refusal),
-    Read { block: u64, kept: f64 },
-    Answer { slot: Slot, kept: f64 },
-}
-
-/// Tells running work whether anybody waits for it.
-struct Asker {
-    gone: Rc<std::cell::Cell<bool>>,
-    abort: Option<tokio::task::AbortHandle>,
-}
-
-impl Drop for Asker {
-    fn drop(&mut self) {
-        self.gone.set(true);
-        if let Some(abort) = &self.abort {
-            abort.abort();
-        }
-    }
-}
-
 async fn completion(
     server: Rc<Server>,
     tasks: Tasks,
@@ -219,11 +182,10 @@
     names: Names,
 ) -> Result<Response<Reply>, ()> {
     let arrived_ms = server.now_ms();
-    let tokens = (asked.prompt.len().div_ceil(TOKEN_BYTES)) as f64;
-    let reads = server.kind.role == Role::Reader;
     let reference = asked.kv_transfer_params.clone().filter(|state| state.do_remote_prefill);
-    let answer_tokens = answer_length(&asked);
-    let work_ms = server.work_ms(tokens, answer_tokens as f64, reference.is_none());
+    let answer = Answer::of(&asked);
+    let (work, work_ms) = server.work(&asked.prompt, answer.words.len() as u32, reference.is_some());
+    let tokens = work.tokens;
     let open = Open { server: server.clone(), request: names.request.clone() };
     server.record(What::Dispatch {
         server: server.name(),
@@ -231,98 +193,88 @@
         client: names.client.clone(),
         model: asked.model.clone(),
         work_ms,
-        writes: !reads,
+        writes: server.role != Role::Reader,
     });
-    if server.arrives(work_ms) {
+    if server.presses(work_ms) {
         server.record(What::FellOver { server: server.name() });
-        server.state.borrow_mut().trouble.silent = true;
-        std::future::pending::<()>().await;
     }
-    let trouble = server.state.borrow().trouble.clone();
-    if trouble.silent {
+    if server.silent() {
         std::future::pending::<()>().await;
     }
-    if trouble.draining {
-        return Ok(turned(&server, &names.request, Refusal::Draining));
-    }
+    let trouble = server.trouble();
     let of_model = trouble.erring_model.as_ref().is_none_or(|model| *model == asked.model);
     if of_model && server.shared.by_chance(trouble.erring) {
         return Ok(json(&server, 500, error_body("server_error", "it failed", None)));
     }
-    let (gone, words) = (Rc::new(std::cell::Cell::new(false)), (asked.prompt.clone(), names.request.clone()));
-    let job = prepare(server.clone(), words, tokens, reads, reference, gone.clone());
-    let (sender, result) = tokio::sync::oneshot::channel();
-    let handle = tasks.borrow_mut().spawn_local(async move {
-        // Where nobody waits any more, what was done is dropped, and its slot with it.
-        drop(sender.send(job.await));
-    });
-    let asker = Asker { gone, abort: server.shared.settings.cancel_stops.then_some(handle) };
-    let done = result.await.map_err(|_| ())?;
-    drop(asker);
-    match done {
-        Done::Refused(refusal) => Ok(turned(&server, &names.request, refusal)),
-        Done::Read { block, kept } => {
-            let state = StateReference {
-                do_remote_prefill: true,
-                remote_engine_id: Some(server.name()),
-                remote_block_ids: Some(vec![block]),
-                remote_host: Some(server.address.get().ip().to_string()),
-                remote_port: Some(server.address.get().port()),
-                ..StateReference::default()
-            };
-            let usage = Some(usage(tokens, kept, 1));
-            let choices = vec![Choice::default()];
-            let done =
-                Completion { id: names.request.clone(), choices, usage, kv_transfer_params: Some(state) };
-            drop(open);
-            Ok(json(&server, 200, serde_json::to_string(&done).unwrap_or_default()))
-        }
-        Done::Answer { slot, kept } => {
-            server.effect(&names.request, &names.key, &asked.model, arrived_ms);
-            let lost = server.shared.by_chance(trouble.answer_lost);
-            let (sender, pieces) = mpsc::channel(8);
-            let usage = usage(tokens, kept, answer_tokens);
-            let writer = write(server.clone(), slot, sender, usage, names.request, lost, asked.stop);
-            tasks.borrow_mut().spawn_local(writer);
-            let built = Response::builder()
-                .header("content-type", "text/event-stream")
-                .header(LOAD_HEADER, server.load().to_header())
-                .body(Reply::Pieces(pieces, Some(open)));
-            built.map_err(|_| ())
+    let (asker, mut heard) = match server.arrive(&names.request, work) {
+        Ok(taken) => taken,
+        Err(refusal) => return Ok(turned(&server, &names.request, refusal)),
+    };
+    // None once the server's process has ended.
+    while let Some(done) = heard.recv().await {
+        match done {
+            Heard::Fetch => {
+                let (server, reference) = (server.clone(), reference.clone());
+                let (start, id) = (asker.start, asker.id);
+                tasks.borrow_mut().spawn_local(async move {
+                    let there = match &reference {
+                        Some(reference) => fetch(&server, reference).await.is_some(),
+                        None => false,
+                    };
+                    server.fetched(start, id, there);
+                });
+            }
+            Heard::Refused(refusal) => return Ok(turned(&server, &names.request, refusal)),
+            Heard::Read { kept } => {
+                let state = StateReference {
+                    do_remote_prefill: true,
+                    remote_engine_id: Some(server.name()),
+                    remote_block_ids: Some(vec![asker.id]),
+                    remote_host: Some(server.address.get().ip().to_string()),
+                    remote_port: Some(server.address.get().port()),
+                    ..StateReference::default()
+                };
+                let usage = Some(usage(tokens, kept, 1));
+                let choices = vec![Choice::default()];
+                let done =
+                    Completion { id: names.request.clone(), choices, usage, kv_transfer_params: Some(state) };
+                drop(open);
+                return Ok(json(&server, 200, serde_json::to_string(&done).unwrap_or_default()));
+            }
+            Heard::First { kept } => {
+                server.effect(&names.request, &names.key, &asked.model, arrived_ms);
+                let lost = server.shared.by_chance(trouble.answer_lost);
+                let (sender, pieces) = mpsc::channel(8);
+                let usage = usage(tokens, kept, answer.words.len() as u64);
+                let writer = write(asker, heard, sender, usage, names.request, lost, answer);
+                tasks.borrow_mut().spawn_local(writer);
+                let built = Response::builder()
+                    .header("content-type", "text/event-stream")
+                    .header(LOAD_HEADER, server.load().to_header())
+                    .body(Reply::Pieces(pieces, Some(open)));
+                return built.map_err(|_| ());
+            }
+            Heard::Token | Heard::Finished => {}
         }
     }
+    Err(())
 }
 
-async fn prepare(
-    server: Rc<Server>,
-    (prompt, request): (String, String),
-    tokens: f64,
-    reads: bool,
-    reference: Option<StateReference>,
-    gone: Rc<std::cell::Cell<bool>>,
-) -> Done {
-    let place = server.state.borrow_mut().places.remove(completion_of(&request));
-    let slot = match place {
-        Some(slot) => Some(slot),
-        None => server.slot(if reads { 0.0 } else { tokens }).await,
-    };
-    let Some(slot) = slot else { return Done::Refused(Refusal::Full) };
-    let kept = match reference {
-        Some(reference) if !reads => match fetch(&server, &reference).await {
-            Some(()) => tokens,
-            None => return Done::Refused(Refusal::StateGone),
-        },
-        _ if server.kind.role == Role::Writer => return Done::Refused(Refusal::StateGone),
-        _ => server.read(&prompt, tokens).await,
-    };
-    if !reads {
-        return Done::Answer { slot, kept };
-    }
-    let block = server.keep_state(&request, tokens);
-    if gone.get() || server.state.borrow().released.contains_key(&request) {
-        server.drop_state(block, "unwanted");
+/// What an answer will say: its words, cut before the first stop text, and that text.
+struct Answer {
+    words: Vec<String>,
+    stop_reason: Option<String>,
+}
+
+impl Answer {
+    fn of(asked: &CompletionRequest) -> Answer {
+        let (mut words, stop_reason) = words(answer_length(asked), &asked.stop);
+        if words.is_empty() {
+            // One token stands for the end alone.
+            words.push(String::new());
+        }
+        Answer { words, stop_reason }
     }
-    Done::Read { block, kept }
 }
 
 /// The words of an answer of so many tokens, cut before the first stop text, and that text.
@@ -335,30 +287,42 @@
 }
 
 async fn write(
-    server: Rc<Server>,
-    slot: Slot,
+    asker: Asker,
+    mut heard: mpsc::Receiver<Heard>,
     pieces: mpsc::Sender<Bytes>,
     usage: Usage,
     id: String,
     lost: bool,
-    stops: Vec<String>,
+    answer: Answer,
 ) {
-    let (words, stop_reason) = words(usage.completion_tokens, &stops);
     let mut chunk = Completion { id, ..Completion::default() };
     let event =
         |chunk: &Completion| format!("data: {}\n\n", serde_json::to_string(chunk).unwrap_or_default());
-    for text in words {
-        server.work(server.kind.token_ms).await;
+    let mut words = answer.words.into_iter();
+    // Before it hears of more, it has heard of the first.
+    let mut next = Some(Heard::Token);
+    while let Some(Heard::Token) = next {
+        let text = words.next().unwrap_or_default();
         chunk.choices = vec![Choice { text, ..Choice::default() }];
         if !lost && pieces.send(Bytes::from(event(&chunk))).await.is_err() {
             return;
         }
+        next = tokio::select! {
+            next = heard.recv() => next,
+            _ = pieces.closed() => return,
+        };
     }
-    drop(slot);
+    if next.is_none() {
+        // The process ended in the middle.
+        let _ = pieces.send(Bytes::new()).await;
+        return;
+    }
+    drop(asker);
     if lost {
         let _ = pieces.send(Bytes::new()).await;
         return;
     }
+    let stop_reason = answer.stop_reason;
     chunk.choices = vec![Choice { finish_reason: Some("stop".into()), stop_reason, ..Choice::default() }];
     let mut last = event(&chunk);
     (chunk.choices, chunk.usage) = (Vec::new(), Some(usage));
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,6 +2,7 @@
 //! time of such servers, not their work.
 
 pub mod http;
+pub mod links;
 pub mod list;
 pub mod record;
 pub mod server;
@@ -68,6 +69,7 @@
             let tasks: Tasks = Rc::new(RefCell::new(JoinSet::new()));
             let listening = tokio::task::spawn_local(http::listen(server.clone(), listener, tasks.clone()));
             server.begin(false);
+            tokio::task::spawn_local(server.clone().run());
             let post = Post { server: server.clone(), tasks, listening: RefCell::new(Some(listening)) };
             posts.insert(server.row.name.clone(), post);
         }
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -1,20 +1,21 @@
-//! One stand-in model server: slots, a bounded queue, memory, kept texts, warm-up, and what may befall it.
-//! Work takes real time and no CPU to speak of.
+//! One stand-in model server: the emulator's server in real time, with what only sockets know beside it. Work takes
+//! time and no CPU to speak of.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use paddleproxy::interface::Role;
 use paddleproxy_emulator::repeats::{self, Seen};
-use paddleproxy_engine::{Load, ServerEntry, IN_HAND, QUEUE, WAITING_TOKENS};
-use paddleproxy_settings::fleet::{FleetSettings, KindOfServer, ServerRow};
-use tokio::sync::oneshot;
-use tokio::time::sleep;
+use paddleproxy_emulator::server::{Befalls, Did, Kind, Prompt, Server as Model, Work};
+use paddleproxy_engine::{Load, Refusal, ServerEntry, IN_HAND, QUEUE, WAITING_TOKENS};
+use paddleproxy_settings::fleet::{FleetSettings, ServerRow};
+use tokio::sync::{mpsc, Notify};
+use tokio::time::sleep_until;
 
+use crate::links::Links;
 use crate::list::ListService;
 use crate::record::{Record, What};
 
@@ -23,8 +24,7 @@
     pub settings: FleetSettings,
     pub record: Record,
     pub list: Rc<ListService>,
-    /// How much slower a cell's links are.
-    pub links: RefCell<BTreeMap<u32, f64>>,
+    pub links: Links,
     /// What the servers that drop repeats remember.
     seen: RefCell<Seen>,
     pub chance: RefCell<fastrand::Rng>,
@@ -33,7 +33,8 @@
 impl Shared {
     pub fn new(settings: FleetSettings, record: Record, list: Rc<ListService>) -> Self {
         let chance = RefCell::new(fastrand::Rng::with_seed(settings.seed));
-        Shared { settings, record, list, links: RefCell::default(), seen: RefCell::default(), chance }
+        let links = Links::new(record.clone(), settings.near_tokens_per_s, settings.far_tokens_per_s);
+        Shared { settings, record, list, links, seen: RefCell::default(), chance }
     }
 
     pub fn by_chance(&self, share: f64) -> bool {
@@ -41,68 +42,83 @@
     }
 }
 
-/// What befalls a server at present; all as usual by default.
+/// What befalls a server's answers at present; what befalls its work is the model's to know.
 #[derive(Clone, Default)]
 pub struct Trouble {
-    pub silent: bool,
-    pub slow: f64,
-    /// Grows slower by this factor a second since then.
-    pub ageing: Option<(f64, f64)>,
     pub erring: f64,
     pub erring_model: Option<String>,
     pub answer_lost: f64,
-    pub pausing: Option<(f64, f64)>,
-    pub draining: bool,
 }
 
-pub struct KeptState {
-    pub request: String,
-    pub tokens: f64,
-    pub moving: bool,
+struct KeptState {
+    request: String,
+    moving: bool,
 }
 
-#[derive(Default)]
-pub struct State {
-    pub trouble: Trouble,
-    started_ms: Option<f64>,
-    busy: usize,
-    reading: usize,
-    queue: VecDeque<oneshot::Sender<()>>,
-    memory: f64,
-    waiting_tokens: f64,
-    pub states: BTreeMap<u64, KeptState>,
+/// What the model did for one dispatch, as its connection hears it.
+#[derive(Clone, Copy, Debug)]
+pub enum Heard {
+    Fetch,
+    Read { kept: f64 },
+    First { kept: f64 },
+    Token,
+    Finished,
+    Refused(Refusal),
+}
+
+struct State {
+    trouble: Trouble,
+    model: Model,
+    /// Dispatches in hand by their names, and who waits for them.
+    waiting: BTreeMap<u64, (String, Option<mpsc::Sender<Heard>>)>,
+    states: BTreeMap<u64, KeptState>,
     /// Dispatches whose state is not wanted any more, and places kept ahead.
-    pub released: BTreeMap<String, f64>,
-    pub places: BTreeMap<String, Slot>,
-    /// Ends of kept texts by hash, and when each was last used.
-    kept: BTreeMap<u64, f64>,
-    arrivals: VecDeque<(f64, f64)>,
-    report: Option<(f64, Load)>,
+    released: BTreeMap<String, f64>,
+    places: BTreeMap<String, u64>,
+}
+
+impl State {
+    fn new(model: Model) -> Self {
+        State {
+            trouble: Trouble::default(),
+            model,
+            waiting: BTreeMap::new(),
+            states: BTreeMap::new(),
+            released: BTreeMap::new(),
+            places: BTreeMap::new(),
+        }
+    }
 }
 
 pub struct Server {
     pub shared: Rc<Shared>,
     pub row: ServerRow,
-    pub kind: KindOfServer,
+    pub kind_name: String,
+    pub role: Role,
     pub name: RefCell<String>,
     pub address: Cell<SocketAddr>,
     pub start: Cell<u64>,
     pub up: Cell<bool>,
-    pub state: RefCell<State>,
-    next_block: Cell<u64>,
+    started_ms: Cell<Option<f64>>,
+    state: RefCell<State>,
+    changed: Notify,
+    next: Cell<u64>,
 }
 
 /// Text that counts as one token, and as one block of kept text, in bytes.
 pub const TOKEN_BYTES: usize = 4;
 const BLOCK_BYTES: usize = 256;
 
-fn block_hashes(prompt: &str) -> Vec<u64> {
+/// A timer is good for a millisecond; what is far less, in ms, counts as no time.
+const NO_TIME_MS: f64 = 0.1;
+
+fn beginnings(prompt: &str) -> Prompt {
     let mut hash = DefaultHasher::new();
-    let blocks = prompt.as_bytes().chunks_exact(BLOCK_BYTES);
+    let blocks = prompt.as_bytes().chunks_exact(BLOCK_BYTES).enumerate();
     blocks
-        .map(|block| {
+        .map(|(row, block)| {
             block.hash(&mut hash);
-            hash.finish()
+            (hash.finish(), ((row + 1) * BLOCK_BYTES / TOKEN_BYTES) as f64)
         })
         .collect()
 }
@@ -112,43 +128,24 @@
     request.rsplit_once('.').map_or(request, |(completion, _)| completion)
 }
 
-/// A slot in use; given back when dropped, unless its server died meanwhile.
-pub struct Slot {
-    server: Rc<Server>,
-    start: u64,
-    memory: f64,
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        if self.server.start.get() != self.start {
-            return;
-        }
-        let mut state = self.server.state.borrow_mut();
-        state.memory -= self.memory;
-        state.busy -= 1;
-        while let Some(next) = state.queue.pop_front() {
-            if next.send(()).is_ok() {
-                state.busy += 1;
-                break;
-            }
-        }
-    }
-}
-
 impl Server {
     pub fn new(shared: Rc<Shared>, row: ServerRow, address: SocketAddr) -> Rc<Self> {
-        let kind = shared.settings.kinds[row.kind].clone();
+        let kind = &shared.settings.kinds[row.kind];
+        let mut model = Model::new(Kind::of(&shared.settings, kind));
+        model.tells_tokens = true;
         Rc::new(Server {
             name: RefCell::new(row.name.clone()),
+            kind_name: kind.name.clone(),
+            role: kind.role,
             shared,
             row,
-            kind,
             address: Cell::new(address),
             start: Cell::new(0),
             up: Cell::new(false),
-            state: RefCell::default(),
-            next_block: Cell::new(1),
+            started_ms: Cell::new(None),
+            state: RefCell::new(State::new(model)),
+            changed: Notify::new(),
+            next: Cell::new(1),
         })
     }
 
@@ -164,25 +161,46 @@
         self.shared.record.now_ms()
     }
 
+    pub fn trouble(&self) -> Trouble {
+        self.state.borrow().trouble.clone()
+    }
+
+    pub fn change_trouble(&self, change: impl FnOnce(&mut Trouble)) {
+        change(&mut self.state.borrow_mut().trouble);
+    }
+
+    pub fn befalls(&self, change: impl FnOnce(&mut Befalls)) {
+        change(&mut self.state.borrow_mut().model.befalls);
+        self.changed.notify_one();
+    }
+
+    pub fn silent(&self) -> bool {
+        self.state.borrow().model.befalls.silent
+    }
+
     pub fn list(&self, readiness: &str) {
         let entry = ServerEntry {
             name: self.name(),
             address: self.address.get().to_string(),
             zone: self.row.zone.clone(),
-            kind: self.kind.name.clone(),
+            kind: self.kind_name.clone(),
             cell: self.row.cell,
             readiness: readiness.into(),
             weight: 1.0,
             start: self.start.get(),
             age_ms: None,
         };
-        self.shared.list.change(entry, self.state.borrow().started_ms);
+        self.shared.list.change(entry, self.started_ms.get());
     }
 
     /// A new process: it has kept nothing, and is cold unless it ran before the day.
     pub fn begin(&self, cold: bool) {
         self.start.set(self.start.get() + 1);
-        *self.state.borrow_mut() = State { started_ms: cold.then(|| self.now_ms()), ..State::default() };
+        let now_ms = self.now_ms();
+        self.started_ms.set(cold.then_some(now_ms));
+        if cold {
+            self.state.borrow_mut().model.restart(now_ms);
+        }
         self.up.set(true);
         self.record(What::Started {
             server: self.name(),
@@ -197,8 +215,16 @@
     pub fn end(&self) {
         self.up.set(false);
         self.start.set(self.start.get() + 1);
-        let state = std::mem::take(&mut *self.state.borrow_mut());
-        for state in state.states.values() {
+        let now_ms = self.now_ms();
+        let states = {
+            let mut state = self.state.borrow_mut();
+            state.model.restart(now_ms);
+            state.waiting.clear();
+            state.released.clear();
+            state.places.clear();
+            std::mem::take(&mut state.states)
+        };
+        for state in states.values() {
             self.state_gone(&state.request, "died");
         }
         self.record(What::Died { server: self.name() });
@@ -208,161 +234,193 @@
         self.record(What::StateGone { server: self.name(), request: request.to_owned(), why: why.into() });
     }
 
-    /// The share of its capacity that it has by its age.
-    fn capacity(&self) -> f64 {
-        let s = &self.shared.settings;
-        let Some(started) = self.state.borrow().started_ms else { return 1.0 };
-        let age = (self.now_ms() - started) / s.cold_ms.max(1.0);
-        (s.cold_share + (1.0 - s.cold_share) * age).min(1.0)
+    /// Lets the model's time pass, as long as its process lives.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            let wakes = {
+                let model = &self.state.borrow().model;
+                model.wakes_ms().filter(|_| !model.befalls.silent)
+            };
+            let Some(at_ms) = wakes else {
+                self.changed.notified().await;
+                continue;
+            };
+            if at_ms > self.now_ms() + NO_TIME_MS {
+                tokio::select! {
+                    _ = sleep_until(self.shared.record.at(at_ms)) => {}
+                    _ = self.changed.notified() => continue,
+                }
+            } else {
+                tokio::task::yield_now().await;
+            }
+            // By the model's clock, so that late timers don't add up.
+            self.act(|model, did| model.step(at_ms, did));
+        }
     }
 
-    /// Notes work that arrives; true if a cold server falls over under it.
-    pub fn arrives(&self, work_ms: f64) -> bool {
-        let (s, now_ms, capacity) = (&self.shared.settings, self.now_ms(), self.capacity());
-        let mut state = self.state.borrow_mut();
-        state.arrivals.push_back((now_ms, work_ms));
-        while state.arrivals.front().is_some_and(|(at, _)| *at < now_ms - s.fall_ms) {
-            state.arrivals.pop_front();
+    /// Does something to the model and tells those who wait what came of it.
+    fn act<T>(self: &Rc<Self>, act: impl FnOnce(&mut Model, &mut Vec<Did>) -> T) -> T {
+        let mut did = Vec::new();
+        let result = act(&mut self.state.borrow_mut().model, &mut did);
+        for did in did {
+            let (id, heard) = match did {
+                Did::Fetch(id) => (id, Heard::Fetch),
+                Did::Read { id, kept } => {
+                    self.has_read(id);
+                    (id, Heard::Read { kept })
+                }
+                Did::First { id, kept } => (id, Heard::First { kept }),
+                Did::Token(id) => (id, Heard::Token),
+                Did::Finished { id } => (id, Heard::Finished),
+                Did::Refused { id, refusal } => (id, Heard::Refused(refusal)),
+            };
+            let waiter = self.state.borrow().waiting.get(&id).and_then(|(_, waiter)| waiter.clone());
+            // There is room for all that a dispatch can hear.
+            let heard = waiter.is_some_and(|waiter| waiter.try_send(heard).is_ok());
+            if !heard {
+                self.drop_state(id, "unwanted");
+                self.cancel(id, true);
+            }
         }
-        let sum: f64 = state.arrivals.iter().map(|(_, work)| work).sum();
-        capacity < 1.0 && sum > s.fall_multiple * capacity * s.fall_ms
+        self.changed.notify_one();
+        result
+    }
+
+    /// Notes work that arrives; true if a cold server falls over under it.
+    pub fn presses(&self, work_ms: f64) -> bool {
+        let now_ms = self.now_ms();
+        let model = &mut self.state.borrow_mut().model;
+        let falls = model.presses(now_ms, work_ms);
+        model.befalls.silent |= falls;
+        falls
     }
 
-    /// Time of the warm server that a dispatch costs.
-    pub fn work_ms(&self, prompt_tokens: f64, answer_tokens: f64, reads: bool) -> f64 {
-        let read = if reads { prompt_tokens / self.kind.read_tokens_per_s * 1e3 } else { 0.0 };
-        let write = answer_tokens * self.kind.token_ms / self.kind.slots as f64;
-        read + if self.kind.role == Role::Reader { 0.0 } else { write }
+    /// What a dispatch would be to the model.
+    pub fn work(&self, prompt: &str, answer: u32, fetches: bool) -> (Work, f64) {
+        let tokens = prompt.len().div_ceil(TOKEN_BYTES) as f64;
+        let id = self.next.replace(self.next.get() + 1);
+        let work = Work { id, prompt: beginnings(prompt), tokens, answer, fetches, place: None };
+        let work_ms = self.state.borrow().model.work_ms(&work);
+        (work, work_ms)
     }
 
-    /// Waits for a slot; None where slots and queue are full.
-    pub async fn slot(self: &Rc<Self>, tokens: f64) -> Option<Slot> {
-        let waits = {
+    /// A dispatch arrives; what becomes of it is heard from then on.
+    ///
+    /// # Errors
+    /// Why it is turned away at once.
+    pub fn arrive(
+        self: &Rc<Self>,
+        request: &str,
+        mut work: Work,
+    ) -> Result<(Asker, mpsc::Receiver<Heard>), Refusal> {
+        let now_ms = self.now_ms();
+        let id = work.id;
+        let (sender, heard) = mpsc::channel(work.answer as usize + 8);
+        {
             let mut state = self.state.borrow_mut();
-            if state.memory + tokens > self.kind.memory_tokens {
-                return None;
-            }
-            if state.busy < self.kind.slots {
-                state.busy += 1;
-                None
-            } else if state.queue.len() < self.kind.queue {
-                let (sender, receiver) = oneshot::channel();
-                state.queue.push_back(sender);
-                Some(receiver)
-            } else {
-                return None;
-            }
-        };
-        if let Some(turn) = waits {
-            turn.await.ok()?;
+            work.place = state.places.remove(completion_of(request));
+            state.waiting.insert(id, (request.to_owned(), Some(sender)));
         }
-        self.state.borrow_mut().memory += tokens;
-        Some(Slot { server: self.clone(), start: self.start.get(), memory: tokens })
+        let asker = Asker { server: self.clone(), start: self.start.get(), id };
+        self.act(|model, did| model.arrive(now_ms, work, did))?;
+        Ok((asker, heard))
     }
 
-    /// A slot at once, for a place kept ahead.
-    pub fn slot_now(self: &Rc<Self>, tokens: f64) -> Option<Slot> {
-        let mut state = self.state.borrow_mut();
-        let free = state.busy < self.kind.slots && state.queue.is_empty();
-        if !free || state.memory + tokens > self.kind.memory_tokens {
-            return None;
-        }
-        state.busy += 1;
-        state.memory += tokens;
-        Some(Slot { server: self.clone(), start: self.start.get(), memory: tokens })
-    }
-
-    /// Lets so much of the warm, lone server's time pass as work at the present speed.
-    pub async fn work(&self, ms: f64) {
-        // A timer is good for a millisecond; what is far less counts as none.
-        let mut left = if ms < 0.1 { 0.0 } else { ms };
-        while left > 0.0 {
-            let (slow, pausing) = {
-                let trouble = &self.state.borrow().trouble;
-                let aged = trouble.ageing.map_or(1.0, |(since, factor)| {
-                    1.0 + (factor - 1.0) * (self.now_ms() - since).max(0.0) / 1e3
-                });
-                (trouble.slow.max(1.0) * aged, trouble.pausing)
-            };
-            if let Some((pause, every)) = pausing {
-                let into = self.now_ms() % every;
-                if into < pause {
-                    sleep(Duration::from_secs_f64((pause - into) / 1e3)).await;
-                }
-            }
-            let speed = self.capacity() / slow;
-            let step = left.min(50.0 * speed);
-            sleep(Duration::from_secs_f64(step / speed / 1e3)).await;
-            left -= step;
+    pub fn fetched(self: &Rc<Self>, start: u64, id: u64, there: bool) {
+        if self.start.get() == start {
+            let now_ms = self.now_ms();
+            self.act(|model, did| model.fetched(now_ms, id, there, did));
         }
     }
 
-    /// Reads a prompt from where its kept beginning ends; tokens found kept.
-    pub async fn read(self: &Rc<Self>, prompt: &str, tokens: f64) -> f64 {
-        let hashes = block_hashes(prompt);
-        let kept = {
-            let state = self.state.borrow();
-            hashes.iter().rposition(|hash| state.kept.contains_key(hash)).map_or(0, |last| last + 1)
-        };
-        let kept_tokens = ((kept * BLOCK_BYTES) as f64 / TOKEN_BYTES as f64).min(tokens);
-        let reading = Reading::new(self, tokens - kept_tokens);
-        let shared = self.state.borrow().reading as f64;
-        self.work((tokens - kept_tokens) / self.kind.read_tokens_per_s * 1e3 * shared).await;
-        drop(reading);
+    fn cancel(self: &Rc<Self>, id: u64, stops: bool) {
+        if let Some((_, waiter)) = self.state.borrow_mut().waiting.get_mut(&id) {
+            *waiter = None;
+        }
         let now_ms = self.now_ms();
+        self.act(|model, did| model.cancel(now_ms, id, stops, did));
         let mut state = self.state.borrow_mut();
-        state.kept.extend(hashes.into_iter().map(|hash| (hash, now_ms)));
-        let most = (self.kind.memory_tokens * TOKEN_BYTES as f64 / BLOCK_BYTES as f64) as usize;
-        if state.kept.len() > most {
-            let mut ages: Vec<_> = state.kept.iter().map(|(hash, at)| (*at, *hash)).collect();
-            ages.sort_by(|a, b| a.0.total_cmp(&b.0));
-            let spare = state.kept.len() - most / 2;
-            for (_, hash) in ages.into_iter().take(spare) {
-                state.kept.remove(&hash);
-            }
+        if !state.model.has(id) {
+            state.waiting.remove(&id);
         }
-        kept_tokens
     }
 
     pub fn flush(&self) {
-        self.state.borrow_mut().kept.clear();
+        self.state.borrow_mut().model.flush();
     }
 
-    /// Keeps a state until it is taken, released, or its lease ends.
-    pub fn keep_state(self: &Rc<Self>, request: &str, tokens: f64) -> u64 {
-        let block = self.next_block.get();
-        self.next_block.set(block + 1);
-        let kept = KeptState { request: request.to_owned(), tokens, moving: false };
-        self.state.borrow_mut().states.insert(block, kept);
-        self.state.borrow_mut().memory += tokens;
-        self.record(What::State { server: self.name(), request: request.to_owned() });
+    /// A state waits until it is taken, released, or its lease ends.
+    fn has_read(self: &Rc<Self>, id: u64) {
+        let request = self.state.borrow().waiting.get(&id).map(|(request, _)| request.clone());
+        let request = request.unwrap_or_default();
+        self.record(What::State { server: self.name(), request: request.clone() });
+        let released = self.state.borrow().released.contains_key(&request);
+        self.state.borrow_mut().states.insert(id, KeptState { request, moving: false });
+        if released {
+            self.drop_state(id, "unwanted");
+            return;
+        }
         let (server, start) = (self.clone(), self.start.get());
+        let ends = self.shared.record.at(self.now_ms() + self.shared.settings.lease_ms);
         tokio::task::spawn_local(async move {
-            sleep(Duration::from_secs_f64(server.shared.settings.lease_ms / 1e3)).await;
+            sleep_until(ends).await;
             if server.start.get() == start {
-                server.drop_state(block, "lease");
+                server.drop_state(id, "lease");
             }
         });
-        block
     }
 
-    pub fn drop_state(&self, block: u64, why: &str) -> Option<f64> {
-        let gone = self.state.borrow_mut().states.remove(&block)?;
-        self.state.borrow_mut().memory -= gone.tokens;
-        self.state_gone(&gone.request, why);
-        Some(gone.tokens)
+    /// States that wait here.
+    pub fn states(&self) -> usize {
+        self.state.borrow().states.len()
+    }
+
+    /// A state that may be taken, which nobody else may from now on; its tokens.
+    pub fn begin_move(&self, block: u64) -> Option<f64> {
+        let mut state = self.state.borrow_mut();
+        let tokens = state.model.holds(block)?;
+        let kept = state.states.get_mut(&block).filter(|kept| !kept.moving)?;
+        kept.moving = true;
+        Some(tokens)
+    }
+
+    pub fn drop_state(self: &Rc<Self>, block: u64, why: &str) {
+        let gone = self.state.borrow_mut().states.remove(&block);
+        if let Some(gone) = gone {
+            let now_ms = self.now_ms();
+            self.act(|model, did| model.let_go(now_ms, block, did));
+            self.state_gone(&gone.request, why);
+        }
+    }
+
+    /// A place for a completion's answer, at once or not at all.
+    pub fn hold(self: &Rc<Self>, request: &str, tokens: f64) -> bool {
+        let place = self.next.replace(self.next.get() + 1);
+        let held = self.state.borrow_mut().model.hold(place, tokens);
+        if held {
+            let old = self.state.borrow_mut().places.insert(completion_of(request).to_owned(), place);
+            self.give_up(old);
+        }
+        held
+    }
+
+    fn give_up(self: &Rc<Self>, place: Option<u64>) {
+        if let Some(place) = place {
+            let now_ms = self.now_ms();
+            self.act(|model, did| model.give_up(now_ms, place, did));
+        }
     }
 
     /// Lets go of what a dispatch left here, or will leave once it is read.
-    pub fn release(&self, request: &str) {
+    pub fn release(self: &Rc<Self>, request: &str) {
         let now_ms = self.now_ms();
-        let of = |state: &State| {
-            let all = state.states.iter().filter(|(_, kept)| kept.request == request && !kept.moving);
-            all.map(|(block, _)| *block).collect::<Vec<_>>()
-        };
-        let blocks = of(&self.state.borrow());
         let place = self.state.borrow_mut().places.remove(completion_of(request));
-        drop(place);
+        self.give_up(place);
+        let blocks: Vec<_> = {
+            let state = self.state.borrow();
+            let of = state.states.iter().filter(|(_, kept)| kept.request == request && !kept.moving);
+            of.map(|(block, _)| *block).collect()
+        };
         for block in blocks {
             self.drop_state(block, "released");
         }
@@ -385,50 +443,28 @@
 
     /// Its load as of a while back.
     pub fn load(&self) -> Load {
-        let now_ms = self.now_ms();
-        let mut state = self.state.borrow_mut();
-        let every_ms = self.shared.settings.report_every_ms;
-        if let Some((at, load)) = state.report.as_ref().filter(|(at, _)| *at > now_ms - every_ms) {
-            let _ = at;
-            return load.clone();
-        }
-        let metrics = [
-            (IN_HAND, (state.busy + state.states.len()) as f64),
-            (QUEUE, state.queue.len() as f64),
-            (WAITING_TOKENS, state.waiting_tokens),
-        ];
-        let load = Load {
-            mem_utilization: Some((state.memory / self.kind.memory_tokens).clamp(0.0, 1.0)),
-            application_utilization: Some(state.busy as f64 / self.kind.slots as f64),
+        let load = self.state.borrow_mut().model.load(self.now_ms(), self.shared.settings.report_every_ms);
+        let metrics = [(IN_HAND, load.in_hand), (QUEUE, load.queue), (WAITING_TOKENS, load.waiting_tokens)];
+        Load {
+            mem_utilization: Some(load.memory_share),
+            application_utilization: Some(load.slots_share),
             named_metrics: metrics.into_iter().map(|(name, value)| (name.to_owned(), value)).collect(),
-        };
-        state.report = Some((now_ms, load.clone()));
-        load
+        }
     }
 }
 
-/// Tokens that are being read; counted as waiting until then.
-struct Reading {
-    server: Rc<Server>,
-    start: u64,
-    tokens: f64,
-}
-
-impl Reading {
-    fn new(server: &Rc<Server>, tokens: f64) -> Self {
-        let mut state = server.state.borrow_mut();
-        state.reading += 1;
-        state.waiting_tokens += tokens;
-        Reading { server: server.clone(), start: server.start.get(), tokens }
-    }
+/// Someone waits for a dispatch as long as this lives.
+pub struct Asker {
+    pub server: Rc<Server>,
+    pub start: u64,
+    pub id: u64,
 }
 
-impl Drop for Reading {
+impl Drop for Asker {
     fn drop(&mut self) {
         if self.server.start.get() == self.start {
-            let mut state = self.server.state.borrow_mut();
-            state.reading -= 1;
-            state.waiting_tokens -= self.tokens;
+            let stops = self.server.shared.settings.cancel_stops;
+            self.server.cancel(self.id, stops);
         }
     }
 }
--- a/crates/router/tests/clients.rs
+++ b/crates/router/tests/clients.rs
@@ -42,10 +42,7 @@
     }
     assert_eq!(bench.metric("answers_dropped_total").await, 0);
     for name in bench.fleet.names() {
-        assert!(
-            bench.fleet.server(name).unwrap().state.borrow().states.is_empty(),
-            "a state is held at {name}"
-        );
+        assert!(bench.fleet.server(name).unwrap().states() == 0, "a state is held at {name}");
     }
 }
 
--- /dev/null
+++ b/fuzz/fuzz_targets/client_request.rs
@@ -0,0 +1,37 @@
+//! Bodies of requests in both forms: no panic, and what was read can be answered in its form.
+#![no_main]
+
+use std::rc::Rc;
+
+use libfuzzer_sys::fuzz_target;
+use paddleproxy_messages::{Answer, Dialect, Encoder, Stop, Usage};
+
+fuzz_target!(|data: &[u8]| {
+    for dialect in [Dialect::published(), Dialect::Chat] {
+        match dialect.parse(data) {
+            Ok(request) => {
+                let prompt = request.prompt();
+                assert!(prompt.len() >= request.turns.iter().map(|turn| turn.text.len()).sum());
+                let encoder = Encoder {
+                    dialect: dialect.clone(),
+                    id: Rc::from("0.1.2"),
+                    model: request.model.clone().into(),
+                    created: 0,
+                    tells_usage: true,
+                };
+                let usage = Usage { input_tokens: 1, cached_tokens: 0, output_tokens: 1 };
+                let answer = Answer { text: prompt, stop: Stop::MaxTokens, usage };
+                let whole = encoder.whole(&answer);
+                assert!(serde_json::from_str::<serde_json::Value>(&whole).is_ok());
+            }
+            Err(error) => {
+                let text = dialect.error(&error, "0.1.2");
+                assert!(serde_json::from_str::<serde_json::Value>(&text).is_ok());
+            }
+        }
+        // Where a request may be counted it need not be complete.
+        if let Ok(request) = dialect.parse(data) {
+            assert!(dialect.parse_to_count(data).is_ok(), "{}", request.model);
+        }
+    }
+});
--- /dev/null
+++ b/fuzz/fuzz_targets/engine_stream.rs
@@ -0,0 +1,41 @@
+//! Streams of a model server: the same events however the bytes are cut, and no panic on what they say.
+#![no_main]
+
+use libfuzzer_sys::fuzz_target;
+use paddleproxy_engine::{Completion, Data, Load, Refusal, SseReader};
+
+fn events(parts: &[&[u8]]) -> (Vec<Data>, Option<String>) {
+    let mut reader = SseReader::new(256);
+    let mut seen = Vec::new();
+    for part in parts {
+        reader.push(part);
+        loop {
+            match reader.next_event() {
+                Ok(Some(data)) => seen.push(data),
+                Ok(None) => break,
+                Err(cause) => return (seen, Some(cause)),
+            }
+        }
+    }
+    (seen, None)
+}
+
+fuzz_target!(|data: &[u8]| {
+    let Some((cut, stream)) = data.split_first() else { return };
+    let at = usize::from(*cut).min(stream.len());
+    let whole = events(&[stream]);
+    let parts = events(&[&stream[..at], &stream[at..]]);
+    let bytes: Vec<_> = stream.chunks(1).collect();
+    let singly = events(&bytes);
+    assert_eq!(whole, parts);
+    assert_eq!(whole, singly);
+    for data in whole.0 {
+        if let Data::Json(text) = data {
+            let _ = serde_json::from_str::<Completion>(&text).map(|said| said.usage.map(|usage| usage.cached()));
+        }
+    }
+    if let Ok(text) = std::str::from_utf8(stream) {
+        let _ = Load::from_header(text).map(|load| load.to_header());
+    }
+    let _ = Refusal::of(503, stream);
+});
