--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -15,6 +15,7 @@
 use hyper::Request;
 use hyper_util::rt::TokioIo;
 use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep_until, timeout, Instant};
 
@@ -259,3 +260,59 @@
     }
     open
 }
+
+/// Bytes that a slow reader takes in at once, how often, and the receive buffer it asks for.
+const SLOW_BYTES: usize = 64;
+const SLOW_EVERY_MS: u64 = 500;
+const SLOW_BUFFER: u32 = 2048;
+const SLOW_TOKENS: u32 = 1000;
+
+/// Opens streams that take in an eighth of what is written to them; how many still ran at the end, and the most memory
+/// seen, in MiB.
+pub async fn read_slowly(
+    address: SocketAddr,
+    count: usize,
+    length_ms: f64,
+    memory_mib: impl Fn() -> Result<f64>,
+) -> Result<(usize, f64)> {
+    let begun = Instant::now();
+    let until = begun + Duration::from_secs_f64(length_ms / 1e3);
+    let mut tasks = tokio::task::JoinSet::new();
+    for number in 0..count {
+        tasks.spawn_local(async move {
+            let socket = tokio::net::TcpSocket::new_v4()?;
+            socket.set_recv_buffer_size(SLOW_BUFFER)?;
+            let mut stream = socket.connect(address).await?;
+            let turn = json!({ "role": "user", "content": format!("question {number}") });
+            let body = json!({
+                "model": "chat-large", "max_tokens": SLOW_TOKENS, "stream": true, "messages": [turn]
+            });
+            let body = body.to_string();
+            let head = format!(
+                "POST {MESSAGES} HTTP/1.1\r\nhost: x\r\nx-api-key: app-key\r\ncontent-length: {}\r\n\r\n",
+                body.len()
+            );
+            stream.write_all(head.as_bytes()).await?;
+            stream.write_all(body.as_bytes()).await?;
+            let mut buffer = [0; SLOW_BYTES];
+            while Instant::now() < until {
+                ensure!(stream.read(&mut buffer).await? > 0, "cut");
+                tokio::time::sleep(Duration::from_millis(SLOW_EVERY_MS)).await;
+            }
+            Ok(stream)
+        });
+        if number % 50 == 49 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+    let mut most = 0.0f64;
+    while Instant::now() < until {
+        tokio::time::sleep(Duration::from_millis(250)).await;
+        most = most.max(memory_mib()?);
+    }
+    let mut open = Vec::with_capacity(count);
+    while let Some(stream) = tasks.join_next().await {
+        open.extend(stream.ok().and_then(Result::ok));
+    }
+    Ok((open.len(), most))
+}
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -120,6 +120,13 @@
     bail!("the router does not get ready")
 }
 
+/// Allocations of a router so far; None from one that was built without counting them.
+pub async fn allocations(admin: SocketAddr) -> Option<f64> {
+    let text = get(admin, "/metrics").await.ok()?;
+    let line = text.lines().find_map(|line| line.strip_prefix("paddleproxy_allocations_total "))?;
+    line.parse().ok()
+}
+
 pub async fn first_server(list: SocketAddr) -> Result<SocketAddr> {
     let list: ServerList = serde_json::from_str(&get(list, "/v1/servers?router=0&wait_ms=0").await?)?;
     Ok(list.servers.first().context("no servers")?.address.parse()?)
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -54,6 +54,20 @@
     Ok(response)
 }
 
+/// Counts what the process allocates; costs a little on each allocation.
+#[cfg(feature = "allocations")]
+#[global_allocator]
+static ALLOCATOR: &stats_alloc::StatsAlloc<std::alloc::System> = &stats_alloc::INSTRUMENTED_SYSTEM;
+
+#[cfg(feature = "allocations")]
+fn allocations(text: &mut String) {
+    let stats = ALLOCATOR.stats();
+    text.push_str(&format!("paddleproxy_allocations_total {}\n", stats.allocations + stats.reallocations));
+}
+
+#[cfg(not(feature = "allocations"))]
+fn allocations(_: &mut String) {}
+
 fn metrics(front: &Front, status: &Status) -> String {
     let counts = &status.counts;
     let rows: [(&str, u64); 20] = [
@@ -79,6 +93,7 @@
         ("list_version", status.version.unwrap_or(0)),
     ];
     let mut text: String = rows.iter().map(|(name, value)| format!("paddleproxy_{name} {value}\n")).collect();
+    allocations(&mut text);
     for reason in Reason::ALL {
         let (name, count) = (reason.name(), front.admission.borrow().turned_away(reason));
         text.push_str(&format!("paddleproxy_requests_turned_away_total{{reason=\"{name}\"}} {count}\n"));
