Experiments get plots; scenarios get ramps, chance, Zipf's law, noise, caps and distances

Need: the emulator's issue asks for plots of experiments, a plot of the emulator's own cost, and for troubles and loads that were not modelled.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -102,6 +102,23 @@
         /// A line for each run; what stands there is not played again.
         #[arg(long)]
         csv: PathBuf,
+        /// Writes a page with plots.
+        #[arg(long)]
+        html: Option<PathBuf>,
+    },
+    /// Plays a day in virtual time with more and more servers and says what that costs.
+    Cost {
+        file: PathBuf,
+        /// Copies of the day's fleet, in turn.
+        #[arg(long, value_delimiter = ',', default_values_t = [1, 2, 4, 8, 16, 33])]
+        fleets: Vec<usize>,
+        #[arg(long, default_value_t = 24)]
+        routers: usize,
+        /// Writes a page with plots.
+        #[arg(long)]
+        html: Option<PathBuf>,
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
     },
     /// Loads a router on loopback: added latency, CPU a completion, memory.
     Bench {
@@ -144,7 +161,10 @@
             let varied = run::Varied { routers, fleets, load, seed, policy };
             run::rehearse(&file, &varied, html.as_deref(), out.as_deref(), format == Format::Json)
         }
-        Command::Experiment { file, csv } => run::experiment(&file, &csv),
+        Command::Experiment { file, csv, html } => run::experiment(&file, &csv, html.as_deref()),
+        Command::Cost { file, fleets, routers, html, format } => {
+            run::cost(&file, &fleets, routers, html.as_deref(), format == Format::Json)
+        }
         Command::Fleet { config } => run::fleet(&config),
     };
     match done {
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -258,7 +258,7 @@
     Ok(report.kept && !run.cut_short)
 }
 
-pub fn experiment(file: &Path, csv: &Path) -> Result<bool> {
+pub fn experiment(file: &Path, csv: &Path, html: Option<&Path>) -> Result<bool> {
     use paddleproxy_rehearsal::experiment::{experiment, summary};
     let settings = settings::experiment::load(file)?;
     let bar = indicatif::ProgressBar::new(1);
@@ -267,6 +267,38 @@
         bar.set_position(done as u64);
     })?;
     bar.finish_and_clear();
-    print!("{}", summary(&settings, &rows));
+    let summary = summary(&settings, &rows);
+    print!("{summary}");
+    if let Some(path) = html {
+        let page = paddleproxy_rehearsal::experiment_page(&settings, &rows, &summary)?;
+        std::fs::write(path, page).with_context(|| format!("writing {}", path.display()))?;
+    }
     Ok(rows.iter().all(|row| row.figures[6] == 0.0))
 }
+
+pub fn cost(
+    file: &Path,
+    fleets: &[usize],
+    routers: usize,
+    html: Option<&Path>,
+    as_json: bool,
+) -> Result<bool> {
+    use paddleproxy_rehearsal::cost;
+    let day = std::rc::Rc::new(settings::day::load(file)?);
+    let sizes = cost::sizes(&day, fleets, routers, |size| {
+        if !as_json {
+            let memory = size.memory_mib.map_or("-".into(), |mib| format!("{mib:.0}"));
+            println!(
+                "{} servers, {} routers: {:.0} s in {:.2} s, {} events, {} dispatches, {memory} MiB",
+                size.servers, size.routers, size.virtual_s, size.took_s, size.events, size.dispatches
+            );
+        }
+    });
+    if as_json {
+        println!("{}", serde_json::to_string(&sizes)?);
+    }
+    if let Some(path) = html {
+        std::fs::write(path, cost::page(&sizes)?).with_context(|| format!("writing {}", path.display()))?;
+    }
+    Ok(true)
+}
--- a/crates/day/src/load.rs
+++ b/crates/day/src/load.rs
@@ -17,6 +17,8 @@
 #[derive(Default)]
 pub struct Mood {
     pub burst: RefCell<Option<(String, f64)>>,
+    /// Key, beginning, length and factor at the end.
+    pub ramp: RefCell<Option<(String, f64, f64, f64)>>,
     pub long: Cell<Option<(f64, f64)>>,
     pub hot: Cell<Option<(f64, usize)>>,
     pub gives_up: Cell<f64>,
@@ -63,7 +65,12 @@
         loop {
             let burst =
                 self.mood.burst.borrow().as_ref().filter(|(key, _)| *key == load.key).map(|(_, by)| *by);
-            let rate = load.sessions_per_s * burst.unwrap_or(1.0);
+            let ramp = self.mood.ramp.borrow().clone();
+            let ramp = ramp.as_ref().filter(|(key, ..)| *key == load.key);
+            let ramp = ramp.map_or(1.0, |(_, from_ms, for_ms, factor)| {
+                1.0 + (factor - 1.0) * ((at_ms - from_ms) / for_ms.max(1.0)).clamp(0.0, 1.0)
+            });
+            let rate = load.sessions_per_s * burst.unwrap_or(1.0) * ramp;
             at_ms += -(1.0 - chance.f64()).ln() / rate.max(1e-3) * 1e3;
             if at_ms > self.day.length_ms {
                 return;
@@ -82,7 +89,7 @@
         let hot = self.mood.hot.get().filter(|(share, _)| chance.f64() < *share).map(|(_, tokens)| tokens);
         let beginning = match hot {
             Some(tokens) => text("hot beginning", tokens),
-            None => text(&format!("beginning {}", chance.usize(..load.beginnings)), load.shared_tokens),
+            None => text(&format!("beginning {}", load.beginning_at(chance.f64())), load.shared_tokens),
         };
         let mut turns = Vec::new();
         for turn in 0..load.turns {
--- a/crates/day/src/play.rs
+++ b/crates/day/src/play.rs
@@ -52,10 +52,9 @@
     let clients = Rc::new(clients);
     let loads: Vec<_> =
         (0..day.clients.len()).map(|row| tokio::task::spawn_local(clients.clone().run(row))).collect();
-    let troubles: Vec<_> = day
-        .troubles
-        .iter()
-        .map(|trouble| tokio::task::spawn_local(befall(stage.clone(), trouble.clone())))
+    let troubles: Vec<_> = paddleproxy_emulator::troubles::spread(&day, 1)
+        .into_iter()
+        .map(|trouble| tokio::task::spawn_local(befall(stage.clone(), trouble)))
         .collect();
     for task in loads.into_iter().chain(troubles) {
         task.await?;
--- a/crates/day/src/troubles.rs
+++ b/crates/day/src/troubles.rs
@@ -84,6 +84,9 @@
         What::ListDown => stage.fleet.shared.list.down.set(true),
         What::RouterKilled { router } => stage.kill_router(*router).await,
         What::RouterStopped { router } => stage.stop_router(*router).await,
+        What::Ramp { key, factor } => {
+            *stage.mood.ramp.borrow_mut() = Some((key.clone(), now_ms, trouble.for_ms, *factor));
+        }
         What::Burst { key, factor } => *stage.mood.burst.borrow_mut() = Some((key.clone(), *factor)),
         What::LongPrompts { share, factor } => stage.mood.long.set(Some((*share, *factor))),
         What::HotBeginning { share, tokens } => stage.mood.hot.set(Some((*share, *tokens))),
@@ -123,6 +126,7 @@
         What::ListBehind { .. } => stage.fleet.shared.list.behind_ms.set(0.0),
         What::ListDown => stage.fleet.shared.list.down.set(false),
         What::RouterKilled { router } | What::RouterStopped { router } => stage.start_router(*router).await,
+        What::Ramp { .. } => *stage.mood.ramp.borrow_mut() = None,
         What::Burst { .. } => *stage.mood.burst.borrow_mut() = None,
         What::LongPrompts { .. } => stage.mood.long.set(None),
         What::HotBeginning { .. } => stage.mood.hot.set(None),
--- a/crates/emulator/src/clients.rs
+++ b/crates/emulator/src/clients.rs
@@ -15,6 +15,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Mood {
     pub burst: Option<(String, f64)>,
+    /// Key, beginning, length and factor at the end.
+    pub ramp: Option<(String, f64, f64, f64)>,
     pub long: Option<(f64, f64)>,
     pub hot: Option<(f64, f64)>,
     pub gives_up: f64,
@@ -58,7 +60,11 @@
     pub(crate) fn rate(&self, load: usize) -> f64 {
         let load = &self.day.clients[load];
         let burst = self.mood.burst.as_ref().filter(|(key, _)| *key == load.key).map_or(1.0, |(_, by)| *by);
-        load.sessions_per_s * self.options.load * burst
+        let ramp = self.mood.ramp.as_ref().filter(|(key, ..)| *key == load.key);
+        let ramp = ramp.map_or(1.0, |(_, from_ms, for_ms, factor)| {
+            1.0 + (factor - 1.0) * ((self.now_ms - from_ms) / for_ms.max(1.0)).clamp(0.0, 1.0)
+        });
+        load.sessions_per_s * self.options.load * burst * ramp
     }
 
     pub(crate) fn session(&mut self, load: usize) {
@@ -78,7 +84,7 @@
             Some((_, tokens)) => (seed(7, 0, tokens as u64) >> 11, tokens),
             None if row.shared_tokens == 0 => (0, 0.0),
             None => {
-                let number = chance.below(row.beginnings) as u64;
+                let number = row.beginning_at(chance.share()) as u64;
                 (seed(load as u64, 1, number) >> 11, row.shared_tokens as f64)
             }
         };
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod record;
 pub mod repeats;
 pub mod server;
-mod troubles;
+pub mod troubles;
 mod world;
 
 pub use policies::Policy;
--- a/crates/emulator/src/troubles.rs
+++ b/crates/emulator/src/troubles.rs
@@ -1,14 +1,38 @@
 //! Brings about what the script says, in virtual time.
 
-use paddleproxy_settings::day::{Dead, What as Befalls};
+use paddleproxy_settings::day::{DaySettings, Dead, Trouble, What as Befalls};
 
+use crate::chance::{seed, Chance};
 use crate::record::What;
 use crate::world::{Ev, World};
 
+/// Times that one trouble comes again at most.
+const AGAIN_MAX: usize = 10_000;
+
+/// The troubles of a day as they come: those that come again by chance at each of their times.
+pub fn spread(day: &DaySettings, of: u64) -> Vec<Trouble> {
+    let mut all = Vec::new();
+    for (row, trouble) in day.troubles.iter().enumerate() {
+        all.push(trouble.clone());
+        let Some(every_ms) = trouble.every_ms else { continue };
+        let mut chance = Chance::new(seed(day.seed, 8, of), 9, row as u64);
+        let mut at_ms = trouble.at_ms;
+        for _ in 0..AGAIN_MAX {
+            // Never while the last one lasts.
+            at_ms += trouble.for_ms + chance.gap_ms(1e3 / every_ms);
+            if at_ms > day.length_ms {
+                break;
+            }
+            all.push(Trouble { at_ms, ..trouble.clone() });
+        }
+    }
+    all
+}
+
 impl World {
     pub(crate) fn trouble(&mut self, row: usize, begins: bool) {
-        let day = self.day.clone();
-        let what = &day.troubles[row].what;
+        let troubles = self.troubles.clone();
+        let what = &troubles[row].what;
         let name = match what {
             Befalls::Dead { how: Dead::Unreachable, .. } => "unreachable",
             what => what.name(),
@@ -76,6 +100,10 @@
             Befalls::ListDown => self.list_down = true,
             Befalls::RouterKilled { router } => self.kill_router(*router),
             Befalls::RouterStopped { router } => self.stop_router(*router),
+            Befalls::Ramp { key, factor } => {
+                let for_ms = self.troubles[row].for_ms;
+                self.mood.ramp = Some((key.clone(), now_ms, for_ms, *factor));
+            }
             Befalls::Burst { key, factor } => self.mood.burst = Some((key.clone(), *factor)),
             Befalls::LongPrompts { share, factor } => self.mood.long = Some((*share, *factor)),
             Befalls::HotBeginning { share, tokens } => self.mood.hot = Some((*share, *tokens as f64)),
@@ -85,11 +113,11 @@
 
     /// The notice of a drain is over: its servers' processes end. They come back when the trouble does, if later.
     pub(crate) fn drain_ends(&mut self, row: usize) {
-        let day = self.day.clone();
-        if let Befalls::Drain { servers, .. } = &day.troubles[row].what {
+        let troubles = self.troubles.clone();
+        if let Befalls::Drain { servers, .. } = &troubles[row].what {
             for server in self.named(servers) {
                 self.kill(server, Dead::Refuse);
-                let (trouble, back) = (&day.troubles[row], &day.troubles[row].what);
+                let (trouble, back) = (&troubles[row], &troubles[row].what);
                 if trouble.at_ms + trouble.for_ms <= self.now_ms {
                     self.trouble_ends(back);
                 }
@@ -148,6 +176,7 @@
                 self.start_router(*router)
             }
             Befalls::Burst { .. } => self.mood.burst = None,
+            Befalls::Ramp { .. } => self.mood.ramp = None,
             Befalls::LongPrompts { .. } => self.mood.long = None,
             Befalls::HotBeginning { .. } => self.mood.hot = None,
             Befalls::GiveUp { .. } => self.mood.gives_up = 0.0,
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -10,7 +10,7 @@
     Admission, Bounds, Counts, Decisions, Effect, Heard, Input, Ledger, Membership, Place, Saved, Sending,
     SocketEnd, Stage,
 };
-use paddleproxy_settings::day::{DaySettings, Dead};
+use paddleproxy_settings::day::{DaySettings, Dead, Trouble};
 
 use crate::chance::{seed, Chance};
 use crate::clients::{Op, Session};
@@ -20,6 +20,7 @@
 use crate::record::{Line, What};
 use crate::repeats::{self, Seen};
 use crate::server::{Befalls, Did, Kind, Load, Server, Work};
+use crate::troubles::spread;
 
 /// What a run is bounded and varied by.
 #[derive(Clone, Debug)]
@@ -32,7 +33,7 @@
     pub load: f64,
     /// Copies of the day's fleet, each with cells of its own.
     pub fleets: usize,
-    /// Network, one way, in ms.
+    /// Network between clients and routers and whatever else is near, one way, in ms.
     pub net_ms: f64,
     /// Events after which a run ends and says so.
     pub most_events: u64,
@@ -163,6 +164,8 @@
     state: Option<usize>,
     tokens: f64,
     sent_ms: f64,
+    /// Network between its router and its server, one way.
+    net_ms: f64,
     arrived_ms: Option<f64>,
     ended: bool,
     granted: bool,
@@ -174,6 +177,8 @@
 
 pub(crate) struct World {
     pub day: Rc<DaySettings>,
+    /// The day's troubles as they come.
+    pub troubles: Rc<[Trouble]>,
     pub options: Options,
     pub heap: Heap<Ev>,
     pub now_ms: f64,
@@ -295,6 +300,7 @@
             mood: crate::clients::Mood::default(),
             lines: Vec::new(),
             run: Run::default(),
+            troubles: spread(&day, options.seed).into(),
             day,
             options,
         }
@@ -313,7 +319,7 @@
             let at_ms = chance.gap_ms(rate);
             self.heap.put(at_ms, Ev::Session { load });
         }
-        for (row, trouble) in self.day.clone().troubles.iter().enumerate() {
+        for (row, trouble) in self.troubles.clone().iter().enumerate() {
             self.heap.put(trouble.at_ms, Ev::Trouble { row, begins: true });
             self.heap.put(trouble.at_ms + trouble.for_ms, Ev::Trouble { row, begins: false });
         }
@@ -584,6 +590,17 @@
         }
     }
 
+    /// Network between a router and a server, one way.
+    fn net_ms(&self, router: usize, server: usize) -> f64 {
+        let zone = self.day.router.names.zones.get(self.routers[router].zone);
+        let (near_ms, far_ms) = self.day.network_ms;
+        if zone == Some(&self.nodes[server].zone) {
+            near_ms
+        } else {
+            far_ms
+        }
+    }
+
     fn send(&mut self, router: usize, boot: u64, sending: Sending) {
         let Some(asked) = self.routers[router].asked.get(&sending.completion) else { return };
         let (op, attempt) = (asked.op, asked.attempt);
@@ -606,6 +623,7 @@
             state: state.map(|state| state as usize),
             tokens: self.ops[op].arrival.prompt_tokens,
             sent_ms: self.now_ms,
+            net_ms: self.net_ms(router, server),
             arrived_ms: None,
             ended: false,
             granted: false,
@@ -616,7 +634,7 @@
         });
         self.routers[router].out.insert((completion, seq), dispatch);
         self.routers[router].sent.insert((completion, seq), dispatch);
-        let net_ms = self.options.net_ms;
+        let net_ms = self.dispatches[dispatch].net_ms;
         let (up, mode) = (self.nodes[server].up, self.nodes[server].mode);
         match (up, mode) {
             (true, _) => self.heap.put(self.now_ms + net_ms, Ev::Arrive { dispatch }),
@@ -672,7 +690,14 @@
 
     fn report(&mut self, router: usize, boot: u64, server: usize) {
         let every_ms = self.day.fleet.report_every_ms;
-        let load = self.nodes[server].model.load(self.now_ms, every_ms);
+        let mut load = self.nodes[server].model.load(self.now_ms, every_ms);
+        let noise = self.day.fleet.report_noise;
+        if noise > 0.0 {
+            let chance = &mut self.nodes[server].chance;
+            for figure in [&mut load.in_hand, &mut load.queue, &mut load.waiting_tokens] {
+                *figure *= 1.0 + noise * (2.0 * chance.share() - 1.0);
+            }
+        }
         let worker = WorkerId(Arc::from(self.nodes[server].name.as_str()));
         self.tell(router, boot, Input::Reported { worker, load: report_of(&load) });
     }
@@ -700,7 +725,7 @@
             let d = &self.dispatches[dispatch];
             (d.server, d.op, d.attempt)
         };
-        let net_ms = self.options.net_ms;
+        let net_ms = self.dispatches[dispatch].net_ms;
         if !self.nodes[server].up || self.nodes[server].start != self.dispatches[dispatch].start {
             return self.heap.put(self.now_ms + net_ms, Ev::End { dispatch, end: SocketEnd::ConnectRefused });
         }
@@ -739,6 +764,12 @@
         if self.nodes[server].model.befalls.silent {
             return;
         }
+        let most = self.day.fleet.kinds[self.nodes[server].kind].connections;
+        if most.is_some_and(|most| self.nodes[server].model.open() >= most) {
+            self.leaves_server(dispatch, 3);
+            let end = SocketEnd::BrokeBeforeAnswer;
+            return self.heap.put(self.now_ms + net_ms, Ev::End { dispatch, end });
+        }
         let (share, of) = self.nodes[server].erring.clone();
         if of.is_none_or(|of| of == model) && self.nodes[server].chance.happens(share) {
             self.leaves_server(dispatch, 3);
@@ -762,7 +793,8 @@
         self.record(What::Turned { server, request, code });
         self.leaves_server(dispatch, 2);
         let end = SocketEnd::TurnedAway(refusal);
-        self.heap.put(self.now_ms + self.options.net_ms, Ev::End { dispatch, end });
+        let net_ms = self.dispatches[dispatch].net_ms;
+        self.heap.put(self.now_ms + net_ms, Ev::End { dispatch, end });
     }
 
     /// A server is done with a dispatch: 1 served, 2 refused, 3 failed or not wanted any more.
@@ -781,7 +813,6 @@
 
     /// What a server did is carried on, and its next step is awaited.
     fn after(&mut self, server: usize, did: Vec<Did>) {
-        let net_ms = self.options.net_ms;
         for did in did {
             match did {
                 Did::Fetch(id) => self.fetch(server, id as usize),
@@ -799,6 +830,7 @@
                     } else {
                         let (start, lease_ms) = (self.nodes[server].start, self.day.fleet.lease_ms);
                         self.heap.put(self.now_ms + lease_ms, Ev::Lease { server, start, dispatch });
+                        let net_ms = self.dispatches[dispatch].net_ms;
                         self.heap.put(self.now_ms + net_ms, Ev::End { dispatch, end: SocketEnd::ReadDone });
                     }
                 }
@@ -812,6 +844,7 @@
                         SocketEnd::AnswerDone
                     };
                     self.leaves_server(dispatch, 1);
+                    let net_ms = self.dispatches[dispatch].net_ms;
                     self.heap.put(self.now_ms + net_ms, Ev::End { dispatch, end });
                 }
             }
@@ -846,7 +879,8 @@
         self.record(What::Effect { server: name, request, key, repeat });
         if self.ops[op].streamed && !lost {
             let input = Box::new(Input::Began { completion, seq, took_ms });
-            self.heap.put(self.now_ms + self.options.net_ms, Ev::Tell { router, boot, input });
+            let net_ms = self.dispatches[dispatch].net_ms;
+            self.heap.put(self.now_ms + net_ms, Ev::Tell { router, boot, input });
         }
     }
 
--- a/crates/emulator/tests/days.rs
+++ b/crates/emulator/tests/days.rs
@@ -4,8 +4,9 @@
 use std::rc::Rc;
 
 use paddleproxy_emulator::record::What;
+use paddleproxy_emulator::troubles::spread;
 use paddleproxy_emulator::{run, Options, Policy, Run};
-use paddleproxy_settings::day::{load, DaySettings};
+use paddleproxy_settings::day::{load, DaySettings, Trouble, What as TroubleKind};
 
 fn day(name: &str) -> Rc<DaySettings> {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days").join(format!("{name}.kdl"));
@@ -100,3 +101,83 @@
         assert_eq!((asked, run.overdue), (ended, 0), "{name}");
     }
 }
+
+#[test]
+fn ramps_laws_noise_and_chance_move_what_they_should() {
+    let base = {
+        let mut day = (*day("crash")).clone();
+        day.troubles.clear();
+        day
+    };
+    let with = |change: &dyn Fn(&mut DaySettings)| {
+        let mut day = base.clone();
+        change(&mut day);
+        Rc::new(day)
+    };
+    let asked = |run: &Run| run.lines.iter().filter(|line| matches!(line.what, What::Asked { .. })).count();
+    let calm = run(&with(&|_| {}), &Options::default());
+    let trouble = |what| Trouble { at_ms: 0.0, for_ms: base.length_ms, every_ms: None, what };
+    // Twice as many at the end is half as many again over the day, of the one key.
+    let ramp = trouble(TroubleKind::Ramp { key: "app-key".into(), factor: 2.0 });
+    let grown = run(&with(&|day| day.troubles = vec![ramp.clone()]), &Options::default());
+    let ratio = asked(&grown) as f64 / asked(&calm) as f64;
+    assert!((1.15..1.7).contains(&ratio), "{ratio}");
+    // By chance, about as often as its mean says, and never twice at once.
+    let short = Trouble {
+        for_ms: 50.0,
+        every_ms: Some(450.0),
+        ..trouble(TroubleKind::Flush { servers: vec!["north-m1".into()] })
+    };
+    let often = with(&|day| day.troubles = vec![short.clone()]);
+    let all = spread(&often, 1);
+    let expected = often.length_ms / 500.0;
+    assert!((all.len() as f64) > 0.5 * expected && (all.len() as f64) < 1.6 * expected, "{}", all.len());
+    assert!(all.windows(2).all(|pair| pair[1].at_ms >= pair[0].at_ms + 50.0));
+    assert!(all.iter().zip(spread(&often, 1)).all(|(one, again)| one.at_ms == again.at_ms));
+    // A law of Zipf makes the first beginning the most frequent.
+    let zipf = with(&|day| day.clients[0].zipf = 1.0);
+    let drawn: Vec<_> = (0..1000).map(|n| zipf.clients[0].beginning_at(n as f64 / 1000.0)).collect();
+    let of = |number| drawn.iter().filter(|drawn| **drawn == number).count();
+    assert!(of(0) > of(1) && of(1) > of(5) && of(5) > 0, "{} {} {}", of(0), of(1), of(5));
+    assert_eq!(base.clients[0].beginning_at(0.999), base.clients[0].beginnings - 1);
+    // Wrong reports change decisions; a far network makes first tokens later.
+    let noisy = run(&with(&|day| day.fleet.report_noise = 0.9), &Options::default());
+    assert!(noisy.lines != calm.lines && finished(&noisy) > 0.9);
+    let far = run(&with(&|day| day.network_ms = (0.3, 40.0)), &Options::default());
+    let first = |run: &Run| {
+        let mut open = std::collections::BTreeMap::new();
+        let mut sum = (0.0, 0.0);
+        for line in &run.lines {
+            match &line.what {
+                What::Asked { op, attempt: 0, .. } => drop(open.insert(op.clone(), line.at_ms)),
+                What::First { op, .. } => {
+                    if let Some(at_ms) = open.remove(op) {
+                        sum = (sum.0 + line.at_ms - at_ms, sum.1 + 1.0);
+                    }
+                }
+                _ => {}
+            }
+        }
+        sum.0 / sum.1
+    };
+    assert!(first(&far) > first(&calm) + 20.0, "{} {}", first(&far), first(&calm));
+    // A server that takes few connections breaks off the others.
+    let few = run(
+        &with(&|day| day.fleet.kinds.iter_mut().for_each(|kind| kind.connections = Some(1))),
+        &Options::default(),
+    );
+    assert!(few.dispatches > calm.dispatches && few.overdue == 0);
+}
+
+#[test]
+fn a_late_clock_changes_nothing() {
+    // The same day, 10^7 ms later: all that depends on differences of time stays as it was.
+    let mut late = (*day("crash")).clone();
+    late.troubles.iter_mut().for_each(|trouble| trouble.at_ms += 1e7);
+    late.length_ms += 1e7;
+    late.clients.iter_mut().for_each(|load| load.sessions_per_s /= 1000.0);
+    let run = run(&Rc::new(late), &Options::default());
+    assert!(run.ended_ms >= 1e7 && !run.cut_short, "{}", run.ended_ms);
+    assert!(finished(&run) > 0.97 && run.overdue == 0, "{}", finished(&run));
+    assert!((run.mean_in_hand / run.rate_times_stay - 1.0).abs() < 0.2);
+}
--- a/crates/fleet/src/http.rs
+++ b/crates/fleet/src/http.rs
@@ -67,11 +67,20 @@
 
 /// Serves connections as long as the server's process lives.
 pub async fn listen(server: Rc<Server>, listener: TcpListener, tasks: Tasks) {
+    let open = Rc::new(());
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
         let mut set = tasks.borrow_mut();
         while set.try_join_next().is_some() {}
-        set.spawn_local(serve(server.clone(), stream, tasks.clone()));
+        let kind = &server.shared.settings.kinds[server.row.kind];
+        if kind.connections.is_some_and(|most| Rc::strong_count(&open) > most) {
+            continue;
+        }
+        let (server, tasks, open) = (server.clone(), tasks.clone(), open.clone());
+        set.spawn_local(async move {
+            serve(server, stream, tasks).await;
+            drop(open);
+        });
     }
 }
 
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -444,11 +444,16 @@
     /// Its load as of a while back.
     pub fn load(&self) -> Load {
         let load = self.state.borrow_mut().model.load(self.now_ms(), self.shared.settings.report_every_ms);
+        let noise = self.shared.settings.report_noise;
+        let wrong = |figure: f64| match noise > 0.0 {
+            true => figure * (1.0 + noise * (2.0 * self.shared.chance.borrow_mut().f64() - 1.0)),
+            false => figure,
+        };
         let metrics = [(IN_HAND, load.in_hand), (QUEUE, load.queue), (WAITING_TOKENS, load.waiting_tokens)];
         Load {
             mem_utilization: Some(load.memory_share),
             application_utilization: Some(load.slots_share),
-            named_metrics: metrics.into_iter().map(|(name, value)| (name.to_owned(), value)).collect(),
+            named_metrics: metrics.into_iter().map(|(name, value)| (name.to_owned(), wrong(value))).collect(),
         }
     }
 }
--- /dev/null
+++ b/crates/rehearsal/src/curves.rs
@@ -0,0 +1,227 @@
+//! Plots of an experiment and of what the emulator itself costs, on a self-contained HTML page.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use anyhow::{anyhow, Result};
+use paddleproxy_settings::experiment::ExperimentSettings;
+use plotters::prelude::*;
+
+use crate::experiment::{interval, points, title, Point, Row};
+
+const COLOURS: [RGBColor; 8] = [
+    RGBColor(31, 97, 163),
+    RGBColor(200, 80, 20),
+    RGBColor(30, 130, 76),
+    RGBColor(128, 60, 150),
+    RGBColor(90, 90, 90),
+    RGBColor(180, 140, 20),
+    RGBColor(20, 140, 150),
+    RGBColor(170, 40, 80),
+];
+const SIZE: (u32, u32) = (960, 380);
+
+/// One curve: its name, and for each value its place, its height and half the width of its interval.
+pub struct Curve {
+    pub name: String,
+    pub points: Vec<(f64, f64, f64)>,
+}
+
+pub struct Axes<'a> {
+    pub title: &'a str,
+    pub x: &'a str,
+    pub y: &'a str,
+    /// Names of places, where they are not numbers.
+    pub places: Option<Vec<String>>,
+}
+
+/// Draws curves with their intervals; the axis begins at 0.
+///
+/// # Errors
+/// What the drawing library says.
+pub fn draw(axes: &Axes, curves: &[Curve]) -> Result<String> {
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        let fail = |cause: &dyn std::fmt::Display| anyhow!("drawing '{}': {cause}", axes.title);
+        area.fill(&WHITE).map_err(|cause| fail(&cause))?;
+        let all = || curves.iter().flat_map(|curve| &curve.points).filter(|point| point.1.is_finite());
+        let half = |point: &(f64, f64, f64)| if point.2.is_finite() { point.2 } else { 0.0 };
+        let most = all().map(|point| point.1 + half(point)).fold(1e-9, f64::max) * 1.05;
+        let (from, to) =
+            all().fold((f64::INFINITY, f64::NEG_INFINITY), |(from, to), p| (from.min(p.0), to.max(p.0)));
+        let (from, to) = if from < to { (from, to) } else { (0.0, 1.0) };
+        let margin = (to - from) * 0.04;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(axes.title, ("sans-serif", 17))
+            .margin(8)
+            .x_label_area_size(40)
+            .y_label_area_size(64)
+            .build_cartesian_2d(from - margin..to + margin, 0.0..most)
+            .map_err(|cause| fail(&cause))?;
+        let place = |at: &f64| match &axes.places {
+            Some(names) if (at - at.round()).abs() < 1e-6 => {
+                names.get(at.round() as usize).cloned().unwrap_or_default()
+            }
+            Some(_) => String::new(),
+            None => format!("{at}"),
+        };
+        let labels = axes.places.as_ref().map_or(10, |names| names.len().clamp(2, 12));
+        chart
+            .configure_mesh()
+            .light_line_style(WHITE)
+            .x_labels(labels)
+            .x_label_formatter(&place)
+            .x_desc(axes.x)
+            .y_desc(axes.y)
+            .label_style(("sans-serif", 13))
+            .draw()
+            .map_err(|cause| fail(&cause))?;
+        for (row, curve) in curves.iter().enumerate() {
+            let colour = COLOURS[row % COLOURS.len()];
+            let seen: Vec<_> = curve.points.iter().filter(|point| point.1.is_finite()).collect();
+            chart
+                .draw_series(LineSeries::new(seen.iter().map(|p| (p.0, p.1)), colour.stroke_width(2)))
+                .map_err(|cause| fail(&cause))?
+                .label(&curve.name)
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour.stroke_width(2)));
+            let bars = seen.iter().map(|p| {
+                let half = half(p);
+                ErrorBar::new_vertical(p.0, (p.1 - half).max(0.0), p.1, p.1 + half, colour.filled(), 7)
+            });
+            chart.draw_series(bars).map_err(|cause| fail(&cause))?;
+        }
+        chart
+            .configure_series_labels()
+            .background_style(WHITE.mix(0.8))
+            .border_style(RGBColor(200, 200, 200))
+            .position(SeriesLabelPosition::LowerLeft)
+            .label_font(("sans-serif", 13))
+            .draw()
+            .map_err(|cause| fail(&cause))?;
+        area.present().map_err(|cause| fail(&cause))?;
+    }
+    Ok(svg)
+}
+
+/// The knob along the axis: of those whose values are numbers the one with most of them, the later of two alike.
+fn along(grid: &[Point]) -> Option<&'static str> {
+    let mut values: BTreeMap<&'static str, Vec<&String>> = BTreeMap::new();
+    for (name, value) in grid.iter().flatten() {
+        let seen = values.entry(name).or_default();
+        if !seen.contains(&value) {
+            seen.push(value);
+        }
+    }
+    let order: Vec<_> = grid.first()?.iter().map(|(name, _)| *name).collect();
+    let numbers = |name: &&'static str| values[name].iter().all(|value| value.parse::<f64>().is_ok());
+    order.into_iter().filter(numbers).max_by_key(|name| values[name].len())
+}
+
+/// The curves of one figure of an experiment.
+fn curves(grid: &[Point], rows: &[Row], x: &str, figure: usize) -> Vec<Curve> {
+    let mut curves: Vec<Curve> = Vec::new();
+    for point in grid {
+        let full = title(point);
+        let of: Vec<_> = rows.iter().filter(|row| row.point == full).map(|row| row.figures[figure]).collect();
+        let Some(at) = point.iter().find(|(name, _)| *name == x).and_then(|(_, value)| value.parse().ok())
+        else {
+            continue;
+        };
+        if of.is_empty() {
+            continue;
+        }
+        let rest: Point = point.iter().filter(|(name, _)| *name != x).cloned().collect();
+        let name = title(&rest);
+        let (mean, half) = interval(&of);
+        match curves.iter_mut().find(|curve| curve.name == name) {
+            Some(curve) => curve.points.push((at, mean, half)),
+            None => curves.push(Curve { name, points: vec![(at, mean, half)] }),
+        }
+    }
+    curves
+}
+
+const HEAD: &str =
+    "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><style>body{font:15px/1.45 sans-serif;\
+    max-width:980px;margin:24px auto;color:#222}svg{max-width:100%;height:auto}pre{font-size:12px}</style>";
+
+/// Figures that are plotted: their place among the figures of a run, a title and a unit.
+const PLOTTED: [(usize, &str, &str); 4] = [
+    (0, "Service: value in target of value asked for", "share"),
+    (1, "Worst service of a workload while a trouble lasts", "share"),
+    (4, "Wishes rate-limited", "share"),
+    (5, "Dispatches worked on for nobody", "share"),
+];
+
+/// The page of an experiment: its plots, and its table as text.
+///
+/// # Errors
+/// A grid without a knob of numbers, or what the drawing library says.
+pub fn experiment_page(settings: &ExperimentSettings, rows: &[Row], summary: &str) -> Result<String> {
+    let grid = points(settings);
+    let mut page = format!("{HEAD}<h1>{}</h1><p>{}</p>", settings.name, settings.question);
+    let _ = write!(page, "<p>Simulated; {} seeds a point, 95% confidence intervals.</p>", settings.seeds);
+    match along(&grid) {
+        Some(x) => {
+            for (figure, title, unit) in PLOTTED {
+                let axes = Axes { title, x, y: unit, places: None };
+                let _ = write!(page, "<p>{}</p>", draw(&axes, &curves(&grid, rows, x, figure))?);
+            }
+        }
+        // No number to go along: each point has its place.
+        None => {
+            let places: Vec<_> = grid.iter().map(title).collect();
+            for (figure, title, unit) in PLOTTED {
+                let of = |name: &String| -> Vec<f64> {
+                    rows.iter().filter(|row| row.point == *name).map(|row| row.figures[figure]).collect()
+                };
+                let points = places.iter().enumerate().map(|(at, name)| {
+                    let (mean, half) = interval(&of(name));
+                    (at as f64, mean, half)
+                });
+                let curve = Curve { name: "mean".into(), points: points.collect() };
+                let axes = Axes { title, x: "point", y: unit, places: Some(places.clone()) };
+                let _ = write!(page, "<p>{}</p>", draw(&axes, &[curve])?);
+            }
+        }
+    }
+    let _ = write!(page, "<pre>{}</pre></html>", summary.replace('&', "&amp;").replace('<', "&lt;"));
+    Ok(page)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn grid() -> Vec<Point> {
+        let point = |policy: &str, load: &str| vec![("policy", policy.to_owned()), ("load", load.to_owned())];
+        vec![point("design", "1"), point("design", "2"), point("random", "1"), point("random", "2")]
+    }
+
+    #[test]
+    fn a_grid_becomes_one_curve_for_all_but_the_numbers_along_the_axis() {
+        let grid = grid();
+        assert_eq!(along(&grid), Some("load"));
+        let row = |point: &Point, seed, service| Row {
+            point: title(point),
+            seed,
+            figures: [service, 1.0, 0.0, 1.0, 0.0, 0.0, 0.0],
+        };
+        let rows: Vec<_> = grid.iter().flat_map(|point| [row(point, 1, 0.8), row(point, 2, 0.9)]).collect();
+        let curves = curves(&grid, &rows, "load", 0);
+        let names: Vec<_> = curves.iter().map(|curve| curve.name.as_str()).collect();
+        assert_eq!(names, ["policy=design", "policy=random"]);
+        assert_eq!(curves[0].points.len(), 2);
+        assert!((curves[0].points[1].1 - 0.85).abs() < 1e-12 && curves[0].points[1].0 == 2.0);
+        let axes = Axes { title: "t", x: "load", y: "share", places: None };
+        let svg = draw(&axes, &curves).unwrap();
+        assert!(svg.contains("policy=random") && svg.contains("load"));
+    }
+
+    #[test]
+    fn policies_alone_have_places_instead_of_numbers() {
+        let grid = vec![vec![("policy", "design".to_owned())], vec![("policy", "random".to_owned())]];
+        assert_eq!(along(&grid), None);
+    }
+}
--- a/crates/rehearsal/src/experiment.rs
+++ b/crates/rehearsal/src/experiment.rs
@@ -63,7 +63,8 @@
     grid
 }
 
-fn title(point: &Point) -> String {
+/// A point's name: its knobs as they are set.
+pub fn title(point: &Point) -> String {
     let parts: Vec<_> = point.iter().map(|(name, value)| format!("{name}={value}")).collect();
     if parts.is_empty() {
         "as it is".into()
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -24,6 +24,8 @@
     router_nodes: KdlDocument,
     pub fleet: FleetSettings,
     pub clients: Vec<ClientLoad>,
+    /// Time one way between a router and a server, inside a zone and to another, in ms; for virtual time alone.
+    pub network_ms: (f64, f64),
     pub troubles: Vec<Trouble>,
 }
 
@@ -39,6 +41,8 @@
     /// Tokens of the shared beginning (0: none), and how many different ones there are.
     pub shared_tokens: usize,
     pub beginnings: usize,
+    /// Exponent of the Zipf law by which beginnings are chosen; 0 where all are equally likely.
+    pub zipf: f64,
     pub adds_tokens: usize,
     pub answer_tokens: usize,
     pub client_timeout_ms: f64,
@@ -51,11 +55,28 @@
     pub leaves: f64,
 }
 
+impl ClientLoad {
+    /// The beginning that a draw from 0 to below 1 stands for.
+    pub fn beginning_at(&self, draw: f64) -> usize {
+        let weight = |number: usize| (number as f64 + 1.0).powf(-self.zipf);
+        let mut left = draw * (0..self.beginnings).map(weight).sum::<f64>();
+        for number in 0..self.beginnings {
+            left -= weight(number);
+            if left < 0.0 {
+                return number;
+            }
+        }
+        self.beginnings.saturating_sub(1)
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Trouble {
     pub at_ms: f64,
     /// How long it lasts, in ms; 0 where it is over at once.
     pub for_ms: f64,
+    /// Where it comes again by chance: the mean time from one to the next, in ms.
+    pub every_ms: Option<f64>,
     pub what: What,
 }
 
@@ -69,25 +90,81 @@
 /// What befalls whom. Servers are named as in the fleet.
 #[derive(Clone, Debug)]
 pub enum What {
-    Dead { servers: Vec<String>, how: Dead, back_as_new: bool },
-    Silent { servers: Vec<String> },
-    Slow { servers: Vec<String>, factor: f64 },
-    Ageing { servers: Vec<String>, factor: f64 },
-    Erring { servers: Vec<String>, share: f64, model: Option<String> },
-    AnswerLost { servers: Vec<String>, share: f64 },
-    Pausing { servers: Vec<String>, pause_ms: f64, every_ms: f64 },
-    Flush { servers: Vec<String> },
-    Drain { servers: Vec<String>, notice_ms: f64 },
-    Links { cell: u32, factor: f64 },
-    ZoneLost { zone: String, routers: bool },
-    ListBehind { by_ms: f64 },
+    Dead {
+        servers: Vec<String>,
+        how: Dead,
+        back_as_new: bool,
+    },
+    Silent {
+        servers: Vec<String>,
+    },
+    Slow {
+        servers: Vec<String>,
+        factor: f64,
+    },
+    Ageing {
+        servers: Vec<String>,
+        factor: f64,
+    },
+    Erring {
+        servers: Vec<String>,
+        share: f64,
+        model: Option<String>,
+    },
+    AnswerLost {
+        servers: Vec<String>,
+        share: f64,
+    },
+    Pausing {
+        servers: Vec<String>,
+        pause_ms: f64,
+        every_ms: f64,
+    },
+    Flush {
+        servers: Vec<String>,
+    },
+    Drain {
+        servers: Vec<String>,
+        notice_ms: f64,
+    },
+    Links {
+        cell: u32,
+        factor: f64,
+    },
+    ZoneLost {
+        zone: String,
+        routers: bool,
+    },
+    ListBehind {
+        by_ms: f64,
+    },
     ListDown,
-    RouterKilled { router: usize },
-    RouterStopped { router: usize },
-    Burst { key: String, factor: f64 },
-    LongPrompts { share: f64, factor: f64 },
-    HotBeginning { share: f64, tokens: usize },
-    GiveUp { share: f64 },
+    RouterKilled {
+        router: usize,
+    },
+    RouterStopped {
+        router: usize,
+    },
+    Burst {
+        key: String,
+        factor: f64,
+    },
+    /// Sessions of a key grow evenly to a multiple over the trouble's time, then fall back.
+    Ramp {
+        key: String,
+        factor: f64,
+    },
+    LongPrompts {
+        share: f64,
+        factor: f64,
+    },
+    HotBeginning {
+        share: f64,
+        tokens: usize,
+    },
+    GiveUp {
+        share: f64,
+    },
 }
 
 impl What {
@@ -110,6 +187,7 @@
             What::RouterKilled { .. } => "router-killed",
             What::RouterStopped { .. } => "router-stopped",
             What::Burst { .. } => "burst",
+            What::Ramp { .. } => "ramp",
             What::LongPrompts { .. } => "long-prompts",
             What::HotBeginning { .. } => "hot-beginning",
             What::GiveUp { .. } => "give-up",
@@ -183,6 +261,9 @@
     }
 }
 
+/// Time one way on a network that is not described, in ms.
+const NETWORK_MS: f64 = 0.3;
+
 fn day(top: &Block) -> Option<DaySettings> {
     let head = top.need_block("day")?;
     top.skip("include");
@@ -208,6 +289,11 @@
         block.done();
         read
     });
+    let network = top.block("network").map(|block| {
+        let read = (block.need_property::<Millis>("near").0, block.need_property::<Millis>("far").0);
+        block.done();
+        read
+    });
     let clients: Vec<_> = top.blocks("clients").into_iter().map(client_load).collect();
     let troubles: Vec<_> = top.blocks("trouble").into_iter().filter_map(trouble).collect();
     let settings = DaySettings {
@@ -221,6 +307,7 @@
         router_nodes: router_nodes?,
         fleet: read_fleet?,
         clients,
+        network_ms: network.unwrap_or((NETWORK_MS, NETWORK_MS)),
         troubles,
     };
     agrees(top, &settings);
@@ -298,6 +385,7 @@
         think_ms: block.need::<Millis>("think").0,
         shared_tokens: block.need::<Count>("shared").0 as usize,
         beginnings: block.maybe::<Count>("beginnings").map_or(1, |count| count.0.max(1)) as usize,
+        zipf: block.maybe::<f64>("zipf").unwrap_or(0.0).clamp(0.0, 10.0),
         adds_tokens: block.need::<Count>("adds").0.max(1) as usize,
         answer_tokens: block.need::<Count>("answer").0.max(1) as usize,
         client_timeout_ms: block.need::<Millis>("client-timeout").0,
@@ -360,6 +448,7 @@
         "router-killed" => What::RouterKilled { router: block.need_property::<Count>("router").0 as usize },
         "router-stopped" => What::RouterStopped { router: block.need_property::<Count>("router").0 as usize },
         "burst" => What::Burst { key: block.need_property("key"), factor: factor() },
+        "ramp" => What::Ramp { key: block.need_property("key"), factor: factor() },
         "long-prompts" => What::LongPrompts { share: share(), factor: factor() },
         "hot-beginning" => {
             What::HotBeginning { share: share(), tokens: block.need_property::<Count>("tokens").0 as usize }
@@ -370,10 +459,11 @@
             return None;
         }
     };
+    let every_ms = block.property::<Millis>("every-about").map(|time| time.0.max(1.0));
     block.done();
-    Some(Trouble { at_ms, for_ms, what })
+    Some(Trouble { at_ms, for_ms, every_ms, what })
 }
 
 const KNOWN: &str =
     "dead, silent, slow, ageing, erring, answer-lost, pausing, flush, drain, links, zone-lost, \
-    list-behind, list-down, router-killed, router-stopped, burst, long-prompts, hot-beginning, give-up";
+    list-behind, list-down, router-killed, router-stopped, burst, ramp, long-prompts, hot-beginning, give-up";
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -24,6 +24,8 @@
     pub near_tokens_per_s: f64,
     pub far_tokens_per_s: f64,
     pub report_every_ms: f64,
+    /// Each figure of a report is wrong by up to this share.
+    pub report_noise: f64,
     /// A state that nobody takes is let go after this, in ms.
     pub lease_ms: f64,
     /// Whether work stops once nobody waits for it.
@@ -51,6 +53,8 @@
     pub read_tokens_per_s: f64,
     /// Time for one token of an answer, in ms.
     pub token_ms: f64,
+    /// Connections that it takes at once; more are closed at once.
+    pub connections: Option<usize>,
 }
 
 #[derive(Clone, Debug)]
@@ -147,6 +151,7 @@
         near_tokens_per_s: near as f64,
         far_tokens_per_s: far as f64,
         report_every_ms: top.need::<Millis>("report-every").0,
+        report_noise: top.maybe::<Share>("report-noise").map_or(0.0, |share| share.0),
         lease_ms: top.need::<Millis>("state-lease").0,
         cancel_stops: top.need("cancel-stops-work"),
         repeats,
@@ -171,6 +176,7 @@
         memory_tokens: above("memory") as f64,
         read_tokens_per_s: above("read-rate") as f64,
         token_ms: block.need::<Millis>("token-time").0,
+        connections: block.maybe::<Count>("connections").map(|count| count.0.max(1) as usize),
     };
     block.done();
     kind
