--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The program `paddleproxy`.
 
+mod operators;
 mod run;
 
 use std::path::PathBuf;
@@ -33,6 +34,20 @@
     Json,
 }
 
+#[derive(Clone, Copy, ValueEnum, PartialEq, Eq)]
+pub enum WorkersWord {
+    /// What each router knows.
+    List,
+    /// No new work to it.
+    Drain,
+    /// Ends a drain or a quarantine.
+    Undrain,
+    /// Sets it aside as broken.
+    Quarantine,
+    /// Takes the version of the list that is held.
+    Accept,
+}
+
 #[derive(Subcommand)]
 enum Command {
     /// Runs one router until it is told to stop.
@@ -40,6 +55,26 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// What routers know of their servers, and where they have it from.
+    Status {
+        /// Admin addresses of routers.
+        #[arg(long = "router", required = true)]
+        routers: Vec<std::net::SocketAddr>,
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
+    /// Lists servers at routers, or says something of one.
+    Workers {
+        #[arg(value_enum)]
+        what: WorkersWord,
+        /// The server; not for `list` and `accept`.
+        name: Option<String>,
+        /// Admin addresses of routers.
+        #[arg(long = "router", required = true)]
+        routers: Vec<std::net::SocketAddr>,
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
     /// Checks KDL documents of any kind and explains what is wrong.
     Check {
         #[arg(required = true)]
@@ -145,12 +180,26 @@
         }
     };
     let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
-    match arguments.log_format {
-        LogFormat::Text => logs.init(),
-        LogFormat::Json => logs.json().init(),
-    }
+    let set_log = match arguments.log_format {
+        LogFormat::Text => {
+            let logs = logs.with_filter_reloading();
+            let handle = logs.reload_handle();
+            logs.init();
+            setter(move |filter| handle.reload(filter).map_err(|cause| cause.to_string()))
+        }
+        LogFormat::Json => {
+            let logs = logs.json().with_filter_reloading();
+            let handle = logs.reload_handle();
+            logs.init();
+            setter(move |filter| handle.reload(filter).map_err(|cause| cause.to_string()))
+        }
+    };
     let done = match arguments.command {
-        Command::Serve { config } => run::serve(&config),
+        Command::Serve { config } => run::serve(&config, set_log),
+        Command::Status { routers, format } => operators::status(&routers, format == Format::Json),
+        Command::Workers { what, name, routers, format } => {
+            operators::workers(what, name.as_deref(), &routers, format == Format::Json)
+        }
         Command::Check { files, format } => run::check(&files, format == Format::Json),
         Command::Demo { keep: true, .. } => run::keep(),
         Command::Demo { format, .. } => run::demo(format == Format::Json),
@@ -176,3 +225,12 @@
         }
     }
 }
+
+/// Changes what is logged while the program runs.
+fn setter(
+    reload: impl Fn(tracing_subscriber::EnvFilter) -> Result<(), String> + 'static,
+) -> paddleproxy_router::LogSetter {
+    Box::new(move |wanted: &str| {
+        reload(tracing_subscriber::EnvFilter::try_new(wanted).map_err(|cause| cause.to_string())?)
+    })
+}
--- /dev/null
+++ b/crates/cli/src/operators.rs
@@ -0,0 +1,125 @@
+//! What operators ask of running routers and say to them, over the admin port.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use anyhow::{bail, ensure, Context, Result};
+use serde_json::{json, Value};
+
+use crate::WorkersWord;
+
+const WITHIN: Duration = Duration::from_secs(5);
+
+/// One short question to an admin port.
+fn ask(router: SocketAddr, method: &str, path: &str) -> Result<Value> {
+    ensure!(router.ip().is_loopback(), "{router} is not on the loopback range");
+    let mut stream =
+        TcpStream::connect_timeout(&router, WITHIN).with_context(|| format!("reaching {router}"))?;
+    stream.set_read_timeout(Some(WITHIN))?;
+    stream.set_write_timeout(Some(WITHIN))?;
+    write!(
+        stream,
+        "{method} {path} HTTP/1.1\r\nhost: {router}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+    )?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).with_context(|| format!("hearing {router}"))?;
+    let (head, body) = answer.split_once("\r\n\r\n").context("no answer")?;
+    let value: Value = serde_json::from_str(body).with_context(|| format!("{router} answered '{body}'"))?;
+    if !head.starts_with("HTTP/1.1 200") {
+        bail!("{router}: {}", value["error"].as_str().unwrap_or(body.trim()));
+    }
+    Ok(value)
+}
+
+fn encode(name: &str) -> Result<&str> {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.+:".contains(&byte);
+    ensure!(!name.is_empty() && name.bytes().all(plain), "'{name}' is no name of a server");
+    Ok(name)
+}
+
+pub fn workers(what: WorkersWord, name: Option<&str>, routers: &[SocketAddr], as_json: bool) -> Result<bool> {
+    let path = match (what, name) {
+        (WorkersWord::List, None) => return list(routers, as_json, false),
+        (WorkersWord::Accept, None) => "/list/accept".to_owned(),
+        (WorkersWord::List | WorkersWord::Accept, Some(_)) => bail!("this takes no name"),
+        (_, None) => bail!("which server? give its name"),
+        (WorkersWord::Drain, Some(name)) => format!("/workers/drain?name={}", encode(name)?),
+        (WorkersWord::Undrain, Some(name)) => format!("/workers/undrain?name={}", encode(name)?),
+        (WorkersWord::Quarantine, Some(name)) => format!("/workers/quarantine?name={}", encode(name)?),
+    };
+    let mut good = true;
+    for router in routers {
+        // One router that can't be reached must not keep the others from hearing.
+        match ask(*router, "POST", &path) {
+            Ok(answer) if as_json => {
+                println!("{}", json!({ "router": router, "revision": answer["revision"] }))
+            }
+            Ok(answer) => println!("{router}: list revision {}", answer["revision"]),
+            Err(cause) => {
+                good = false;
+                eprintln!("{cause:#}");
+            }
+        }
+    }
+    Ok(good)
+}
+
+pub fn status(routers: &[SocketAddr], as_json: bool) -> Result<bool> {
+    list(routers, as_json, true)
+}
+
+fn list(routers: &[SocketAddr], as_json: bool, sources: bool) -> Result<bool> {
+    let mut good = true;
+    for router in routers {
+        match ask(*router, "GET", "/status") {
+            Ok(answer) if as_json => println!("{}", json!({ "router": router, "status": answer })),
+            Ok(answer) => print!("{}", text(*router, &answer, sources)),
+            Err(cause) => {
+                good = false;
+                eprintln!("{cause:#}");
+            }
+        }
+    }
+    Ok(good)
+}
+
+fn seconds(value: &Value) -> String {
+    value.as_f64().map_or("-".into(), |ms| format!("{:.1} s", ms / 1e3))
+}
+
+fn text(router: SocketAddr, status: &Value, sources: bool) -> String {
+    let word = |value: &Value| value.as_str().unwrap_or("-").to_owned();
+    let list = &status["list"];
+    let mut text = format!("{router}: list revision {}\n", list["revision"]);
+    if sources {
+        for row in list["sources"].as_array().into_iter().flatten() {
+            let leads = if row["leads"] == true { ", leads" } else { "" };
+            let stale = if row["stale"] == true { ", stale" } else { "" };
+            let silent = seconds(&row["silent_ms"]);
+            let (name, version, refused) = (word(&row["name"]), &row["version"], &row["refused"]);
+            text += &format!(
+                "  source {name}: version {version}, heard {silent} ago{leads}{stale}, {refused} refused\n"
+            );
+            if let Some(why) = row["last_refused"].as_str() {
+                text += &format!("    last refused: {}\n", why.replace('\n', "\n      "));
+            }
+        }
+        if let [why, since] = list["held"].as_array().map_or(&[][..], Vec::as_slice) {
+            text += &format!("  held for {}: {}\n", seconds(since), word(why));
+        }
+        let settings = &status["settings"];
+        text +=
+            &format!("  settings: {} changes taken, {} refused\n", settings["taken"], settings["refused"]);
+        if let Some(why) = settings["last_refused"].as_str() {
+            text += &format!("    last refused: {why}\n");
+        }
+    }
+    for row in list["servers"].as_array().into_iter().flatten() {
+        let (name, phase, by) = (word(&row["name"]), word(&row["phase"]), word(&row["by"]));
+        let (address, weight, since) = (word(&row["address"]), &row["weight"], seconds(&row["for_ms"]));
+        text +=
+            &format!("  {name:<16} {phase:<12} by {by:<9} for {since:<10} weight {weight:<6} {address}\n");
+    }
+    text
+}
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -39,7 +39,7 @@
     let _ = writeln!(out, "{line}").and_then(|()| out.flush());
 }
 
-pub fn serve(config: &Path) -> Result<bool> {
+pub fn serve(config: &Path, log: paddleproxy_router::LogSetter) -> Result<bool> {
     let text = settings::text_of(config)?;
     let settings = settings::router::parse(&config.display().to_string(), &text)?;
     on_one_thread(async move {
@@ -47,7 +47,11 @@
         let ready = |at: paddleproxy_router::Listening| {
             say(&json!({ "listening": at.clients, "admin": at.admin }));
         };
-        paddleproxy_router::serve(settings, ready, stop).await
+        if let Some(wanted) = &settings.log {
+            log(wanted).map_err(|why| anyhow::anyhow!("'log': {why}"))?;
+        }
+        let watched = paddleproxy_router::Watched { file: config.to_owned(), log };
+        paddleproxy_router::serve(settings, Some(watched), ready, stop).await
     })?;
     Ok(true)
 }
--- a/crates/drill/src/settings.rs
+++ b/crates/drill/src/settings.rs
@@ -151,6 +151,8 @@
         fall_ms: conf.invariants.fall_s * 1e3,
         cold_share: conf.invariants.cold_share,
         cold_ms: conf.invariants.cold_s * 1e3,
+        // There a weight is a number for comparing, by size or load, that may change with each list.
+        weights_act: false,
     };
     Ok(Provision {
         settings,
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -6,9 +6,9 @@
 
 use paddleproxy::interface::{CompletionId, ListKind, LoadReport, Role, Seq, WorkerId};
 use paddleproxy_engine::{Refusal, ServerEntry, ServerList, StateReference};
+use paddleproxy_membership::{Heard, Membership, Saved, SourceId};
 use paddleproxy_routing::{
-    Admission, Bounds, Counts, Decisions, Effect, Heard, Input, Ledger, Membership, Place, Saved, Sending,
-    SocketEnd, Stage,
+    Admission, Bounds, Counts, Decisions, Effect, Input, Ledger, Place, Sending, SocketEnd, Stage,
 };
 use paddleproxy_settings::day::{DaySettings, Dead, Trouble};
 
@@ -77,25 +77,94 @@
 }
 
 pub(crate) enum Ev {
-    Session { load: usize },
-    Turn { session: usize },
-    Attempt { op: usize },
-    AtRouter { op: usize, attempt: u32 },
-    Leaves { op: usize, attempt: u32 },
-    Sees { op: usize, attempt: u32, what: Sees },
-    Arrive { dispatch: usize },
-    Cancel { dispatch: usize },
-    Release { server: usize, start: u64, dispatch: usize },
-    Probe { server: Option<usize>, router: usize, boot: u64, worker: WorkerId },
-    Tell { router: usize, boot: u64, input: Box<Input> },
-    End { dispatch: usize, end: SocketEnd },
-    Step { server: usize, start: u64 },
-    LinkEnds { link: usize, version: u64 },
-    Lease { server: usize, start: u64, dispatch: usize },
-    News { router: usize, boot: u64 },
-    Trouble { row: usize, begins: bool },
-    Dies { row: usize },
-    StopEnds { router: usize, boot: u64 },
+    Session {
+        load: usize,
+    },
+    Turn {
+        session: usize,
+    },
+    Attempt {
+        op: usize,
+    },
+    AtRouter {
+        op: usize,
+        attempt: u32,
+    },
+    Leaves {
+        op: usize,
+        attempt: u32,
+    },
+    Sees {
+        op: usize,
+        attempt: u32,
+        what: Sees,
+    },
+    Arrive {
+        dispatch: usize,
+    },
+    Cancel {
+        dispatch: usize,
+    },
+    Release {
+        server: usize,
+        start: u64,
+        dispatch: usize,
+    },
+    Probe {
+        server: Option<usize>,
+        router: usize,
+        boot: u64,
+        worker: WorkerId,
+    },
+    Tell {
+        router: usize,
+        boot: u64,
+        input: Box<Input>,
+    },
+    End {
+        dispatch: usize,
+        end: SocketEnd,
+    },
+    Step {
+        server: usize,
+        start: u64,
+    },
+    LinkEnds {
+        link: usize,
+        version: u64,
+    },
+    Lease {
+        server: usize,
+        start: u64,
+        dispatch: usize,
+    },
+    News {
+        router: usize,
+        boot: u64,
+    },
+    /// A router's list changes by itself.
+    List {
+        router: usize,
+        boot: u64,
+    },
+    /// A server answers, or does not, whether it is there.
+    There {
+        router: usize,
+        boot: u64,
+        worker: WorkerId,
+        there: bool,
+    },
+    Trouble {
+        row: usize,
+        begins: bool,
+    },
+    Dies {
+        row: usize,
+    },
+    StopEnds {
+        router: usize,
+        boot: u64,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -379,6 +448,8 @@
                 }
             }
             Ev::News { router, boot } => self.news(router, boot),
+            Ev::List { router, boot } => self.list_passes(router, boot),
+            Ev::There { router, boot, worker, there } => self.seen(router, boot, &worker, there),
             Ev::Trouble { row, begins } => self.trouble(row, begins),
             Ev::Dies { row } => self.drain_ends(row),
             Ev::StopEnds { router, boot } => self.stop_ends(router, boot),
@@ -671,6 +742,11 @@
             let what = if end == SocketEnd::AnswerDone { Sees::Finished } else { Sees::Aborted };
             self.answer(router, completion, what);
         }
+        let nobody = matches!(end, SocketEnd::ConnectRefused | SocketEnd::ConnectTimedOut);
+        if nobody || matches!(end, SocketEnd::ReadDone | SocketEnd::AnswerDone) {
+            let worker = WorkerId(Arc::from(self.nodes[self.dispatches[dispatch].server].name.as_str()));
+            self.seen(router, boot, &worker, !nobody);
+        }
         let d = &self.dispatches[dispatch];
         let (took_ms, kept_tokens, server, heard) =
             (self.now_ms - d.sent_ms, d.kept, d.server, d.arrived_ms.is_some());
@@ -1029,7 +1105,8 @@
         let node = &self.nodes[server];
         let entry = ServerEntry {
             name: node.name.clone(),
-            address: "127.0.0.1:1".into(),
+            // Each has one of its own; nothing connects to it.
+            address: format!("127.1.{}.{}:1", server / 256, server % 256),
             zone: node.zone.clone(),
             kind: self.day.fleet.kinds[node.kind].name.clone(),
             cell: node.cell,
@@ -1062,7 +1139,8 @@
         let late_ms = self.day.fleet.list_delay_ms;
         let until_ms = self.now_ms - late_ms - self.behind_ms;
         let first = self.nodes.len();
-        let known = self.routers[router].membership.version().map(|version| version as usize);
+        let known =
+            self.routers[router].membership.known(SourceId::Service).map(|(_, version)| version as usize);
         let seen = self.list.iter().take_while(|(at, _, _)| *at <= until_ms + 1e-6).count();
         let version = seen.max(first).max(known.unwrap_or(0)).min(self.list.len());
         if known == Some(version) {
@@ -1081,11 +1159,49 @@
         }
         let after = known.map(|known| known as u64);
         let list = ServerList { epoch: 1, version: version as u64, after, servers };
+        let heard = self.routers[router].membership.hear(self.now_ms, SourceId::Service, &list);
+        if let Ok(heard) = heard {
+            self.heard(router, boot, heard);
+        }
+    }
+
+    /// What a router's list came to is told to its decisions, and what it wants to know is asked.
+    fn heard(&mut self, router: usize, boot: u64, heard: Heard) {
+        let now_ms = self.now_ms;
         let node = &mut self.routers[router];
-        if let Ok(Heard::Listed { kind, rows }) = node.membership.hear(self.now_ms, &list) {
-            node.saved = node.membership.save(self.now_ms, self.now_ms);
+        if let Heard::Listed { kind, rows } = heard {
+            node.saved = node.membership.save(now_ms, now_ms);
             self.tell(router, boot, Input::Listed { kind, rows });
         }
+        let node = &mut self.routers[router];
+        let asks = node.membership.asks(now_ms);
+        if let Some(at_ms) = node.membership.wakes_ms(now_ms) {
+            self.heap.put(at_ms, Ev::List { router, boot });
+        }
+        for worker in asks {
+            let server = self.by_name.get(&*worker.0).copied();
+            let there = server.is_some_and(|row| self.nodes[row].up && !self.nodes[row].model.befalls.silent);
+            let after_ms = if there { 2.0 * self.options.net_ms } else { self.day.router.engines.probe_ms };
+            self.heap.put(now_ms + after_ms, Ev::There { router, boot, worker, there });
+        }
+    }
+
+    fn list_passes(&mut self, router: usize, boot: u64) {
+        let node = &mut self.routers[router];
+        if node.up && node.boot == boot {
+            let heard = node.membership.tick(self.now_ms);
+            self.heard(router, boot, heard);
+        }
+    }
+
+    fn seen(&mut self, router: usize, boot: u64, worker: &WorkerId, there: bool) {
+        let node = &mut self.routers[router];
+        if node.up && node.boot == boot {
+            let heard = node.membership.observe(self.now_ms, worker, there);
+            if matches!(heard, Heard::Listed { .. }) {
+                self.heard(router, boot, heard);
+            }
+        }
     }
 
     pub fn named(&self, first_names: &[String]) -> Vec<usize> {
@@ -1229,7 +1345,7 @@
 fn membership(day: &DaySettings) -> Membership {
     let roles = day.router.decisions.kinds.iter().map(|kind| kind.role);
     let kinds = day.router.names.kinds.iter().cloned().zip(roles).collect();
-    Membership::new(day.router.names.zones.clone(), kinds)
+    Membership::new(day.router.names.zones.clone(), kinds, day.router.membership)
 }
 
 fn admission(day: &DaySettings) -> Admission {
--- /dev/null
+++ b/crates/membership/src/guard.rs
@@ -0,0 +1,93 @@
+//! Whether one version may take away so many servers at once.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use paddleproxy::interface::{CellId, Role, WorkerId};
+
+use crate::entry::{Checks, Row, View};
+
+/// Why a version is held.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Why {
+    /// A role, or a cell.
+    pub of: String,
+    pub usable: usize,
+    pub taken: usize,
+}
+
+impl std::fmt::Display for Why {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Why { of, usable, taken } = self;
+        write!(f, "it takes away {taken} of the {usable} usable servers of {of} at once")
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Part {
+    Role(u8),
+    Cell(CellId),
+}
+
+fn role(checks: &Checks, row: &Row) -> Role {
+    checks.kinds.get(row.listing.kind.0).map_or(Role::Mixed, |(_, role)| *role)
+}
+
+fn parts(checks: &Checks, row: &Row) -> [Part; 2] {
+    [Part::Role(role(checks, row) as u8), Part::Cell(row.listing.cell)]
+}
+
+fn name(part: Part) -> String {
+    match part {
+        Part::Role(role) if role == Role::Reader as u8 => "role reader".into(),
+        Part::Role(role) if role == Role::Writer as u8 => "role writer".into(),
+        Part::Role(_) => "role mixed".into(),
+        Part::Cell(cell) => format!("cell {}", cell.0),
+    }
+}
+
+/// What `next` takes away of what `stands` has: usable servers that it leaves out or calls gone. One that drained before
+/// is not taken away, and one that another process replaces under its name is not either.
+pub fn taken(stands: &View, next: &View) -> BTreeSet<WorkerId> {
+    let missing = |worker: &WorkerId| next.get(worker).is_none_or(|row| row.gone());
+    stands
+        .iter()
+        .filter(|(worker, row)| row.usable() && missing(worker))
+        .map(|(worker, _)| worker.clone())
+        .collect()
+}
+
+/// Guards against a list that lost its mind: more than a share of a role's or a cell's servers, or a role's last usable
+/// one, leave at once although nobody else knows of it. `known` are servers of which another word says the same; they
+/// don't count. Harm: dead servers stay listed until that word comes, and cost a refused connection each.
+pub fn too_much(
+    checks: &Checks,
+    stands: &View,
+    next: &View,
+    known: &BTreeSet<WorkerId>,
+    most: f64,
+) -> Option<Why> {
+    let taken = taken(stands, next);
+    if taken.is_empty() {
+        return None;
+    }
+    let mut counts: BTreeMap<Part, (usize, usize, usize)> = BTreeMap::new();
+    for (worker, row) in stands.iter().filter(|(_, row)| row.usable()) {
+        for part in parts(checks, row) {
+            let count = counts.entry(part).or_default();
+            count.0 += 1;
+            count.1 += usize::from(taken.contains(worker) && !known.contains(worker));
+        }
+    }
+    for row in next.values().filter(|row| row.usable()) {
+        for part in parts(checks, row) {
+            counts.entry(part).or_default().2 += 1;
+        }
+    }
+    let found = counts.into_iter().find(|(part, (usable, taken, left))| {
+        let share = *taken as f64 > most * *usable as f64;
+        // A single server of many cells may go; the last one of a role may not.
+        let last = matches!(part, Part::Role(_)) && *left == 0;
+        *taken > 0 && (share && *taken > 1 || last)
+    });
+    found.map(|(part, (usable, taken, _))| Why { of: name(part), usable, taken })
+}
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -6,9 +6,11 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use paddleproxy_membership::Word as ListSays;
 use paddleproxy_routing::Reason;
+use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
 
@@ -42,18 +44,80 @@
         Ok(()) => receiver.await.ok(),
         Err(_) => None,
     };
+    if let Some(response) = operators(&front, &request).await {
+        return Ok(response);
+    }
     let stopping = front.admission.borrow().stopping();
     let (code, text) = match (request.uri().path(), status) {
         ("/healthz", Some(status)) if !stopping && status.servers > 0 => (StatusCode::OK, "ok\n".to_owned()),
         ("/healthz", _) => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
         ("/metrics", Some(status)) => (StatusCode::OK, metrics(&front, &status)),
-        _ => (StatusCode::NOT_FOUND, "known are /healthz and /metrics\n".to_owned()),
+        _ => (
+            StatusCode::NOT_FOUND,
+            "known are /healthz, /metrics, /status, /workers/WORD and /list/accept\n".to_owned(),
+        ),
     };
     let mut response = Response::new(Full::new(Bytes::from(text)));
     *response.status_mut() = code;
     Ok(response)
 }
 
+/// What operators ask and say: `GET /status`, `POST /workers/drain?name=...` and its like, `POST /list/accept`.
+async fn operators(front: &Front, request: &Request<hyper::body::Incoming>) -> Option<Response<Full<Bytes>>> {
+    let path = request.uri().path();
+    let json = |code: StatusCode, value: serde_json::Value| {
+        let mut response = Response::new(Full::new(Bytes::from(format!("{value}\n"))));
+        *response.status_mut() = code;
+        Some(response)
+    };
+    let gone = || json(StatusCode::SERVICE_UNAVAILABLE, json!({ "error": "the router stops" }));
+    if path == "/status" {
+        let (sender, receiver) = oneshot::channel();
+        let asked = front.core.send(Told::Members { status: sender }).await;
+        let Some(list) = (match asked {
+            Ok(()) => receiver.await.ok(),
+            Err(_) => None,
+        }) else {
+            return gone();
+        };
+        let (refused, why) = front.settings_refused.borrow().clone();
+        let settings =
+            json!({ "taken": front.settings_taken.get(), "refused": refused, "last_refused": why });
+        return json(
+            StatusCode::OK,
+            json!({ "schema": "paddleproxy.status.v1", "list": list, "settings": settings }),
+        );
+    }
+    let word = match path.strip_prefix("/workers/") {
+        Some("drain") => Some(ListSays::Drain),
+        Some("undrain") => Some(ListSays::Undrain),
+        Some("quarantine") => Some(ListSays::Quarantine),
+        _ if path == "/list/accept" => None,
+        _ => return None,
+    };
+    if request.method() != Method::POST {
+        return json(StatusCode::METHOD_NOT_ALLOWED, json!({ "error": "only POST says anything" }));
+    }
+    let (done, receiver) = oneshot::channel();
+    let query = request.uri().query().unwrap_or_default();
+    let name = query.split('&').find_map(|part| part.strip_prefix("name=")).unwrap_or_default().to_owned();
+    let told = match word {
+        Some(word) => Told::Say { server: name.clone(), word, done },
+        None => Told::Accept { done },
+    };
+    if front.core.send(told).await.is_err() {
+        return gone();
+    }
+    match (receiver.await, word) {
+        (Ok(Some(revision)), _) => json(StatusCode::OK, json!({ "revision": revision })),
+        (Ok(None), Some(_)) => {
+            json(StatusCode::NOT_FOUND, json!({ "error": format!("there is no server '{name}'") }))
+        }
+        (Ok(None), None) => json(StatusCode::NOT_FOUND, json!({ "error": "no version is held" })),
+        (Err(_), _) => gone(),
+    }
+}
+
 /// Counts what the process allocates; costs a little on each allocation.
 #[cfg(feature = "allocations")]
 #[global_allocator]
@@ -70,7 +134,7 @@
 
 fn metrics(front: &Front, status: &Status) -> String {
     let counts = &status.counts;
-    let rows: [(&str, u64); 20] = [
+    let rows: [(&str, u64); 24] = [
         ("completions_arrived_total", counts.arrived),
         ("completions_finished_total", counts.finished),
         ("completions_rate_limited_total", counts.rate_limited),
@@ -91,6 +155,10 @@
         ("connections_open", front.connections.get() as u64),
         ("servers_listed", status.servers as u64),
         ("list_version", status.version.unwrap_or(0)),
+        ("list_revision", status.revision),
+        ("lists_held_total", status.held_total),
+        ("lists_refused_total", status.refused),
+        ("settings_refused_total", front.settings_refused.borrow().0),
     ];
     let mut text: String = rows.iter().map(|(name, value)| format!("paddleproxy_{name} {value}\n")).collect();
     allocations(&mut text);
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -10,10 +10,12 @@
 use paddleproxy::interface::*;
 use paddleproxy_engine as wire;
 use paddleproxy_engine::Load;
+use paddleproxy_membership::{Heard, Membership, Saved, SourceId, Status as ListStatus, Word as ListSays};
 use paddleproxy_messages::{Answer, ApiError, ErrorKind};
-use paddleproxy_routing::{Counts, Due, Effect, Facts, Heard, Input, Ledger, Membership, Saved, Sending};
+use paddleproxy_routing::{Counts, Due, Effect, Facts, Input, Ledger, Sending, SocketEnd};
 use paddleproxy_settings::router::RouterSettings;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{sleep_until, Instant};
 use tokio_util::time::DelayQueue;
 use tracing::{debug, info, warn};
 
@@ -62,12 +64,45 @@
         worker: WorkerId,
         held: bool,
     },
-    /// An answer of the list service; the version to ask on from goes back, none for the whole.
+    /// A version of a source; the one to ask on from goes back, none for the whole.
     List {
+        source: SourceId,
         list: wire::ServerList,
+        fingerprint: Option<u64>,
         next: oneshot::Sender<Known>,
     },
     ListFailed,
+    /// A source is there and has nothing new.
+    ListSpoke {
+        source: SourceId,
+    },
+    /// A version that could not even be read.
+    ListUnreadable {
+        source: SourceId,
+        why: String,
+    },
+    /// An operator's word on a server; the revision that results goes back, none where there is no such server.
+    Say {
+        server: String,
+        word: ListSays,
+        done: oneshot::Sender<Option<u64>>,
+    },
+    /// An operator takes a held version.
+    Accept {
+        done: oneshot::Sender<Option<u64>>,
+    },
+    Members {
+        status: oneshot::Sender<ListStatus>,
+    },
+    /// A server was asked whether it is there.
+    There {
+        worker: WorkerId,
+        there: bool,
+    },
+    /// Other settings for the decisions from now on.
+    Settings {
+        decisions: Box<Settings>,
+    },
     /// All completions still open end now.
     Stop,
     Ask {
@@ -86,6 +121,10 @@
     pub open: usize,
     pub servers: usize,
     pub version: Option<u64>,
+    pub revision: u64,
+    /// Versions of the list that were held, and refused.
+    pub held_total: u64,
+    pub refused: u64,
 }
 
 pub struct Core {
@@ -104,6 +143,8 @@
     own: ToCore,
     list: mpsc::Sender<ListWord>,
     saves: watch::Sender<Option<Saved>>,
+    /// When the list changes by itself.
+    wakes: Option<Instant>,
 }
 
 impl Core {
@@ -123,7 +164,7 @@
         let kinds = settings.names.kinds.iter().cloned().zip(roles).collect();
         Core {
             ledger: Ledger::new(decisions.clone(), settings.front.answer_slack_ms, seed),
-            membership: Membership::new(settings.names.zones.clone(), kinds),
+            membership: Membership::new(settings.names.zones.clone(), kinds, settings.membership),
             clock,
             boot,
             engines,
@@ -135,6 +176,7 @@
             own,
             list,
             saves,
+            wakes: None,
             settings,
         }
     }
@@ -152,16 +194,21 @@
         }
         info!(servers = rows.len(), "saved list taken");
         self.handle(Input::Listed { kind: ListKind::Saved, rows });
-        self.membership.known()
+        self.membership.known(SourceId::Service)
     }
 
     pub async fn run(mut self, mut told: mpsc::Receiver<Told>) {
         loop {
+            let wakes = self.wakes;
             tokio::select! {
                 biased;
                 Some(due) = self.timers.next(), if !self.timers.is_empty() => {
                     self.handle(Input::Due(due.into_inner()));
                 }
+                _ = sleep_until(wakes.unwrap_or_else(Instant::now)), if wakes.is_some() => {
+                    let heard = self.membership.tick(self.clock.now_ms());
+                    self.heard(heard);
+                }
                 next = told.recv() => match next {
                     Some(next) => self.take(next),
                     None => return,
@@ -189,6 +236,7 @@
                     self.wholes.insert((completion, seq), whole);
                 }
                 let End { end, kept_tokens, state, .. } = end;
+                self.saw(completion, seq, &end);
                 self.handle(Input::Ended { completion, seq, took_ms, end, kept_tokens, state });
                 self.wholes.remove(&(completion, seq));
             }
@@ -207,9 +255,36 @@
             Told::HoldAnswered { completion, seq, worker, held } => {
                 self.handle(Input::HoldAnswered { completion, seq, worker, held });
             }
-            Told::List { list, next } => {
-                let _ = next.send(self.hear(&list));
+            Told::List { source, list, fingerprint, next } => {
+                let _ = next.send(self.hear(source, &list, fingerprint));
+            }
+            Told::ListSpoke { source } => self.membership.spoke(self.clock.now_ms(), source),
+            Told::ListUnreadable { source, why } => {
+                warn!(source = source.name(), why, "list refused");
+                self.membership.unreadable(source, &why);
+            }
+            Told::Say { server, word, done } => {
+                let heard = self.membership.say(self.clock.now_ms(), &server, word);
+                let known = heard.is_some();
+                info!(server, ?word, known, "an operator's word");
+                heard.into_iter().for_each(|heard| self.heard(heard));
+                let _ = done.send(known.then(|| self.membership.revision()));
+            }
+            Told::Accept { done } => {
+                let heard = self.membership.accept(self.clock.now_ms());
+                let held = heard.is_some();
+                heard.into_iter().for_each(|heard| self.heard(heard));
+                let _ = done.send(held.then(|| self.membership.revision()));
+            }
+            Told::Members { status } => {
+                let cold_ms = self.settings.decisions.cold_ms;
+                let _ = status.send(self.membership.status(self.clock.now_ms(), cold_ms));
             }
+            Told::There { worker, there } => {
+                let heard = self.membership.observe(self.clock.now_ms(), &worker, there);
+                self.heard(heard);
+            }
+            Told::Settings { decisions } => self.handle(Input::Settings(decisions)),
             Told::ListFailed => self.handle(Input::Listed { kind: ListKind::Failed, rows: [].into() }),
             Told::Stop => self.handle(Input::Stop),
             Told::Ask { status } => {
@@ -218,24 +293,62 @@
                     open: self.ledger.open(),
                     servers: self.membership.len(),
                     version: self.membership.version(),
+                    revision: self.membership.revision(),
+                    held_total: self.membership.held_total(),
+                    refused: self.membership.refused_total(),
                 });
             }
         }
     }
 
-    fn hear(&mut self, list: &wire::ServerList) -> Known {
+    fn hear(&mut self, source: SourceId, list: &wire::ServerList, fingerprint: Option<u64>) -> Known {
+        let held = self.membership.held().is_some();
+        match self.membership.hear_text(self.clock.now_ms(), source, list, fingerprint) {
+            Ok(Heard::AskWhole) => return None,
+            Ok(heard) => self.heard(heard),
+            Err(cause) => warn!(%cause, source = source.name(), version = list.version, "list refused"),
+        }
+        if let Some(now) = self.membership.held().filter(|_| !held) {
+            warn!(source = now.source.name(), why = %now.why, "list held until another word says the same");
+        }
+        self.membership.known(source)
+    }
+
+    /// What the list came to is told to the decisions, kept for the next start, and asked after.
+    fn heard(&mut self, heard: Heard) {
         let now_ms = self.clock.now_ms();
-        match self.membership.hear(now_ms, list) {
-            Ok(Heard::Listed { kind, rows }) => {
-                info!(version = list.version, ?kind, rows = rows.len(), "list taken");
-                self.handle(Input::Listed { kind, rows });
-                self.saves.send_replace(self.membership.save(now_ms, wall_ms()));
+        if let Heard::Listed { kind, rows } = heard {
+            info!(revision = self.membership.revision(), ?kind, rows = rows.len(), "list taken");
+            self.handle(Input::Listed { kind, rows });
+            self.saves.send_replace(self.membership.save(now_ms, wall_ms()));
+        }
+        let asks = self.membership.asks(now_ms);
+        self.wakes = self.membership.wakes_ms(now_ms).map(|at| Instant::now() + duration(at - now_ms));
+        for worker in asks {
+            let Some(address) = self.membership.address(&worker) else { continue };
+            let (engines, core) = (self.engines.clone(), self.own.clone());
+            tokio::task::spawn_local(async move {
+                let within_ms = engines.settings.probe_ms;
+                let answer =
+                    engines.call(address, Method::GET, wire::PROBE, String::new(), within_ms, 4096).await;
+                let _ = core.send(Told::There { worker, there: answer.is_ok() }).await;
+            });
+        }
+    }
+
+    /// What a dispatch says of its server: somebody is there, or nobody.
+    fn saw(&mut self, completion: CompletionId, seq: Seq, end: &SocketEnd) {
+        let there = match end {
+            SocketEnd::ConnectRefused | SocketEnd::ConnectTimedOut => false,
+            SocketEnd::ReadDone | SocketEnd::AnswerDone => true,
+            _ => return,
+        };
+        if let Some(worker) = self.ledger.worker(completion, seq).cloned() {
+            let heard = self.membership.observe(self.clock.now_ms(), &worker, there);
+            if matches!(heard, Heard::Listed { .. }) {
+                self.heard(heard);
             }
-            Ok(Heard::Same) => {}
-            Ok(Heard::AskWhole) => return None,
-            Err(cause) => warn!(%cause, version = list.version, "list refused"),
         }
-        self.membership.known()
     }
 
     fn reported(&mut self, worker: WorkerId, load: &Load) {
--- a/crates/router/src/core_tests.rs
+++ b/crates/router/src/core_tests.rs
@@ -64,7 +64,11 @@
         start: 1,
         age_ms: None,
     };
-    core.hear(&ServerList { epoch: 1, version: 1, after: None, servers: vec![entry] });
+    core.hear(
+        SourceId::Service,
+        &ServerList { epoch: 1, version: 1, after: None, servers: vec![entry] },
+        None,
+    );
     Stage { core, told, list, worker: WorkerId(Arc::from("a")) }
 }
 
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -34,7 +34,7 @@
 /// What all connections of clients share.
 pub struct Front {
     pub settings: FrontSettings,
-    pub requests: Requests,
+    pub requests: RefCell<Requests>,
     pub admission: Rc<RefCell<Admission>>,
     pub repeats: Rc<RefCell<Repeats>>,
     /// Forms of the API by path.
@@ -51,6 +51,9 @@
     /// Requests answered from memory because an earlier one with their key had finished, and those refused by key.
     pub answered_again: Cell<u64>,
     pub refused_by_key: Cell<u64>,
+    /// Changes of the settings that were taken, and those that were not, with the last reason.
+    pub settings_taken: Cell<u64>,
+    pub settings_refused: RefCell<(u64, Option<String>)>,
 }
 
 /// Gives a place back when the last of a completion is gone from the front.
@@ -270,12 +273,12 @@
         let _taken = self.enter(customer)?;
         let asked = Dialect::published().parse_to_count(&self.body(body).await?)?;
         let bytes = asked.system.len() + asked.turns.iter().map(|turn| turn.text.len()).sum::<usize>();
-        Ok(json(format!("{{\"input_tokens\":{}}}", self.requests.tokens(bytes) as u64)))
+        Ok(json(format!("{{\"input_tokens\":{}}}", self.requests.borrow().tokens(bytes) as u64)))
     }
 
     fn customer(&self, head: &Head) -> Result<Option<CustomerId>, ApiError> {
         let bearer = header(head, "authorization")?.and_then(|value| value.strip_prefix("Bearer "));
-        self.requests.customer(header(head, "x-api-key")?.or(bearer))
+        self.requests.borrow().customer(header(head, "x-api-key")?.or(bearer))
     }
 
     fn enter(&self, customer: Option<CustomerId>) -> Result<Taken, ApiError> {
@@ -296,17 +299,20 @@
         let mut taken = self.enter(customer)?;
         let bytes = self.body(body).await?;
         let asked = dialect.parse(&bytes)?;
-        let rules = self.requests.rules();
         let key = header(&head, wire::EFFECT_KEY)?.filter(|key| !key.is_empty());
         if key.is_some_and(|key| key.len() > 256) {
             return Err(ApiError::invalid(format!("{}: at most 256 bytes", wire::EFFECT_KEY)));
         }
-        let headers = Headers {
-            session: header(&head, &rules.session_header)?,
-            timeout: header(&head, &rules.timeout_header)?,
-            keyed: key.is_some(),
+        let facts = {
+            let requests = self.requests.borrow();
+            let rules = requests.rules();
+            let headers = Headers {
+                session: header(&head, &rules.session_header)?,
+                timeout: header(&head, &rules.timeout_header)?,
+                keyed: key.is_some(),
+            };
+            requests.facts(&asked, customer, &headers)?
         };
-        let facts = self.requests.facts(&asked, customer, &headers)?;
         let encoder = Encoder {
             dialect,
             id,
@@ -340,7 +346,7 @@
             streamed: asked.stream,
             client_id,
             // Keys of two customers must not meet at the servers.
-            effect_key: key.map(|key| self.requests.effect_key(customer, key)),
+            effect_key: key.map(|key| self.requests.borrow().effect_key(customer, key)),
             model: asked.model,
         };
         let (reply, answer) = oneshot::channel();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -7,12 +7,14 @@
 mod core;
 mod dispatch;
 mod engines;
+mod files;
 mod front;
 mod list;
 mod polite;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 
 use anyhow::{Context, Result};
@@ -35,6 +37,16 @@
     pub admin: Option<SocketAddr>,
 }
 
+/// The document of a router's settings, read again when it changes.
+pub struct Watched {
+    pub file: PathBuf,
+    /// Sets what is logged.
+    pub log: LogSetter,
+}
+
+/// Takes `level` or `target=level,...`, or says what is wrong with it.
+pub type LogSetter = Box<dyn Fn(&str) -> Result<(), String>>;
+
 /// Words that may wait for the core.
 const CORE_QUEUE: usize = 4096;
 
@@ -44,6 +56,7 @@
 /// A state directory that can't be made, or an address that can't be listened on.
 pub async fn serve(
     settings: RouterSettings,
+    watched: Option<Watched>,
     ready: impl FnOnce(Listening),
     mut stop: watch::Receiver<bool>,
 ) -> Result<()> {
@@ -78,7 +91,12 @@
     let (workloads, keys_ms) = (settings.decisions.workloads.clone(), settings.front.keys_ms);
     let front = Rc::new(Front {
         settings: settings.front.clone(),
-        requests: Requests::new(settings.names.clone(), settings.rules.clone(), workloads, keys_ms),
+        requests: RefCell::new(Requests::new(
+            settings.names.clone(),
+            settings.rules.clone(),
+            workloads,
+            keys_ms,
+        )),
         admission: admission.clone(),
         repeats: Rc::new(RefCell::new(Repeats::new(settings.front.keys, settings.front.answer_memory_bytes))),
         dialects: dialects(&settings),
@@ -91,10 +109,18 @@
         connections_refused: Cell::new(0),
         answered_again: Cell::new(0),
         refused_by_key: Cell::new(0),
+        settings_taken: Cell::new(0),
+        settings_refused: RefCell::default(),
     });
     tokio::task::spawn_local(state.run(told));
     tokio::task::spawn_local(list::save(dir, lists));
     tokio::task::spawn_local(list::follow(settings.clone(), engines, core.clone(), list_words, after));
+    if let Some(path) = settings.servers_file.clone() {
+        tokio::task::spawn_local(files::servers(path, core.clone()));
+    }
+    if let Some(watched) = watched {
+        tokio::task::spawn_local(files::settings(watched, settings.clone(), front.clone()));
+    }
     if let Some(listener) = admin {
         tokio::task::spawn_local(admin::listen(listener, front.clone()));
     }
--- a/crates/router/src/list.rs
+++ b/crates/router/src/list.rs
@@ -5,7 +5,8 @@
 
 use hyper::Method;
 use paddleproxy_engine as wire;
-use paddleproxy_routing::Saved;
+use paddleproxy_membership::backoff::Backoff;
+use paddleproxy_membership::{Saved, SourceId};
 use paddleproxy_settings::router::RouterSettings;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, Instant};
@@ -36,6 +37,8 @@
     mut after: Known,
 ) {
     let asked = settings.decisions.must_subscribe;
+    let seed = settings.seed.unwrap_or(0) ^ settings.decisions.own_number as u64;
+    let mut backoff = Backoff::new(settings.list.retry_ms, settings.list.poll_ms, seed);
     let mut subscribed = !asked;
     let mut wait = subscribed;
     loop {
@@ -55,7 +58,9 @@
         match poll(&settings, &engines, after.filter(|_| !whole), wait && after.is_some() && !whole).await {
             Ok(list) => {
                 let (next, answer) = oneshot::channel();
-                if core.send(Told::List { list, next }).await.is_err() {
+                backoff.answered();
+                let told = Told::List { source: SourceId::Service, list, fingerprint: None, next };
+                if core.send(told).await.is_err() {
                     return;
                 }
                 after = answer.await.ok().flatten();
@@ -69,7 +74,7 @@
                         return;
                     }
                 } else {
-                    sleep(duration(settings.list.retry_ms)).await;
+                    sleep(duration(backoff.failed_ms())).await;
                 }
             }
         }
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -71,7 +71,7 @@
     let settings = router::parse("router", &text).unwrap();
     let (stop, stopped) = watch::channel(false);
     let (sender, ready) = tokio::sync::oneshot::channel();
-    let serving = paddleproxy_router::serve(settings, move |at| sender.send(at).unwrap(), stopped);
+    let serving = paddleproxy_router::serve(settings, None, move |at| sender.send(at).unwrap(), stopped);
     let router = tokio::task::spawn_local(serving);
     let at = ready.await.unwrap();
     (at.clients, at.admin.unwrap(), stop, router, dir)
--- a/crates/routing/src/admission/mod.rs
+++ b/crates/routing/src/admission/mod.rs
@@ -125,6 +125,25 @@
 }
 
 impl Admission {
+    /// Other bounds from now on; places that are taken stay taken, and buckets whose rate is the same keep their level.
+    pub fn change(&mut self, bounds: Bounds) {
+        let fresh = Admission::new(bounds);
+        let before = std::mem::replace(&mut self.rows, fresh.rows);
+        self.bounds = fresh.bounds;
+        // Rows only follow; were there fewer, a place of one that is gone would have nowhere to go back to.
+        while self.rows.len() < before.len() {
+            self.rows
+                .push(Admission::new(Bounds { customers: Vec::new(), ..self.bounds.clone() }).rows.remove(0));
+        }
+        for (new, old) in self.rows.iter_mut().zip(before) {
+            let same = (new.quota, new.limits) == (old.quota, old.limits);
+            (new.open, new.asked_ms) = (old.open, old.asked_ms);
+            if same {
+                (new.requests, new.tokens) = (old.requests, old.tokens);
+            }
+        }
+    }
+
     pub fn new(bounds: Bounds) -> Self {
         let row = |quota: f64, limits: CustomerLimits| {
             let bucket = |per_s: f64| Bucket::new(per_s, limits.burst_ms);
@@ -137,8 +156,9 @@
                 tokens: limits.tokens_per_s.map(bucket),
             }
         };
-        let mut rows: Vec<_> = bounds.customers.iter().map(|(quota, limits)| row(*quota, *limits)).collect();
-        rows.push(row(0.0, CustomerLimits::default()));
+        // The first row is of those without a key: further customers shift nobody.
+        let mut rows = vec![row(0.0, CustomerLimits::default())];
+        rows.extend(bounds.customers.iter().map(|(quota, limits)| row(*quota, *limits)));
         Admission {
             bounds,
             rows,
@@ -151,8 +171,7 @@
     }
 
     fn row(&self, customer: Option<CustomerId>) -> usize {
-        let last = self.rows.len() - 1;
-        customer.map_or(last, |customer| customer.0.min(last))
+        customer.map_or(0, |customer| customer.0 + 1).min(self.rows.len() - 1)
     }
 
     /// First gate, before the body is read.
--- a/crates/routing/src/facts.rs
+++ b/crates/routing/src/facts.rs
@@ -18,6 +18,8 @@
     names: Names,
     rules: Rules,
     workloads: Vec<WorkloadSettings>,
+    /// Row of the decisions' settings for each of the settings' own, where it is another.
+    rows: Vec<usize>,
     /// For how long a key is remembered where its workload does not say, in ms.
     keys_ms: f64,
 }
@@ -61,7 +63,12 @@
 
 impl Requests {
     pub fn new(names: Names, rules: Rules, workloads: Vec<WorkloadSettings>, keys_ms: f64) -> Self {
-        Requests { names, rules, workloads, keys_ms }
+        Requests { names, rules, workloads, rows: Vec::new(), keys_ms }
+    }
+
+    /// Other names, keys and targets from now on; `rows` are the rows of `workloads` that they are meant by.
+    pub fn change(&mut self, names: Names, workloads: Vec<WorkloadSettings>, rows: Vec<usize>) {
+        (self.names, self.workloads, self.rows) = (names, workloads, rows);
     }
 
     /// Tokens of so many bytes of text, by the settings' estimate.
@@ -73,6 +80,7 @@
     fn workload(&self, row: usize, keyed: bool) -> (WorkloadId, KeyRule) {
         let own = self.names.workloads[row].keyed.filter(|_| keyed);
         let row = own.unwrap_or(row);
+        let row = self.rows.get(row).copied().unwrap_or(row);
         let rules = self.workloads.get(row);
         let tokened = rules.filter(|rules| rules.effect == Effect::Tokened);
         let may_repeat = rules.is_some_and(|rules| match rules.effect {
--- a/crates/routing/src/ledger.rs
+++ b/crates/routing/src/ledger.rs
@@ -67,6 +67,8 @@
         held: bool,
     },
     Due(Due),
+    /// Other settings from now on; open completions keep the rows that they began under.
+    Settings(Box<Settings>),
     /// The router stops and its time for that is over: everything still open ends now.
     Stop,
 }
@@ -270,6 +272,12 @@
         }
     }
 
+    /// Where a dispatch that is out went.
+    pub fn worker(&self, completion: CompletionId, seq: Seq) -> Option<&WorkerId> {
+        let entry = self.open.get(&completion)?;
+        entry.dispatches.get(seq.0 as usize).map(|dispatch| &dispatch.worker)
+    }
+
     pub fn counts(&self) -> Counts {
         self.counts
     }
@@ -336,6 +344,10 @@
             Input::HoldAnswered { completion, seq, worker, held } => {
                 self.hold_answered(completion, seq, worker, held, effects);
             }
+            Input::Settings(settings) => {
+                self.settings = (*settings).clone();
+                self.events.push_back(Event::Settings(settings));
+            }
             Input::Stop => self.stop(effects),
             Input::Due(Due::Decisions(timer)) => self.events.push_back(Event::TimerFired(timer)),
             Input::Due(Due::Overdue(completion)) => {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,7 +7,6 @@
 pub mod admission;
 pub mod facts;
 pub mod ledger;
-pub mod membership;
 pub mod outcomes;
 pub mod pace;
 pub mod repeats;
@@ -15,7 +14,6 @@
 pub use admission::{Admission, Bounds, CustomerLimits, Place, Reason, TurnedAway};
 pub use facts::{Facts, Requests};
 pub use ledger::{Counts, Decisions, Due, Effect, Input, Ledger, Sending, Stage};
-pub use membership::{Heard, Membership, Refused, Saved};
 pub use outcomes::{outcome, SocketEnd};
 pub use pace::Pace;
 pub use repeats::{Key, Repeats, Verdict};
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod reader;
 pub mod router;
+pub mod servers;
 
 use std::path::Path;
 
@@ -27,12 +28,16 @@
     Fleet,
     Day,
     Experiment,
+    Servers,
 }
 
 impl Kind {
     pub fn of(text: &str) -> Kind {
         let names = kdl::KdlDocument::parse(text).ok();
         let has = |name| names.as_ref().is_some_and(|document| document.get(name).is_some());
+        if has("version") || has("end") {
+            return Kind::Servers;
+        }
         if has("experiment") {
             return Kind::Experiment;
         }
@@ -64,6 +69,7 @@
         Kind::Fleet => fleet::parse(&file, &text).map(drop)?,
         Kind::Day => day::load(path).map(drop)?,
         Kind::Experiment => experiment::load(path).map(drop)?,
+        Kind::Servers => servers::parse(&file, &text).map(drop)?,
     }
     Ok(kind)
 }
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -24,6 +24,28 @@
     pub front: FrontSettings,
     pub engines: EngineSettings,
     pub dialects: Vec<DialectSettings>,
+    pub membership: MembershipRules,
+    /// The operators' own list of servers; not watched where absent.
+    pub servers_file: Option<PathBuf>,
+    /// What is logged, as `level` or `target=level,...`; as the command line says where absent.
+    pub log: Option<String>,
+    /// Row in the decisions' settings of each workload, where it is not its own; grows while settings change.
+    pub workload_rows: Vec<usize>,
+}
+
+/// When a word on the list of servers is believed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct MembershipRules {
+    /// A source that said nothing for so long is stale, in ms.
+    pub stale_ms: f64,
+    /// How long a version that takes away too much waits for another word, in ms.
+    pub hold_ms: f64,
+    /// Share of a role's or a cell's usable servers that one version may take away.
+    pub most_removed: f64,
+    /// A server that comes back more often than this within the window is set aside.
+    pub flaps: usize,
+    pub flap_window_ms: f64,
+    pub quarantine_ms: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -173,6 +195,8 @@
     });
     let (workloads, workload_names) = workloads(top);
     let dialects = dialects(top);
+    let membership = top.block("membership").map(|block| finish(block, membership));
+    let servers_file = top.maybe::<String>("servers-file").map(PathBuf::from);
     let (customers, customer_names) = customers(top);
     let (kinds, kind_names) = kinds(top);
     let limits = top.need_block("rules")?;
@@ -200,6 +224,7 @@
         fall_ms: limits.need::<Millis>("fall-after").0,
         cold_share: limits.need::<Share>("cold-share").0,
         cold_ms: limits.need::<Millis>("cold").0,
+        weights_act: limits.maybe("weights").unwrap_or(true),
     };
     for (name, wrong) in [
         ("max-dispatches", decisions.max_dispatches == 0),
@@ -240,9 +265,41 @@
         front: front?,
         engines: engines?,
         dialects,
+        membership: membership.unwrap_or(MEMBERSHIP),
+        servers_file,
+        log: top.maybe("log"),
+        workload_rows: Vec::new(),
     })
 }
 
+/// What holds where a document has no `membership`.
+const MEMBERSHIP: MembershipRules = MembershipRules {
+    stale_ms: 30_000.0,
+    hold_ms: 10_000.0,
+    most_removed: 0.5,
+    flaps: 3,
+    flap_window_ms: 60_000.0,
+    quarantine_ms: 10_000.0,
+};
+
+fn membership(block: &Block) -> MembershipRules {
+    let time = |name, otherwise| block.maybe::<Millis>(name).map_or(otherwise, |time| time.0);
+    let rules = MembershipRules {
+        stale_ms: time("stale-after", MEMBERSHIP.stale_ms),
+        hold_ms: time("hold", MEMBERSHIP.hold_ms),
+        most_removed: block.maybe::<Share>("most-removed").map_or(MEMBERSHIP.most_removed, |share| share.0),
+        flaps: block.maybe::<Count>("flaps").map_or(MEMBERSHIP.flaps, |count| count.0 as usize),
+        flap_window_ms: time("flap-window", MEMBERSHIP.flap_window_ms),
+        quarantine_ms: time("quarantine", MEMBERSHIP.quarantine_ms),
+    };
+    for (name, value) in [("stale-after", rules.stale_ms), ("hold", rules.hold_ms)] {
+        if value <= 0.0 {
+            block.problem_of(name, format!("'{name}' must be above 0"));
+        }
+    }
+    rules
+}
+
 fn finish<'a, T>(block: Block<'a>, read: impl FnOnce(&Block<'a>) -> T) -> T {
     let value = read(&block);
     block.done();
--- a/src/control.rs
+++ b/src/control.rs
@@ -213,6 +213,7 @@
                 self.judge(worker, if *answered { 0.0 } else { 0.6 }, false);
             }
             Event::TimerFired(Timer::Subscribe) => actions.push(Action::Subscribe),
+            Event::Settings(settings) => self.settings = (**settings).clone(),
             _ => {}
         }
     }
@@ -583,9 +584,18 @@
             let fits =
                 |id: &WorkerId, w: &Worker| of(w) && self.open(c, w) && (!trusted || self.trusted(c, id, w));
             let found = self.workers.iter().filter(|(id, w)| fits(id, w));
-            let mut found: Vec<_> = found.map(|(id, _)| (Reverse(rank(id, key)), id.clone())).collect();
-            found.sort();
-            found.into_iter().map(|(_, id)| id).collect::<Vec<_>>()
+            let mut found: Vec<_> = found.map(|(id, w)| (Reverse(rank(id, key)), id.clone(), w)).collect();
+            found.sort_by(|a, b| (&a.0, &a.1).cmp(&(&b.0, &b.1)));
+            // Weighted rendezvous: of many sessions each gets its weight's share. Equal weights change nothing.
+            let weight = |w: &Worker| w.listing.weight.max(f64::MIN_POSITIVE);
+            let even = found.windows(2).all(|pair| weight(pair[0].2) == weight(pair[1].2));
+            if self.settings.weights_act && !even {
+                let pull = |(rank, _, w): &(Reverse<u64>, WorkerId, &Worker)| {
+                    ((rank.0 as f64 + 0.5) / u64::MAX as f64).min(1.0 - f64::EPSILON).ln() / weight(w)
+                };
+                found.sort_by(|a, b| pull(b).total_cmp(&pull(a)));
+            }
+            found.into_iter().map(|(_, id, _)| id).collect::<Vec<_>>()
         };
         Some(usable(true)).filter(|found| !found.is_empty()).unwrap_or_else(|| usable(false))
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -102,6 +102,8 @@
     pub fall_ms: f64,
     pub cold_share: f64,
     pub cold_ms: f64,
+    /// Whether a worker's weight sets its share of homes; else it says nothing here.
+    pub weights_act: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -186,16 +188,49 @@
 
 #[derive(Clone, Debug)]
 pub enum Event {
-    Listed { kind: ListKind, rows: Arc<[Listing]> },
+    Listed {
+        kind: ListKind,
+        rows: Arc<[Listing]>,
+    },
     Arrived(Arrival),
-    Began { completion: CompletionId, seq: Seq, took_ms: f64 },
-    Ended { completion: CompletionId, seq: Seq, took_ms: f64, over: bool, outcome: Outcome, kept_tokens: f64 },
-    Reported { worker: WorkerId, load: LoadReport },
-    Probed { worker: WorkerId, answered: bool, took_ms: f64 },
-    HoldAnswered { completion: CompletionId, seq: Seq, worker: WorkerId, held: bool },
-    Expired { completion: CompletionId },
+    Began {
+        completion: CompletionId,
+        seq: Seq,
+        took_ms: f64,
+    },
+    Ended {
+        completion: CompletionId,
+        seq: Seq,
+        took_ms: f64,
+        over: bool,
+        outcome: Outcome,
+        kept_tokens: f64,
+    },
+    Reported {
+        worker: WorkerId,
+        load: LoadReport,
+    },
+    Probed {
+        worker: WorkerId,
+        answered: bool,
+        took_ms: f64,
+    },
+    HoldAnswered {
+        completion: CompletionId,
+        seq: Seq,
+        worker: WorkerId,
+        held: bool,
+    },
+    Expired {
+        completion: CompletionId,
+    },
     TimerFired(Timer),
-    Told { peer: PeerId, payload: Vec<u8> },
+    Told {
+        peer: PeerId,
+        payload: Vec<u8>,
+    },
+    /// Other settings from now on. Rows that were there stay what and where they were; further ones may follow.
+    Settings(Box<Settings>),
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -68,6 +68,7 @@
         fall_ms: 2000.0,
         cold_share: 0.3,
         cold_ms: 12_000.0,
+        weights_act: false,
     }
 }
 
