--- /dev/null
+++ b/crates/bench/src/changes.rs
@@ -0,0 +1,91 @@
+//! What one change of the list costs the core task.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+use paddleproxy::interface::*;
+use paddleproxy::Control;
+use paddleproxy_engine::{ServerEntry, ServerList};
+use paddleproxy_membership::{Heard, Membership, SourceId};
+use serde::Serialize;
+
+/// Time that the core is held up by a change, in microseconds.
+#[derive(Clone, Debug, Serialize)]
+pub struct Change {
+    pub servers: usize,
+    /// One server in a version of changes; the whole list anew; other settings.
+    pub one: Pause,
+    pub whole: Pause,
+    pub settings: Pause,
+}
+
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Pause {
+    pub p50_us: f64,
+    pub p99_us: f64,
+    pub worst_us: f64,
+}
+
+const TIMES: usize = 500;
+
+fn pause(mut act: impl FnMut(usize)) -> Pause {
+    let Ok(mut taken) = Histogram::<u64>::new(3) else {
+        return Pause { p50_us: 0.0, p99_us: 0.0, worst_us: 0.0 };
+    };
+    for number in 0..TIMES {
+        let began = Instant::now();
+        act(number);
+        // A histogram that grows by itself takes any value.
+        let _ = taken.record(began.elapsed().as_nanos() as u64);
+    }
+    let us = |nanos: u64| nanos as f64 / 1e3;
+    Pause {
+        p50_us: us(taken.value_at_quantile(0.5)),
+        p99_us: us(taken.value_at_quantile(0.99)),
+        worst_us: us(taken.max()),
+    }
+}
+
+/// The cost with so many servers listed; None where the settings of the measurement are wrong.
+pub fn cost(servers: usize) -> Option<Change> {
+    let text = crate::process::router(([127, 0, 0, 1], 1).into(), std::path::Path::new("state"), 1000);
+    let settings = paddleproxy_settings::router::parse("bench", &text).ok()?;
+    let kinds =
+        settings.names.kinds.iter().cloned().zip(settings.decisions.kinds.iter().map(|kind| kind.role));
+    let mut membership = Membership::new(settings.names.zones.clone(), kinds.collect(), settings.membership);
+    let mut control = Control::new(settings.decisions.clone(), 7);
+    let entry = |number: usize, readiness: &str| ServerEntry {
+        name: format!("c{}-{}", number / 10, number % 10 + 1),
+        address: format!("127.0.{}.{}:9", number / 200, number % 200 + 1),
+        zone: settings.names.zones[0].clone(),
+        kind: "mixed".into(),
+        cell: number as u32 / 10,
+        readiness: readiness.into(),
+        weight: 1.0,
+        start: 1,
+        age_ms: None,
+    };
+    let all: Vec<_> = (0..servers).map(|number| entry(number, "ready")).collect();
+    let mut version = 0;
+    let mut now_ms = 0.0;
+    let mut hear = |servers: Vec<ServerEntry>, whole: bool| {
+        now_ms += 1.0;
+        let after = (!whole).then_some(version);
+        version += 1;
+        let list = ServerList { epoch: 1, version, after, servers };
+        if let Ok(Heard::Listed { kind, rows }) = membership.hear(now_ms, SourceId::Service, &list) {
+            let rows: Arc<[Listing]> = rows;
+            control.handle(now_ms, &Event::Listed { kind, rows }, &mut Vec::new());
+        }
+    };
+    hear(all.clone(), true);
+    let one = pause(|number| {
+        let readiness = if number % 2 == 0 { "draining" } else { "ready" };
+        hear(vec![entry(number / 2 % servers, readiness)], false);
+    });
+    let whole = pause(|_| hear(all.clone(), true));
+    let changed = Event::Settings(Box::new(settings.decisions.clone()));
+    let settings = pause(|_| control.handle(now_ms, &changed, &mut Vec::new()));
+    Some(Change { servers, one, whole, settings })
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,6 +1,8 @@
 //! Measures a router on loopback against going to a stand-in directly, in one run, on the machine at hand.
 //! Figures are of this machine and of simulated servers; ratios within a run say more than the figures.
 
+mod changes;
+mod drains;
 mod load;
 mod module;
 mod process;
@@ -11,6 +13,8 @@
 
 use anyhow::{Context, Result};
 
+pub use crate::changes::{Change, Pause};
+pub use crate::drains::Drains;
 use crate::load::{Load, Measured, Target};
 use crate::process::Program;
 pub use crate::report::{Added, Allocations, Form, Memory, ModuleShare, Refusals, Report};
@@ -28,6 +32,8 @@
     /// How long slow readers read, in ms.
     pub slow_ms: f64,
     pub servers: Vec<usize>,
+    /// Edits of the operators' list.
+    pub edits: usize,
 }
 
 impl Default for Plan {
@@ -39,6 +45,7 @@
             streams: vec![1000, 5000],
             slow_ms: 20_000.0,
             servers: vec![10, 100, 1000],
+            edits: 200,
         }
     }
 }
@@ -54,6 +61,7 @@
             streams: vec![200],
             slow_ms: 2000.0,
             servers: vec![10, 100],
+            edits: 5,
         }
     }
 }
@@ -234,7 +242,10 @@
         report.memory.push(Memory { streams: open, reads: "slowly", empty_mib: empty, mib });
         pair.end().await;
     }
+    say(&format!("{} drains by the operators' file", plan.edits));
+    report.drains = Some(drains::measure(program, plan.edits).await?);
     for servers in &plan.servers {
+        report.changes.extend(changes::cost(*servers));
         say(&format!("the decisions with {servers} servers"));
         let module_us = module::cost_us(*servers);
         let pair = Pair::start(program, *servers, 0.0).await?;
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -4,6 +4,8 @@
 
 use serde::Serialize;
 
+use crate::changes::Change;
+use crate::drains::Drains;
 use crate::load::Measured;
 
 #[derive(Clone, Debug, Serialize)]
@@ -18,6 +20,8 @@
     pub refusals: Option<Refusals>,
     pub memory: Vec<Memory>,
     pub module: Vec<ModuleShare>,
+    pub drains: Option<Drains>,
+    pub changes: Vec<Change>,
 }
 
 /// What the router adds to the time to the first event, against going to the server directly.
@@ -114,6 +118,8 @@
             refusals: None,
             memory: Vec::new(),
             module: Vec::new(),
+            drains: None,
+            changes: Vec::new(),
         }
     }
 
@@ -162,6 +168,19 @@
                 "memory: {mib:.1} MiB with {streams} streams whose clients read {reads}, {empty_mib:.1} MiB with none"
             );
         }
+        if let Some(Drains { edits, p50_ms, worst_ms, asked, done }) = &self.drains {
+            let _ = writeln!(
+                text,
+                "drains by file: last new work {p50_ms:.0} ms after the edit at p50, {worst_ms:.0} at worst, of {edits}; {done} of {asked} answered"
+            );
+        }
+        for Change { servers, one, whole, settings } in &self.changes {
+            let _ = writeln!(
+                text,
+                "{servers} servers: a change holds the core up for {:.0} us at p99 ({:.0} at worst), a whole list {:.0} ({:.0}), settings {:.0} ({:.0})",
+                one.p99_us, one.worst_us, whole.p99_us, whole.worst_us, settings.p99_us, settings.worst_us
+            );
+        }
         for row in &self.module {
             let (servers, module, router) = (row.servers, row.module_us, row.router_us);
             let share = 100.0 * module / router.max(1e-9);
--- a/crates/day/src/troubles.rs
+++ b/crates/day/src/troubles.rs
@@ -82,6 +82,7 @@
         }
         What::ListBehind { by_ms } => stage.fleet.shared.list.behind_ms.set(*by_ms),
         What::ListDown => stage.fleet.shared.list.down.set(true),
+        What::ListLies { share } => stage.fleet.shared.list.anew(*share),
         What::RouterKilled { router } => stage.kill_router(*router).await,
         What::RouterStopped { router } => stage.stop_router(*router).await,
         What::Ramp { key, factor } => {
@@ -125,6 +126,7 @@
         }
         What::ListBehind { .. } => stage.fleet.shared.list.behind_ms.set(0.0),
         What::ListDown => stage.fleet.shared.list.down.set(false),
+        What::ListLies { .. } => stage.fleet.shared.list.anew(0.0),
         What::RouterKilled { router } | What::RouterStopped { router } => stage.start_router(*router).await,
         What::Ramp { .. } => *stage.mood.ramp.borrow_mut() = None,
         What::Burst { .. } => *stage.mood.burst.borrow_mut() = None,
--- a/crates/emulator/src/troubles.rs
+++ b/crates/emulator/src/troubles.rs
@@ -9,6 +9,12 @@
 /// Times that one trouble comes again at most.
 const AGAIN_MAX: usize = 10_000;
 
+/// Whether a list that leaves out a share of the servers leaves out this one.
+pub fn left_out(name: &str, share: f64) -> bool {
+    let mixed = name.bytes().fold(7, |mixed, byte| seed(mixed, 3, u64::from(byte)));
+    ((mixed >> 11) as f64 / (1u64 << 53) as f64) < share
+}
+
 /// The troubles of a day as they come: those that come again by chance at each of their times.
 pub fn spread(day: &DaySettings, of: u64) -> Vec<Trouble> {
     let mut all = Vec::new();
@@ -98,6 +104,7 @@
             }
             Befalls::ListBehind { by_ms } => self.behind_ms = *by_ms,
             Befalls::ListDown => self.list_down = true,
+            Befalls::ListLies { share } => self.list_anew(*share),
             Befalls::RouterKilled { router } => self.kill_router(*router),
             Befalls::RouterStopped { router } => self.stop_router(*router),
             Befalls::Ramp { key, factor } => {
@@ -172,6 +179,7 @@
                     .for_each(|router| self.heap.put(self.now_ms, Ev::News { router, boot: 0 }));
             }
             Befalls::ListDown => self.list_down = false,
+            Befalls::ListLies { .. } => self.list_anew(0.0),
             Befalls::RouterKilled { router } | Befalls::RouterStopped { router } => {
                 self.start_router(*router)
             }
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -20,7 +20,7 @@
 use crate::record::{Line, What};
 use crate::repeats::{self, Seen};
 use crate::server::{Befalls, Did, Kind, Load, Server, Work};
-use crate::troubles::spread;
+use crate::troubles::{left_out, spread};
 
 /// What a run is bounded and varied by.
 #[derive(Clone, Debug)]
@@ -261,6 +261,9 @@
     list: Vec<(f64, ServerEntry, Option<f64>)>,
     pub behind_ms: f64,
     pub list_down: bool,
+    /// Start of the list service, and the share of the servers that it leaves out.
+    list_epoch: u64,
+    lies: f64,
     seen: Seen,
     truth: Truth,
     pub sessions: Vec<Session>,
@@ -360,6 +363,8 @@
             list: Vec::new(),
             behind_ms: 0.0,
             list_down: false,
+            list_epoch: 1,
+            lies: 0.0,
             seen: Seen::default(),
             truth,
             sessions: Vec::new(),
@@ -1139,8 +1144,8 @@
         let late_ms = self.day.fleet.list_delay_ms;
         let until_ms = self.now_ms - late_ms - self.behind_ms;
         let first = self.nodes.len();
-        let known =
-            self.routers[router].membership.known(SourceId::Service).map(|(_, version)| version as usize);
+        let known = self.routers[router].membership.known(SourceId::Service);
+        let known = known.filter(|(epoch, _)| *epoch == self.list_epoch).map(|(_, version)| version as usize);
         let seen = self.list.iter().take_while(|(at, _, _)| *at <= until_ms + 1e-6).count();
         let version = seen.max(first).max(known.unwrap_or(0)).min(self.list.len());
         if known == Some(version) {
@@ -1153,18 +1158,28 @@
         }
         let servers: Vec<_> =
             newest.into_values().filter(|entry| known.is_some() || entry.readiness != "gone").collect();
+        let servers: Vec<ServerEntry> =
+            servers.into_iter().filter(|entry| !left_out(&entry.name, self.lies)).collect();
         for entry in &servers {
             let (server, readiness) = (entry.name.clone(), entry.readiness.clone());
             self.record(What::Told { router, server, readiness, cold: entry.age_ms.is_some() });
         }
         let after = known.map(|known| known as u64);
-        let list = ServerList { epoch: 1, version: version as u64, after, servers };
+        let list = ServerList { epoch: self.list_epoch, version: version as u64, after, servers };
         let heard = self.routers[router].membership.hear(self.now_ms, SourceId::Service, &list);
         if let Ok(heard) = heard {
             self.heard(router, boot, heard);
         }
     }
 
+    /// The list service starts anew and leaves out a share of the servers.
+    pub fn list_anew(&mut self, share: f64) {
+        (self.list_epoch, self.lies) = (self.list_epoch + 1, share);
+        for router in 0..self.routers.len() {
+            self.heap.put(self.now_ms, Ev::News { router, boot: 0 });
+        }
+    }
+
     /// What a router's list came to is told to its decisions, and what it wants to know is asked.
     fn heard(&mut self, router: usize, boot: u64, heard: Heard) {
         let now_ms = self.now_ms;
--- a/crates/fleet/src/list.rs
+++ b/crates/fleet/src/list.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use paddleproxy_emulator::troubles::left_out;
 use paddleproxy_engine::{ServerEntry, ServerList};
 
 use crate::record::{Record, What};
@@ -17,7 +18,9 @@
 
 pub struct ListService {
     record: Record,
-    epoch: u64,
+    epoch: Cell<u64>,
+    /// Share of the servers that it leaves out.
+    lies: Cell<f64>,
     delay_ms: f64,
     hold_ms: f64,
     pub behind_ms: Cell<f64>,
@@ -37,7 +40,8 @@
     pub fn new(record: Record, delay_ms: f64, hold_ms: f64) -> Rc<Self> {
         Rc::new(ListService {
             record,
-            epoch: epoch(),
+            epoch: Cell::new(epoch()),
+            lies: Cell::new(0.0),
             delay_ms,
             hold_ms,
             behind_ms: Cell::new(0.0),
@@ -47,6 +51,12 @@
         })
     }
 
+    /// Starts anew and leaves out a share of the servers.
+    pub fn anew(&self, lies: f64) {
+        self.epoch.set(self.epoch.get() + 1);
+        self.lies.set(lies);
+    }
+
     pub fn change(&self, entry: ServerEntry, started_ms: Option<f64>) {
         self.changes.borrow_mut().push(Change { at_ms: self.record.now_ms(), entry, started_ms });
     }
@@ -65,13 +75,13 @@
 
     /// The answer to one poll; waits for news as long as it may.
     pub async fn poll(&self, router: usize, epoch: u64, after: Option<usize>, wait_ms: f64) -> ServerList {
-        let after = after.filter(|_| epoch == self.epoch);
         let until = self.record.now_ms() + wait_ms.min(self.hold_ms);
-        while Some(self.version()) == after && self.record.now_ms() < until {
+        let same = || epoch == self.epoch.get() && Some(self.version()) == after;
+        while same() && self.record.now_ms() < until {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
         let version = self.version();
-        let after = after.filter(|after| *after <= version);
+        let after = after.filter(|after| epoch == self.epoch.get() && *after <= version);
         let now_ms = self.record.now_ms();
         let mut newest = BTreeMap::new();
         for change in &self.changes.borrow()[after.unwrap_or(0)..version] {
@@ -80,12 +90,14 @@
         }
         let servers: Vec<_> =
             newest.into_values().filter(|entry| after.is_some() || entry.readiness != "gone").collect();
+        let servers: Vec<ServerEntry> =
+            servers.into_iter().filter(|entry| !left_out(&entry.name, self.lies.get())).collect();
         for entry in &servers {
             let (server, readiness) = (entry.name.clone(), entry.readiness.clone());
             self.record.add(What::Told { router, server, readiness, cold: entry.age_ms.is_some() });
         }
         ServerList {
-            epoch: self.epoch,
+            epoch: self.epoch.get(),
             version: version as u64,
             after: after.map(|after| after as u64),
             servers,
--- a/crates/membership/src/guard.rs
+++ b/crates/membership/src/guard.rs
@@ -67,7 +67,8 @@
     most: f64,
 ) -> Option<Why> {
     let taken = taken(stands, next);
-    if taken.is_empty() {
+    // A share of 1 is all: nothing is ever too much.
+    if taken.is_empty() || most >= 1.0 {
         return None;
     }
     let mut counts: BTreeMap<Part, (usize, usize, usize)> = BTreeMap::new();
--- a/crates/rehearsal/src/experiment.rs
+++ b/crates/rehearsal/src/experiment.rs
@@ -38,7 +38,7 @@
 pub fn points(settings: &ExperimentSettings) -> Vec<Point> {
     let text = |values: &[f64]| values.iter().map(f64::to_string).collect::<Vec<_>>();
     let whole = |values: &[usize]| values.iter().map(usize::to_string).collect::<Vec<_>>();
-    let knobs: [(&'static str, Vec<String>); 8] = [
+    let knobs: [(&'static str, Vec<String>); 9] = [
         ("policy", settings.policies.clone()),
         ("routers", whole(&settings.routers)),
         ("fleets", whole(&settings.fleets)),
@@ -47,6 +47,7 @@
         ("max_retry_after_ms", text(&settings.max_retry_after_ms)),
         ("list_delay_ms", text(&settings.list_delay_ms)),
         ("cold_ms", text(&settings.cold_ms)),
+        ("most_removed", text(&settings.most_removed)),
     ];
     let mut grid: Vec<Point> = vec![Vec::new()];
     for (name, values) in knobs.into_iter().filter(|(_, values)| !values.is_empty()) {
@@ -94,6 +95,7 @@
             "max_retry_after_ms" => day.router.decisions.max_retry_after_ms = number()?,
             "list_delay_ms" => day.fleet.list_delay_ms = number()?,
             "cold_ms" => (day.fleet.cold_ms, day.router.decisions.cold_ms) = (number()?, number()?),
+            "most_removed" => day.router.membership.most_removed = number()?,
             other => bail!("there is no knob '{other}'"),
         }
     }
--- a/crates/router/tests/common/mod.rs
+++ b/crates/router/tests/common/mod.rs
@@ -27,7 +27,8 @@
     pub admin: SocketAddr,
     pub stop: watch::Sender<bool>,
     pub router: JoinHandle<anyhow::Result<()>>,
-    _dir: tempfile::TempDir,
+    /// Holds the router's settings, its state and whatever else it watches.
+    pub dir: tempfile::TempDir,
 }
 
 /// Runs a test's body on one thread with local tasks; a test that hangs fails after a minute.
@@ -46,7 +47,7 @@
     let fleet_text = FLEET.replace("127.0.0.1:8090", "127.0.0.1:0");
     let fleet = Fleet::start(fleet::parse("fleet", &fleet_text).unwrap(), record.clone()).await.unwrap();
     let (clients, admin, stop, router, dir) = start_router(fleet.list_address, changes).await;
-    let bench = Bench { fleet, record, clients, admin, stop, router, _dir: dir };
+    let bench = Bench { fleet, record, clients, admin, stop, router, dir };
     bench.until("/healthz", "ok").await;
     bench
 }
@@ -66,12 +67,16 @@
     let changes = changes.iter().map(|(from, to)| (*from, (*to).to_owned()));
     for (from, to) in own.into_iter().chain(changes) {
         assert!(text.contains(from), "{from}");
-        text = text.replace(from, &to);
+        text = text.replace(from, &to.replace("{dir}", &dir.path().display().to_string()));
     }
     let settings = router::parse("router", &text).unwrap();
     let (stop, stopped) = watch::channel(false);
     let (sender, ready) = tokio::sync::oneshot::channel();
-    let serving = paddleproxy_router::serve(settings, None, move |at| sender.send(at).unwrap(), stopped);
+    let file = dir.path().join("router.kdl");
+    std::fs::write(&file, &text).unwrap();
+    let watched = paddleproxy_router::Watched { file, log: Box::new(|_| Ok(())) };
+    let serving =
+        paddleproxy_router::serve(settings, Some(watched), move |at| sender.send(at).unwrap(), stopped);
     let router = tokio::task::spawn_local(serving);
     let at = ready.await.unwrap();
     (at.clients, at.admin.unwrap(), stop, router, dir)
@@ -130,7 +135,7 @@
         .collect()
 }
 
-async fn get(address: SocketAddr, path: &str) -> String {
+pub async fn get(address: SocketAddr, path: &str) -> String {
     raw(address, format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n").as_bytes()).await
 }
 
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -139,6 +139,10 @@
         by_ms: f64,
     },
     ListDown,
+    /// The list service starts anew and leaves out a share of the servers, though they live.
+    ListLies {
+        share: f64,
+    },
     RouterKilled {
         router: usize,
     },
@@ -184,6 +188,7 @@
             What::ZoneLost { .. } => "zone-lost",
             What::ListBehind { .. } => "list-behind",
             What::ListDown => "list-down",
+            What::ListLies { .. } => "list-lies",
             What::RouterKilled { .. } => "router-killed",
             What::RouterStopped { .. } => "router-stopped",
             What::Burst { .. } => "burst",
@@ -445,6 +450,7 @@
         },
         "list-behind" => What::ListBehind { by_ms: block.need_property::<Millis>("by").0 },
         "list-down" => What::ListDown,
+        "list-lies" => What::ListLies { share: share() },
         "router-killed" => What::RouterKilled { router: block.need_property::<Count>("router").0 as usize },
         "router-stopped" => What::RouterStopped { router: block.need_property::<Count>("router").0 as usize },
         "burst" => What::Burst { key: block.need_property("key"), factor: factor() },
@@ -466,4 +472,4 @@
 
 const KNOWN: &str =
     "dead, silent, slow, ageing, erring, answer-lost, pausing, flush, drain, links, zone-lost, \
-    list-behind, list-down, router-killed, router-stopped, burst, ramp, long-prompts, hot-beginning, give-up";
+    list-behind, list-down, list-lies, router-killed, router-stopped, burst, ramp, long-prompts, hot-beginning, give-up";
--- a/crates/settings/src/experiment.rs
+++ b/crates/settings/src/experiment.rs
@@ -2,7 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
-use crate::reader::{Block, Count, Millis, Problems, Source};
+use crate::reader::{Block, Count, Millis, Problems, Share, Source};
 use crate::{text_of, Error};
 
 #[derive(Clone, Debug)]
@@ -24,6 +24,8 @@
     pub list_delay_ms: Vec<f64>,
     /// In which time a cold server is warm, in ms.
     pub cold_ms: Vec<f64>,
+    /// Share of a role's servers that one version of the list may take away.
+    pub most_removed: Vec<f64>,
 }
 
 /// Points of a grid at most, seeds apart.
@@ -74,6 +76,7 @@
         max_retry_after_ms: list(block, "max-retry-after", time),
         list_delay_ms: list(block, "list-delay", time),
         cold_ms: list(block, "cold", time),
+        most_removed: list(block, "most-removed", |share: Share| share.0),
     };
     let sizes = [
         read.policies.len(),
@@ -84,6 +87,7 @@
         read.max_retry_after_ms.len(),
         read.list_delay_ms.len(),
         read.cold_ms.len(),
+        read.most_removed.len(),
     ];
     let points: usize = sizes.iter().map(|size| (*size).max(1)).product();
     if points > POINTS_MAX {
--- /dev/null
+++ b/tests/weights.rs
@@ -0,0 +1,74 @@
+//! What weights do to homes.
+#![allow(dead_code)] // The helpers are for all tests.
+
+mod helpers;
+
+use helpers::{row, settings};
+use paddleproxy::interface::*;
+use paddleproxy::Control;
+
+/// Homes of many sessions, by worker, where each worker has its weight.
+fn homes(weights: &[(&str, f64)], weights_act: bool) -> std::collections::BTreeMap<String, Vec<u64>> {
+    let rows = weights.iter().map(|(name, weight)| Listing { weight: *weight, ..row(name) });
+    let settings = Settings { weights_act, ..settings() };
+    let mut control = Control::new(settings, 7);
+    let mut actions = Vec::new();
+    let rows = rows.collect();
+    control.handle(0.0, &Event::Listed { kind: ListKind::Whole, rows }, &mut actions);
+    let mut homes = std::collections::BTreeMap::<String, Vec<u64>>::new();
+    for session in 1..=3000u32 {
+        let facts = Arrival {
+            completion: CompletionId(session),
+            workload: WorkloadId(0),
+            session: SessionId(u64::from(session) * 7919),
+            prefix: None,
+            customer: None,
+            client_timeout_ms: 4000.0,
+            prompt_tokens: 100.0,
+            prefix_tokens: 0.0,
+            max_tokens: 10.0,
+            answer_hint_ms: None,
+            client_retry: false,
+            resumed: false,
+        };
+        actions.clear();
+        control.handle(0.0, &Event::Arrived(facts), &mut actions);
+        for action in &actions {
+            if let Action::Dispatch { worker, .. } = action {
+                homes.entry(worker.0.to_string()).or_default().push(u64::from(session));
+            }
+        }
+        let (completion, seq) = (CompletionId(session), Seq(0));
+        let over = Event::Ended {
+            completion,
+            seq,
+            took_ms: 1.0,
+            over: true,
+            outcome: Outcome::Finished,
+            kept_tokens: 0.0,
+        };
+        control.handle(0.0, &over, &mut actions);
+    }
+    homes
+}
+
+#[test]
+fn weights_share_out_homes_and_equal_ones_change_nothing() {
+    let even = homes(&[("m0a", 1.0), ("m0b", 1.0), ("m0c", 1.0)], false);
+    // Equal weights, whatever they are: the very same homes.
+    assert_eq!(homes(&[("m0a", 0.3), ("m0b", 0.3), ("m0c", 0.3)], true), even);
+    // Weights that don't act: the same too.
+    assert_eq!(homes(&[("m0a", 9.0), ("m0b", 1.0), ("m0c", 0.0)], false), even);
+    let homes = homes(&[("m0a", 2.0), ("m0b", 1.0), ("m0c", 0.0)], true);
+    let share = |name: &str| homes.get(name).map_or(0.0, |sessions| sessions.len() as f64 / 3000.0);
+    assert!((share("m0a") - 2.0 / 3.0).abs() < 0.04, "{}", share("m0a"));
+    assert!((share("m0b") - 1.0 / 3.0).abs() < 0.04 && share("m0c") == 0.0, "{}", share("m0b"));
+    // A lower weight moves sessions away from that worker alone.
+    let less = less();
+    let moved = even["m0b"].iter().filter(|session| !less["m0b"].contains(session)).count();
+    assert_eq!((moved, less["m0c"].len() >= even["m0c"].len()), (0, true));
+}
+
+fn less() -> std::collections::BTreeMap<String, Vec<u64>> {
+    homes(&[("m0a", 0.5), ("m0b", 1.0), ("m0c", 1.0)], true)
+}
