--- a/crates/day/src/report.rs
+++ b/crates/day/src/report.rs
@@ -36,6 +36,7 @@
     pub left: usize,
     /// Time to the first token of those that finished, from the first try, in ms.
     pub first_p50_ms: f64,
+    pub first_p90_ms: f64,
     pub first_p99_ms: f64,
 }
 
@@ -113,7 +114,8 @@
             let quantile = |q| histogram.as_ref().map_or(0.0, |h| h.value_at_quantile(q) as f64 / 1e3);
             // Those who leave by themselves have no part in the service.
             service.in_target = in_target as f64 / service.asked.saturating_sub(service.left).max(1) as f64;
-            (service.first_p50_ms, service.first_p99_ms) = (quantile(0.5), quantile(0.99));
+            (service.first_p50_ms, service.first_p90_ms) = (quantile(0.5), quantile(0.9));
+            service.first_p99_ms = quantile(0.99);
             Service { name, ..service }
         };
     rows.into_iter().map(service).collect()
@@ -136,13 +138,22 @@
         for (title, rows) in [("workload", &self.workloads), ("customer", &self.customers)] {
             let _ = writeln!(
                 text,
-                "\n{title:<16} {:>6} {:>9} {:>8} {:>7} {:>7} {:>5} {:>4} {:>9} {:>9}",
-                "asked", "in target", "finished", "limited", "aborted", "broke", "left", "p50 ms", "p99 ms"
+                "\n{title:<16} {:>6} {:>9} {:>8} {:>7} {:>7} {:>5} {:>4} {:>9} {:>9} {:>9}",
+                "asked",
+                "in target",
+                "finished",
+                "limited",
+                "aborted",
+                "broke",
+                "left",
+                "p50 ms",
+                "p90 ms",
+                "p99 ms"
             );
             for row in rows {
                 let _ = writeln!(
                     text,
-                    "{:<16} {:>6} {:>9.3} {:>8} {:>7} {:>7} {:>5} {:>4} {:>9.0} {:>9.0}",
+                    "{:<16} {:>6} {:>9.3} {:>8} {:>7} {:>7} {:>5} {:>4} {:>9.0} {:>9.0} {:>9.0}",
                     row.name,
                     row.asked,
                     row.in_target,
@@ -152,6 +163,7 @@
                     row.broke,
                     row.left,
                     row.first_p50_ms,
+                    row.first_p90_ms,
                     row.first_p99_ms
                 );
             }
