--- /dev/null
+++ b/crates/store/src/retention.rs
@@ -0,0 +1,180 @@
+//! What is worth its bytes, how old it may be, and what a restart may believe of it.
+
+use std::collections::BTreeMap;
+
+use paddleproxy::interface::WorkerId;
+use serde::{Deserialize, Serialize};
+
+use crate::format::{Key, Kind, Op};
+
+/// What a server keeps of a text, as it is stored.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Kept {
+    /// Tokens that it kept.
+    pub tokens: f64,
+    /// Wall clock at which it was seen, in ms since 1970.
+    pub at_ms: f64,
+    /// Start of the process that kept it.
+    pub start: u64,
+}
+
+/// A tokened completion that may have run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Tokened {
+    /// Group of servers that drop its repeats: `all`, or the zone's or cell's name.
+    pub group: String,
+    /// Until when they do, in ms since 1970.
+    pub until_ms: f64,
+}
+
+/// A text by its kind and number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Text {
+    Session(u64),
+    Prefix(u64),
+}
+
+/// Key of what a server keeps of a text: 1 byte for its kind, 8 for its number, then the server's name.
+pub fn kept_key(text: Text, server: &str) -> Key {
+    let (kind, number) = match text {
+        Text::Session(number) => (1u8, number),
+        Text::Prefix(number) => (2, number),
+    };
+    let mut bytes = vec![kind];
+    bytes.extend_from_slice(&number.to_le_bytes());
+    bytes.extend_from_slice(server.as_bytes());
+    Key::new(Kind::Kept, bytes)
+}
+
+/// The other way round; None for what no version of this wrote.
+pub fn kept_of(bytes: &[u8]) -> Option<(Text, &str)> {
+    let number = u64::from_le_bytes(bytes.get(1..9)?.try_into().ok()?);
+    let server = std::str::from_utf8(bytes.get(9..)?).ok()?;
+    match bytes.first()? {
+        1 => Some((Text::Session(number), server)),
+        2 => Some((Text::Prefix(number), server)),
+        _ => None,
+    }
+}
+
+/// What a restart makes of the kept texts that it reads.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Believed {
+    pub text: Text,
+    pub server: WorkerId,
+    pub tokens: f64,
+    /// How long ago it was seen, in ms.
+    pub age_ms: f64,
+}
+
+/// How far a restart believes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Trust {
+    /// An entry older than this is void, in ms.
+    pub life_ms: f64,
+    /// Time in which half of an entry's weight goes, in ms: texts are pushed out while nobody looks.
+    pub half_ms: f64,
+    /// Entries that are handed over at most, the newest first.
+    pub most: usize,
+}
+
+/// Weighs kept texts by their age. `starts` are the processes that run now, by server. Guards against a table of last
+/// month and against servers that started anew; one that lies is found by the first answer that finds less kept, which
+/// voids the rest of that server as a flush does. Harm: what was kept long ago and still is, is read again.
+pub fn believe<'a>(
+    now_ms: f64,
+    trust: &Trust,
+    starts: &BTreeMap<String, u64>,
+    entries: impl Iterator<Item = (&'a [u8], &'a [u8])>,
+) -> Vec<Believed> {
+    let mut all: Vec<Believed> = entries
+        .filter_map(|(key, value)| {
+            let (text, server) = kept_of(key)?;
+            let kept: Kept = serde_json::from_slice(value).ok()?;
+            // A clock that went back makes nothing younger than just now.
+            let age_ms = (now_ms - kept.at_ms).max(0.0);
+            let same = starts.get(server) == Some(&kept.start);
+            let good =
+                kept.tokens.is_finite() && kept.tokens > 0.0 && age_ms.is_finite() && age_ms < trust.life_ms;
+            let tokens = kept.tokens * 0.5f64.powf(age_ms / trust.half_ms.max(1.0));
+            (same && good && tokens >= 1.0).then(|| Believed {
+                text,
+                server: WorkerId(server.into()),
+                tokens,
+                age_ms,
+            })
+        })
+        .collect();
+    all.sort_by(|a, b| {
+        a.age_ms.total_cmp(&b.age_ms).then_with(|| (a.text, &a.server).cmp(&(b.text, &b.server)))
+    });
+    all.truncate(trust.most);
+    all
+}
+
+/// Entries that are not worth their bytes any more: kept texts beyond their life, tokened work beyond its window.
+pub fn outdated<'a>(
+    now_ms: f64,
+    trust: &Trust,
+    entries: impl Iterator<Item = (&'a Key, &'a [u8])>,
+) -> Vec<Op> {
+    let old = |key: &Key, value: &[u8]| match key.kind {
+        Kind::Kept => {
+            serde_json::from_slice::<Kept>(value).map_or(true, |kept| now_ms - kept.at_ms > trust.life_ms)
+        }
+        Kind::Tokened => serde_json::from_slice::<Tokened>(value).map_or(true, |work| now_ms > work.until_ms),
+        // Whoever wrote the others decides when they go.
+        _ => false,
+    };
+    entries.filter(|(key, value)| old(key, value)).map(|(key, _)| Op::Delete { key: key.clone() }).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TRUST: Trust = Trust { life_ms: 600_000.0, half_ms: 120_000.0, most: 3 };
+
+    fn entry(text: Text, server: &str, tokens: f64, at_ms: f64, start: u64) -> (Box<[u8]>, Vec<u8>) {
+        let value = serde_json::to_vec(&Kept { tokens, at_ms, start }).unwrap();
+        (kept_key(text, server).bytes, value)
+    }
+
+    #[test]
+    fn age_and_a_new_process_take_belief_away() {
+        let now_ms = 1e9;
+        let entries = [
+            entry(Text::Session(1), "a", 800.0, now_ms, 5),
+            entry(Text::Session(2), "a", 800.0, now_ms - 120_000.0, 5),
+            entry(Text::Prefix(3), "a", 800.0, now_ms - 700_000.0, 5),
+            entry(Text::Session(4), "b", 800.0, now_ms, 5),
+            entry(Text::Session(5), "gone", 800.0, now_ms, 5),
+            entry(Text::Session(6), "a", f64::NAN, now_ms, 5),
+            // The clock went back since.
+            entry(Text::Session(7), "a", 100.0, now_ms + 5e6, 5),
+            (Box::from(&b"rubbish"[..]), b"{".to_vec()),
+        ];
+        let starts = [("a".to_owned(), 5), ("b".to_owned(), 6)].into();
+        let believed =
+            believe(now_ms, &TRUST, &starts, entries.iter().map(|(key, value)| (&**key, &**value)));
+        let seen: Vec<_> = believed.iter().map(|row| (row.text, row.tokens.round(), row.age_ms)).collect();
+        let wanted = [
+            (Text::Session(1), 800.0, 0.0),
+            (Text::Session(7), 100.0, 0.0),
+            (Text::Session(2), 400.0, 120_000.0),
+        ];
+        assert_eq!(seen, wanted);
+    }
+
+    #[test]
+    fn what_is_over_goes() {
+        let tokened = |until_ms| serde_json::to_vec(&Tokened { group: "all".into(), until_ms }).unwrap();
+        let rows = [
+            (Key::new(Kind::Tokened, b"old"), tokened(99.0)),
+            (Key::new(Kind::Tokened, b"new"), tokened(101.0)),
+            (Key::new(Kind::Word, b"a"), b"anything".to_vec()),
+        ];
+        let gone = outdated(100.0, &TRUST, rows.iter().map(|(key, value)| (key, value.as_slice())));
+        assert_eq!(gone, [Op::Delete { key: rows[0].0.clone() }]);
+    }
+}
