Routers keep a store: texts behind, keyed work before it is sent; a spinning watch is mended

Need: a killed router came back with an empty table, and keyed work that may have run was forgotten.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod operators;
 mod run;
+mod stores;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -34,6 +35,20 @@
     Json,
 }
 
+#[derive(Clone, Copy, ValueEnum, PartialEq, Eq)]
+pub enum StoreWord {
+    /// Says what does not fit; exit 1 where something is damaged.
+    Check,
+    /// Prints every live entry.
+    Dump,
+    /// Counts and sizes.
+    Stats,
+    /// Writes a snapshot in place of the log. The router must not run.
+    Compact,
+    /// Cuts off what is torn and keeps aside what is damaged. The router must not run.
+    Repair,
+}
+
 #[derive(Clone, Copy, ValueEnum, PartialEq, Eq)]
 pub enum WorkersWord {
     /// What each router knows.
@@ -75,6 +90,15 @@
         #[arg(long, value_enum, default_value_t = Format::Text)]
         format: Format,
     },
+    /// Looks at a router's store, or mends it. `check`, `dump` and `stats` change nothing.
+    Store {
+        #[arg(value_enum)]
+        what: StoreWord,
+        /// The directory `store` under a router's `state-dir`.
+        dir: PathBuf,
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
     /// Checks KDL documents of any kind and explains what is wrong.
     Check {
         #[arg(required = true)]
@@ -196,6 +220,7 @@
     };
     let done = match arguments.command {
         Command::Serve { config } => run::serve(&config, set_log),
+        Command::Store { what, dir, format } => stores::run(what, &dir, format == Format::Json),
         Command::Status { routers, format } => operators::status(&routers, format == Format::Json),
         Command::Workers { what, name, routers, format } => {
             operators::workers(what, name.as_deref(), &routers, format == Format::Json)
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -14,4 +14,4 @@
 mod world;
 
 pub use policies::Policy;
-pub use world::{run, Options, Run};
+pub use world::{run, Memory, Options, Run};
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -4,13 +4,16 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use paddleproxy::interface::{CompletionId, ListKind, LoadReport, Role, Seq, WorkerId};
+use paddleproxy::interface::{
+    CompletionId, Kept, ListKind, LoadReport, PrefixId, Role, Seq, SessionId, WorkerId,
+};
 use paddleproxy_engine::{Refusal, ServerEntry, ServerList, StateReference};
 use paddleproxy_membership::{Heard, Membership, Saved, SourceId};
 use paddleproxy_routing::{
     Admission, Bounds, Counts, Decisions, Effect, Input, Ledger, Place, Sending, SocketEnd, Stage,
 };
 use paddleproxy_settings::day::{DaySettings, Dead, Trouble};
+use paddleproxy_store::retention::{self, Text};
 
 use crate::chance::{seed, Chance};
 use crate::clients::{Op, Session};
@@ -38,6 +41,29 @@
     /// Events after which a run ends and says so.
     pub most_events: u64,
     pub keep_record: bool,
+    pub memory: Memory,
+}
+
+/// What a router's store gives back at its next start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Memory {
+    /// Nothing: the table is empty.
+    Nothing,
+    #[default]
+    Kept,
+    /// What it kept, an hour later.
+    HourOld,
+    /// What it kept, each of another server.
+    Lies,
+}
+
+impl Memory {
+    pub const ALL: [(&'static str, Memory); 4] = [
+        ("nothing", Memory::Nothing),
+        ("kept", Memory::Kept),
+        ("hour-old", Memory::HourOld),
+        ("lies", Memory::Lies),
+    ];
 }
 
 impl Default for Options {
@@ -51,6 +77,7 @@
             net_ms: 0.3,
             most_events: 2_000_000_000,
             keep_record: true,
+            memory: Memory::default(),
         }
     }
 }
@@ -204,6 +231,8 @@
     membership: Membership,
     admission: Admission,
     saved: Option<Saved>,
+    /// What its store holds of kept texts.
+    kept: BTreeMap<Box<[u8]>, Vec<u8>>,
     next: u32,
     asked: BTreeMap<CompletionId, Asked>,
     /// Dispatches that are out, and all of open completions, by completion and number.
@@ -341,6 +370,7 @@
             membership: membership(&day),
             admission: admission(&day),
             saved: None,
+            kept: BTreeMap::new(),
             next: 0,
             asked: BTreeMap::new(),
             out: BTreeMap::new(),
@@ -487,9 +517,39 @@
         }
         self.record(What::RouterUp { router });
         self.tell(router, boot, Input::Listed { kind: ListKind::Saved, rows });
+        let kept = self.believed(router);
+        self.tell(router, boot, Input::Recovered(kept));
         self.news(router, boot);
     }
 
+    /// What a router that starts believes of what its store holds.
+    fn believed(&self, router: usize) -> Vec<Kept> {
+        const HOUR_MS: f64 = 3_600_000.0;
+        let late_ms = match self.options.memory {
+            Memory::Nothing => return Vec::new(),
+            Memory::HourOld => HOUR_MS,
+            Memory::Kept | Memory::Lies => 0.0,
+        };
+        let node = &self.routers[router];
+        let starts = node.membership.starts();
+        let names: Vec<&String> = starts.keys().collect();
+        let entries = node.kept.iter().map(|(key, value)| (&**key, value.as_slice()));
+        let rows = retention::believe(self.now_ms + late_ms, &retention::TRUST, &starts, entries);
+        let row = |row: retention::Believed| {
+            let (session, prefix) = match row.text {
+                Text::Session(number) => (Some(SessionId(number)), None),
+                Text::Prefix(number) => (None, Some(PrefixId(number))),
+            };
+            let mut worker = row.server;
+            if self.options.memory == Memory::Lies {
+                let at = names.iter().position(|name| ***name == *worker.0).unwrap_or(0);
+                worker = WorkerId(Arc::from(names[(at + 1) % names.len()].as_str()));
+            }
+            Kept { worker, session, prefix, tokens: row.tokens, age_ms: row.age_ms }
+        };
+        rows.into_iter().map(row).collect()
+    }
+
     pub fn kill_router(&mut self, router: usize) {
         if !self.routers[router].up {
             return;
@@ -660,6 +720,22 @@
                 let after_ms = if heard.is_some() { 2.0 * net_ms } else { self.day.router.engines.probe_ms };
                 self.heap.put(self.now_ms + after_ms, Ev::Probe { server: heard, router, boot, worker });
             }
+            Effect::Keeps { worker, session, tokens, prefix } => {
+                let at_ms = self.now_ms;
+                let remembers = self.options.memory != Memory::Nothing;
+                let node = &mut self.routers[router];
+                if let Some(start) = node.membership.start(&worker).filter(|_| remembers) {
+                    let mut keep = |text, tokens| {
+                        let value = retention::Kept { tokens, at_ms, start };
+                        let value = serde_json::to_vec(&value).unwrap_or_default();
+                        node.kept.insert(retention::kept_key(text, &worker.0).bytes, value);
+                    };
+                    keep(Text::Session(session.0), tokens);
+                    if let Some((prefix, tokens)) = prefix {
+                        keep(Text::Prefix(prefix.0), tokens);
+                    }
+                }
+            }
             // No place can be held ahead here; the decisions ask for none.
             Effect::Hold { .. } | Effect::CloseIdle { .. } | Effect::Note(_) => {}
             Effect::Subscribe | Effect::FetchList => self.news(router, boot),
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -130,6 +130,8 @@
     /// Dispatches or probes that found nobody there, or somebody, and when.
     missing_ms: Option<f64>,
     answered_ms: Option<f64>,
+    /// Since when it is off the list.
+    gone_ms: Option<f64>,
 }
 
 /// A version that waits for a second word.
@@ -198,6 +200,15 @@
         self.acted.get(worker).map(|row| row.address)
     }
 
+    /// The process that runs at each server, by its source's count.
+    pub fn starts(&self) -> BTreeMap<String, u64> {
+        self.acted.iter().map(|(worker, row)| (worker.0.to_string(), row.entry.start)).collect()
+    }
+
+    pub fn start(&self, worker: &WorkerId) -> Option<u64> {
+        self.acted.get(worker).map(|row| row.entry.start)
+    }
+
     pub fn len(&self) -> usize {
         self.acted.len()
     }
@@ -568,19 +579,16 @@
         let mut next = self.acting(now_ms);
         // A return that is one too many sets the server aside before it gets anything.
         let mut flapped = false;
-        for (worker, row) in next.iter().filter(|(_, row)| row.usable()) {
+        for (worker, _) in next.iter().filter(|(_, row)| row.usable()) {
             let server = self.servers.entry(worker.clone()).or_default();
             let was = self.acted.get(worker);
-            if was.is_some_and(|was| !was.usable()) && !server.damping.aside(now_ms) && server.said.is_none()
-            {
-                let until = server.damping.until_ms();
-                // What ends being set aside is no return.
-                if until <= 0.0 || now_ms > until + within_ms / 4.0 || was.is_some_and(|was| was.gone()) {
-                    server.damping.returned(now_ms, most, within_ms, aside_ms);
-                    flapped |= server.damping.aside(now_ms);
-                }
+            // A return is one from being gone; who drains a server and ends that means it.
+            let back = was.is_some_and(|was| was.gone()) || was.is_none() && server.gone_ms.is_some();
+            if back && !server.damping.aside(now_ms) {
+                server.damping.returned(now_ms, most, within_ms, aside_ms);
+                flapped |= server.damping.aside(now_ms);
             }
-            let _ = row;
+            server.gone_ms = None;
         }
         if flapped {
             next = self.acting(now_ms);
@@ -616,8 +624,12 @@
             let mut room = LEFT_MAX;
             servers.retain(|worker, server| {
                 let word = matches!(server.said, Some(Said { word: Word::Drain | Word::Quarantine, .. }));
-                let kept = (word || server.damping.aside(now_ms)) && room > 0;
                 let listed = acted.contains_key(worker);
+                if !listed {
+                    server.gone_ms.get_or_insert(now_ms);
+                }
+                let late = server.gone_ms.is_some_and(|since| now_ms - since < within_ms);
+                let kept = (word || late || server.damping.aside(now_ms)) && room > 0;
                 room -= usize::from(kept && !listed);
                 listed || kept
             });
--- a/crates/rehearsal/src/experiment.rs
+++ b/crates/rehearsal/src/experiment.rs
@@ -12,7 +12,7 @@
 use anyhow::{bail, Context, Result};
 use paddleproxy_day::audit::Facts;
 use paddleproxy_day::report::report;
-use paddleproxy_emulator::{run, Options, Policy};
+use paddleproxy_emulator::{run, Memory, Options, Policy};
 use paddleproxy_settings::day::DaySettings;
 use paddleproxy_settings::experiment::ExperimentSettings;
 use statrs::distribution::{ContinuousCDF, StudentsT};
@@ -38,7 +38,8 @@
 pub fn points(settings: &ExperimentSettings) -> Vec<Point> {
     let text = |values: &[f64]| values.iter().map(f64::to_string).collect::<Vec<_>>();
     let whole = |values: &[usize]| values.iter().map(usize::to_string).collect::<Vec<_>>();
-    let knobs: [(&'static str, Vec<String>); 9] = [
+    let knobs: [(&'static str, Vec<String>); 10] = [
+        ("memory", settings.memory.clone()),
         ("policy", settings.policies.clone()),
         ("routers", whole(&settings.routers)),
         ("fleets", whole(&settings.fleets)),
@@ -95,6 +96,10 @@
             "max_retry_after_ms" => day.router.decisions.max_retry_after_ms = number()?,
             "list_delay_ms" => day.fleet.list_delay_ms = number()?,
             "cold_ms" => (day.fleet.cold_ms, day.router.decisions.cold_ms) = (number()?, number()?),
+            "memory" => {
+                let found = Memory::ALL.iter().find(|(known, _)| known == value);
+                options.memory = found.with_context(|| format!("there is no memory '{value}'"))?.1;
+            }
             "most_removed" => day.router.membership.most_removed = number()?,
             other => bail!("there is no knob '{other}'"),
         }
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -134,7 +134,7 @@
 
 fn metrics(front: &Front, status: &Status) -> String {
     let counts = &status.counts;
-    let rows: [(&str, u64); 24] = [
+    let rows: [(&str, u64); 26] = [
         ("completions_arrived_total", counts.arrived),
         ("completions_finished_total", counts.finished),
         ("completions_rate_limited_total", counts.rate_limited),
@@ -158,6 +158,8 @@
         ("list_revision", status.revision),
         ("lists_held_total", status.held_total),
         ("lists_refused_total", status.refused),
+        ("store_writes_skipped_total", front.state.skipped.get()),
+        ("store_writes_failed_total", front.state.failed.get()),
         ("settings_refused_total", front.settings_refused.borrow().0),
     ];
     let mut text: String = rows.iter().map(|(name, value)| format!("paddleproxy_{name} {value}\n")).collect();
--- a/crates/router/src/answer.rs
+++ b/crates/router/src/answer.rs
@@ -9,6 +9,8 @@
 use paddleproxy_routing::{Key, Repeats};
 use tokio::sync::{mpsc, oneshot};
 
+use crate::state::State;
+
 /// What the client's connection is handed.
 pub enum Reply {
     Whole(Answer),
@@ -31,6 +33,8 @@
     pub repeats: Rc<RefCell<Repeats>>,
     pub key: Key,
     pub may_repeat: bool,
+    /// Where it is on the disk, and the customer's name there.
+    pub stored: Option<(Rc<State>, String)>,
 }
 
 impl Keyed {
@@ -52,6 +56,9 @@
     }
 
     pub fn never_ran(self) {
+        if let Some((state, customer)) = &self.stored {
+            state.forget(customer, &self.key.text);
+        }
         self.repeats.borrow_mut().never_ran(&self.key);
     }
 }
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -24,6 +24,7 @@
 use crate::dispatch::{request_id, Ask, Dispatch, End, Word};
 use crate::engines::Engines;
 use crate::list::ListWord;
+use crate::state::{Left, State};
 
 /// What the core is told.
 pub enum Told {
@@ -143,6 +144,7 @@
     own: ToCore,
     list: mpsc::Sender<ListWord>,
     saves: watch::Sender<Option<Saved>>,
+    state: Rc<State>,
     /// When the list changes by itself.
     wakes: Option<Instant>,
 }
@@ -158,6 +160,7 @@
         own: ToCore,
         list: mpsc::Sender<ListWord>,
         saves: watch::Sender<Option<Saved>>,
+        state: Rc<State>,
     ) -> Self {
         let decisions = &settings.decisions;
         let roles = decisions.kinds.iter().map(|kind| kind.role);
@@ -176,6 +179,7 @@
             own,
             list,
             saves,
+            state,
             wakes: None,
             settings,
         }
@@ -183,7 +187,7 @@
 
     /// Takes in the list of an earlier run, if there is one; the version to ask on from. The decisions always get a
     /// saved list, if an empty one: with it they begin, and subscribe where that is theirs to do.
-    pub fn recover(&mut self, saved: Option<Saved>) -> Known {
+    pub fn recover(&mut self, saved: Option<Saved>, left: &Left) -> Known {
         let mut rows: std::sync::Arc<[Listing]> = [].into();
         if let Some(saved) = saved {
             match self.membership.recover(self.clock.now_ms(), wall_ms(), &saved) {
@@ -194,6 +198,9 @@
         }
         info!(servers = rows.len(), "saved list taken");
         self.handle(Input::Listed { kind: ListKind::Saved, rows });
+        let kept = left.believed(&self.membership.starts());
+        info!(entries = kept.len(), "kept texts of the earlier run believed");
+        self.handle(Input::Recovered(kept));
         self.membership.known(SourceId::Service)
     }
 
@@ -420,6 +427,11 @@
                     .into_iter()
                     .for_each(|address| self.engines.close_idle(address));
             }
+            Effect::Keeps { worker, session, tokens, prefix } => {
+                if let Some(start) = self.membership.start(&worker) {
+                    self.state.keeps(&worker, start, (session, tokens), prefix);
+                }
+            }
             Effect::Subscribe => self.list_word(ListWord::Subscribe),
             Effect::FetchList => self.list_word(ListWord::Fetch),
             Effect::Note(text) => debug!(text, "decisions"),
--- a/crates/router/src/core_tests.rs
+++ b/crates/router/src/core_tests.rs
@@ -52,7 +52,10 @@
     let (list_sender, list) = mpsc::channel(8);
     let (saves, _) = watch::channel(None);
     let engines = Rc::new(Engines::new(settings.engines.clone()));
-    let mut core = Core::new(settings, Clock::start(), 1, 7, engines, own, list_sender, saves);
+    let dir = tempfile::tempdir().unwrap();
+    let (state, _) = crate::state::State::open(dir.path(), 0).unwrap();
+    let mut core =
+        Core::new(settings, Clock::start(), 1, 7, engines, own, list_sender, saves, Rc::new(state));
     let entry = ServerEntry {
         name: "a".into(),
         address: address.to_string(),
--- a/crates/router/src/files.rs
+++ b/crates/router/src/files.rs
@@ -41,7 +41,11 @@
     fn new(path: PathBuf) -> Self {
         // One waiting event says as much as many.
         let (sender, events) = mpsc::channel(1);
-        let told = move |_: notify::Result<notify::Event>| {
+        let told = move |event: notify::Result<notify::Event>| {
+            // Our own reads are told too; to answer them with another read would never end.
+            if matches!(&event, Ok(event) if event.kind.is_access()) {
+                return;
+            }
             // One that waits already says the same.
             let _ = sender.try_send(());
         };
@@ -68,8 +72,9 @@
 
     /// Waits until the file says something new and has stayed so for a moment; None where it only is still there.
     async fn next(&mut self) -> Option<Seen> {
-        if self.last.is_some() {
-            let _ = timeout(POLL, self.events.recv()).await;
+        if self.last.is_some() && timeout(POLL, self.events.recv()).await.is_ok() {
+            // Whatever goes on in the folder, it is not read in a tight loop.
+            sleep(SETTLED).await;
         }
         let mut seen = self.read().await;
         loop {
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -30,6 +30,7 @@
 use crate::core::{wall_ms, ToCore, Told};
 use crate::dispatch::Ask;
 use crate::polite::Polite;
+use crate::state::{Left, State};
 
 /// What all connections of clients share.
 pub struct Front {
@@ -37,6 +38,7 @@
     pub requests: RefCell<Requests>,
     pub admission: Rc<RefCell<Admission>>,
     pub repeats: Rc<RefCell<Repeats>>,
+    pub state: Rc<State>,
     /// Forms of the API by path.
     pub dialects: Vec<(String, Dialect)>,
     pub clock: Clock,
@@ -328,7 +330,7 @@
             let (stops, most) = (&asked.stop_sequences, asked.max_tokens);
             let wish = format!("{}\n{most}\n{stops:?}\n{prompt}", asked.model);
             match self.keyed(key, wish.as_bytes(), facts.key_rule)? {
-                Ok(guard) => keyed = Some(guard),
+                Ok(guard) => keyed = Some(self.remember(guard, wish.as_bytes(), facts.key_rule).await?),
                 Err(answer) => return Ok(again(&encoder, &answer, asked.stream)),
             }
         }
@@ -376,6 +378,36 @@
         }
     }
 
+    /// Where its workload asks for it, a key is on the disk before anything is sent.
+    async fn remember(&self, mut guard: Keyed, wish: &[u8], rule: KeyRule) -> Result<Keyed, ApiError> {
+        if !rule.remembered {
+            return Ok(guard);
+        }
+        let name = self.named(guard.key.customer);
+        if self.state.remember(&name, &guard.key.text, Repeats::wish(wish), rule.window_ms).await {
+            guard.stored = Some((self.state.clone(), name));
+            return Ok(guard);
+        }
+        // Guards rule 2: without a record of it another try after a restart could have the effect twice. Harm: a disk
+        // that is full or slow turns away this work, and this work alone.
+        guard.never_ran();
+        Err(ApiError::new(ErrorKind::Overloaded, "this work can't be remembered now; come again"))
+    }
+
+    fn named(&self, customer: Option<CustomerId>) -> String {
+        let requests = self.requests.borrow();
+        customer.and_then(|customer| requests.name(customer)).unwrap_or_default().to_owned()
+    }
+
+    /// What an earlier run left: tries that may have run.
+    pub fn recover(&self, left: &Left) {
+        let (requests, now_ms) = (self.requests.borrow(), self.clock.now_ms());
+        for (customer, key, wish, left_ms) in &left.tokened {
+            let key = Key { customer: requests.named(customer), text: Rc::from(key.as_str()) };
+            self.repeats.borrow_mut().recover(now_ms, key, *wish, *left_ms);
+        }
+    }
+
     /// What is known here of an earlier try with the same key: go on under its guard, or its answer.
     fn keyed(
         &self,
@@ -392,7 +424,7 @@
         match verdict {
             Verdict::Go => {
                 let (repeats, may_repeat) = (self.repeats.clone(), rule.may_repeat);
-                Ok(Ok(Keyed { repeats, key, may_repeat }))
+                Ok(Ok(Keyed { repeats, key, may_repeat, stored: None }))
             }
             Verdict::Again(answer) => {
                 self.answered_again.set(self.answered_again.get() + 1);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -11,6 +11,7 @@
 mod front;
 mod list;
 mod polite;
+mod state;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -47,6 +48,9 @@
 /// Takes `level` or `target=level,...`, or says what is wrong with it.
 pub type LogSetter = Box<dyn Fn(&str) -> Result<(), String>>;
 
+/// How often what is outdated is looked for in the store, in ms.
+const SWEEP_MS: f64 = 30_000.0;
+
 /// Words that may wait for the core.
 const CORE_QUEUE: usize = 4096;
 
@@ -84,9 +88,11 @@
     let (core, told) = mpsc::channel(CORE_QUEUE);
     let (list, list_words) = mpsc::channel(8);
     let (saves, lists) = watch::channel(None);
-    let mut state =
-        Core::new(settings.clone(), clock, boot, seed, engines.clone(), core.clone(), list, saves);
-    let after = state.recover(list::saved(&dir));
+    let (store, left) = state::State::open(&dir, settings.decisions.own_number)?;
+    let store = Rc::new(store);
+    let own = (engines.clone(), core.clone());
+    let mut state = Core::new(settings.clone(), clock, boot, seed, own.0, own.1, list, saves, store.clone());
+    let after = state.recover(list::saved(&dir), &left);
     let admission = Rc::new(RefCell::new(Admission::new(Bounds::of(&settings))));
     let (workloads, keys_ms) = (settings.decisions.workloads.clone(), settings.front.keys_ms);
     let front = Rc::new(Front {
@@ -99,6 +105,7 @@
         )),
         admission: admission.clone(),
         repeats: Rc::new(RefCell::new(Repeats::new(settings.front.keys, settings.front.answer_memory_bytes))),
+        state: store.clone(),
         dialects: dialects(&settings),
         clock,
         core: core.clone(),
@@ -112,6 +119,14 @@
         settings_taken: Cell::new(0),
         settings_refused: RefCell::default(),
     });
+    front.recover(&left);
+    let swept = store.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            tokio::time::sleep(duration(SWEEP_MS)).await;
+            swept.sweep();
+        }
+    });
     tokio::task::spawn_local(state.run(told));
     tokio::task::spawn_local(list::save(dir, lists));
     tokio::task::spawn_local(list::follow(settings.clone(), engines, core.clone(), list_words, after));
@@ -149,6 +164,7 @@
             tokio::time::sleep(duration(5.0)).await;
         }
     }
+    store.close().await;
     info!(open = admission.borrow().open(), "stopped");
     Ok(())
 }
--- a/crates/routing/src/facts.rs
+++ b/crates/routing/src/facts.rs
@@ -31,6 +31,8 @@
     pub window_ms: f64,
     /// Whether another try is harmless even where an earlier one may have run.
     pub may_repeat: bool,
+    /// Whether it must be on the disk before anything is sent.
+    pub remembered: bool,
 }
 
 /// What one request's headers say.
@@ -78,6 +80,7 @@
 
     /// The row of the decisions' settings, and what a key means there.
     fn workload(&self, row: usize, keyed: bool) -> (WorkloadId, KeyRule) {
+        let remembered = self.names.workloads[row].remembered;
         let own = self.names.workloads[row].keyed.filter(|_| keyed);
         let row = own.unwrap_or(row);
         let row = self.rows.get(row).copied().unwrap_or(row);
@@ -89,7 +92,7 @@
             Effect::NonIdempotent => false,
         });
         let window_ms = tokened.map_or(self.keys_ms, |rules| rules.window_ms);
-        (WorkloadId(row), KeyRule { window_ms, may_repeat })
+        (WorkloadId(row), KeyRule { window_ms, may_repeat, remembered })
     }
 
     pub fn rules(&self) -> &Rules {
@@ -113,6 +116,15 @@
         }
     }
 
+    /// The name of a customer, and the other way round.
+    pub fn name(&self, customer: CustomerId) -> Option<&str> {
+        self.names.customers.get(customer.0).map(|row| row.name.as_str())
+    }
+
+    pub fn named(&self, name: &str) -> Option<CustomerId> {
+        self.names.customers.iter().position(|row| row.name == name).map(CustomerId)
+    }
+
     /// The key by which servers know an effect: the same at all routers, and apart for each customer.
     pub fn effect_key(&self, customer: Option<CustomerId>, key: &str) -> String {
         let name = customer.and_then(|customer| self.names.customers.get(customer.0));
--- a/crates/routing/src/ledger.rs
+++ b/crates/routing/src/ledger.rs
@@ -67,6 +67,8 @@
         held: bool,
     },
     Due(Due),
+    /// What an earlier run knew as kept at servers.
+    Recovered(Vec<Kept>),
     /// Other settings from now on; open completions keep the rows that they began under.
     Settings(Box<Settings>),
     /// The router stops and its time for that is over: everything still open ends now.
@@ -149,6 +151,13 @@
     CloseIdle {
         worker: WorkerId,
     },
+    /// A server keeps what this completion said, and the beginning that it shares.
+    Keeps {
+        worker: WorkerId,
+        session: SessionId,
+        tokens: f64,
+        prefix: Option<(PrefixId, f64)>,
+    },
     Subscribe,
     FetchList,
     /// An action that the settings forbid, and anything that the decisions want said.
@@ -195,6 +204,8 @@
     streamed: bool,
     deadline_ms: f64,
     prompt_tokens: f64,
+    session: SessionId,
+    prefix: Option<(PrefixId, f64)>,
     /// A final answer is owed and none is under way.
     owed: bool,
     /// The dispatch whose stream is the answer, while it runs.
@@ -310,6 +321,8 @@
                     streamed,
                     deadline_ms: arrival.client_timeout_ms,
                     prompt_tokens: arrival.prompt_tokens,
+                    session: arrival.session,
+                    prefix: arrival.prefix.map(|prefix| (prefix, arrival.prefix_tokens)),
                     owed: true,
                     stream: None,
                     dispatches: Vec::new(),
@@ -344,6 +357,7 @@
             Input::HoldAnswered { completion, seq, worker, held } => {
                 self.hold_answered(completion, seq, worker, held, effects);
             }
+            Input::Recovered(kept) => self.events.push_back(Event::Recovered(kept)),
             Input::Settings(settings) => {
                 self.settings = (*settings).clone();
                 self.events.push_back(Event::Settings(settings));
@@ -429,6 +443,10 @@
             (Outcome::Read, None) => result = Outcome::Error,
             _ => {}
         }
+        if matches!(result, Outcome::Read | Outcome::Finished) {
+            let (session, tokens, prefix) = (entry.session, entry.prompt_tokens, entry.prefix);
+            effects.push(Effect::Keeps { worker: worker.clone(), session, tokens, prefix });
+        }
         // Guards against a state that a reader keeps for an answer which never reached us. Harm: one call more.
         if stage == Stage::Read && !never_ran(result) {
             effects.push(Effect::Release { worker: worker.clone(), completion, seq });
--- a/crates/routing/src/repeats.rs
+++ b/crates/routing/src/repeats.rs
@@ -98,6 +98,20 @@
         Verdict::Go
     }
 
+    /// What a request asks for, as it is compared.
+    pub fn wish(body: &[u8]) -> u64 {
+        xxh3_64(body)
+    }
+
+    /// A try of an earlier run that may have run, and how long it still matters, in ms.
+    pub fn recover(&mut self, now_ms: f64, key: Key, wish: u64, left_ms: f64) {
+        if self.known.len() < self.most_keys && !self.known.contains_key(&key) {
+            let known = Known { fate: Fate::Lost, wish, since_ms: now_ms, window_ms: left_ms };
+            self.known.insert(key.clone(), known);
+            self.ended.push_back((now_ms + left_ms, key));
+        }
+    }
+
     /// The try with this key finished. An answer too large to remember counts as lost.
     pub fn answered(&mut self, key: &Key, answer: Answer) {
         let bytes = answer.text.len();
--- a/crates/settings/src/experiment.rs
+++ b/crates/settings/src/experiment.rs
@@ -26,6 +26,8 @@
     pub cold_ms: Vec<f64>,
     /// Share of a role's servers that one version of the list may take away.
     pub most_removed: Vec<f64>,
+    /// What a router's store gives back at its next start.
+    pub memory: Vec<String>,
 }
 
 /// Points of a grid at most, seeds apart.
@@ -76,6 +78,7 @@
         max_retry_after_ms: list(block, "max-retry-after", time),
         list_delay_ms: list(block, "list-delay", time),
         cold_ms: list(block, "cold", time),
+        memory: list(block, "memory", |name: String| name),
         most_removed: list(block, "most-removed", |share: Share| share.0),
     };
     let sizes = [
@@ -88,6 +91,7 @@
         read.list_delay_ms.len(),
         read.cold_ms.len(),
         read.most_removed.len(),
+        read.memory.len(),
     ];
     let points: usize = sizes.iter().map(|size| (*size).max(1)).product();
     if points > POINTS_MAX {
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -73,6 +73,8 @@
     pub client_timeout_ms: f64,
     /// Row of the decisions' settings for its requests that carry a key; absent where servers drop no repeats of it.
     pub keyed: Option<usize>,
+    /// Whether its keys are on the disk before anything is sent.
+    pub remembered: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -339,6 +341,7 @@
         if tokened && keyed.is_some() {
             block.problem_of("keyed", "a \"tokened\" workload has its 'group' and 'window' already");
         }
+        let remembered = block.maybe("remembered").unwrap_or(false);
         block.done();
         let settings = house::WorkloadSettings {
             effect,
@@ -348,7 +351,8 @@
             latency_target_ms: target,
             target_per_token_ms: per_token,
         };
-        rows.push((settings, WorkloadNames { name, models, client_timeout_ms, keyed: None }, keyed));
+        let names = WorkloadNames { name, models, client_timeout_ms, keyed: None, remembered };
+        rows.push((settings, names, keyed));
     }
     if rows.is_empty() {
         top.problem("there is no 'workload'; at least one is needed");
--- a/crates/store/src/retention.rs
+++ b/crates/store/src/retention.rs
@@ -21,9 +21,9 @@
 /// A tokened completion that may have run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Tokened {
-    /// Group of servers that drop its repeats: `all`, or the zone's or cell's name.
-    pub group: String,
-    /// Until when they do, in ms since 1970.
+    /// What it asked for, as it is compared.
+    pub wish: u64,
+    /// Until when another try could have an effect anew, in ms since 1970.
     pub until_ms: f64,
 }
 
@@ -78,6 +78,34 @@
     pub most: usize,
 }
 
+/// What a router's restart believes: no longer than the decisions' own table, half after half of that.
+pub const TRUST: Trust = Trust { life_ms: 120_000.0, half_ms: 60_000.0, most: 1 << 16 };
+
+/// Key of tokened work: the customer's name, a zero, the client's key.
+pub fn tokened_key(customer: &str, key: &str) -> Key {
+    Key::new(Kind::Tokened, [customer.as_bytes(), &[0], key.as_bytes()].concat())
+}
+
+/// The other way round.
+pub fn tokened_of(bytes: &[u8]) -> Option<(&str, &str)> {
+    std::str::from_utf8(bytes).ok()?.split_once('\0')
+}
+
+/// Tokened work of an earlier run that still matters: customer, key, what it asked for, and how long, in ms.
+pub fn tokened<'a>(
+    now_ms: f64,
+    entries: impl Iterator<Item = (&'a [u8], &'a [u8])>,
+) -> Vec<(&'a str, &'a str, u64, f64)> {
+    let row = |(key, value): (&'a [u8], &'a [u8])| {
+        let (customer, key) = tokened_of(key)?;
+        let work: Tokened = serde_json::from_slice(value).ok()?;
+        // By a clock that went back it matters longer, never less long.
+        let left_ms = work.until_ms - now_ms;
+        (left_ms > 0.0 && left_ms.is_finite()).then_some((customer, key, work.wish, left_ms))
+    };
+    entries.filter_map(row).collect()
+}
+
 /// Weighs kept texts by their age. `starts` are the processes that run now, by server. Guards against a table of last
 /// month and against servers that started anew; one that lies is found by the first answer that finds less kept, which
 /// voids the rest of that server as a flush does. Harm: what was kept long ago and still is, is read again.
@@ -168,7 +196,7 @@
 
     #[test]
     fn what_is_over_goes() {
-        let tokened = |until_ms| serde_json::to_vec(&Tokened { group: "all".into(), until_ms }).unwrap();
+        let tokened = |until_ms| serde_json::to_vec(&Tokened { wish: 7, until_ms }).unwrap();
         let rows = [
             (Key::new(Kind::Tokened, b"old"), tokened(99.0)),
             (Key::new(Kind::Tokened, b"new"), tokened(101.0)),
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -162,6 +162,11 @@
         all.map(|(key, entry)| (&*key.bytes, entry.value.as_slice()))
     }
 
+    /// All live entries.
+    pub fn iter(&self) -> impl Iterator<Item = (&Key, &[u8])> {
+        self.entries.iter().map(|(key, entry)| (key, entry.value.as_slice()))
+    }
+
     pub fn len(&self) -> usize {
         self.entries.len()
     }
--- a/crates/store/src/writer.rs
+++ b/crates/store/src/writer.rs
@@ -8,6 +8,7 @@
 
 use crate::format::Op;
 use crate::medium::Medium;
+use crate::retention::{outdated, TRUST};
 use crate::store::{Stats, Store};
 use crate::Error;
 
@@ -15,8 +16,17 @@
 pub type Acknowledged = oneshot::Receiver<Result<(), String>>;
 
 enum Job {
-    Write { ops: Vec<Op>, done: Option<oneshot::Sender<Result<(), String>>> },
-    Stats { stats: oneshot::Sender<Stats> },
+    Write {
+        ops: Vec<Op>,
+        done: Option<oneshot::Sender<Result<(), String>>>,
+    },
+    Stats {
+        stats: oneshot::Sender<Stats>,
+    },
+    /// Wall clock in ms since 1970: what is outdated by then goes.
+    Sweep {
+        now_ms: f64,
+    },
 }
 
 /// Jobs that may wait for the thread; more are turned away at once.
@@ -61,6 +71,12 @@
         }
     }
 
+    /// Lets go of what is outdated at this wall clock, in ms since 1970.
+    pub fn sweep(&self, now_ms: f64) {
+        // A queue that is full has more urgent work; the next sweep does it.
+        let _ = self.jobs.try_send(Job::Sweep { now_ms });
+    }
+
     /// Asks for figures; None where the queue is full or the thread gone.
     pub async fn stats(&self) -> Option<Stats> {
         let (stats, answer) = oneshot::channel();
@@ -76,6 +92,11 @@
         while let Some(job) = next {
             match job {
                 Job::Stats { stats } => drop(stats.send(store.stats())),
+                Job::Sweep { now_ms } => {
+                    let gone = outdated(now_ms, &TRUST, store.iter());
+                    // What fails here is tried again at the next sweep.
+                    let _ = store.write(&gone);
+                }
                 Job::Write { ops, done } => match (store.write(&ops), done) {
                     (Ok(()), Some(done)) => waiting.push(done),
                     (Err(cause), Some(done)) => drop(done.send(Err(cause.to_string()))),
--- a/src/control.rs
+++ b/src/control.rs
@@ -213,6 +213,7 @@
                 self.judge(worker, if *answered { 0.0 } else { 0.6 }, false);
             }
             Event::TimerFired(Timer::Subscribe) => actions.push(Action::Subscribe),
+            Event::Recovered(kept) => kept.iter().for_each(|kept| self.recover(kept)),
             Event::Settings(settings) => self.settings = (**settings).clone(),
             _ => {}
         }
@@ -566,6 +567,14 @@
         }
     }
 
+    /// An entry of an earlier run; it never counts as newer than what this one saw of the worker.
+    fn recover(&mut self, kept: &Kept) {
+        let text = kept.session.map(Text::Session).or(kept.prefix.map(Text::Prefix));
+        let Some((text, w)) = text.zip(self.workers.get(&kept.worker)) else { return };
+        let at_ms = (self.now_ms - kept.age_ms).max(w.forgot_ms);
+        self.table.entry((text, kept.worker.clone())).or_insert(Stamped { value: kept.tokens, at_ms });
+    }
+
     fn remember(&mut self, facts: &Arrival, worker: &WorkerId) {
         let at_ms = self.now_ms;
         if self.table.len() >= ENTRIES_MAX {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -179,6 +179,18 @@
     pub resumed: bool,
 }
 
+/// Tokens of a text that a worker is held to keep.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Kept {
+    pub worker: WorkerId,
+    /// One of the two.
+    pub session: Option<SessionId>,
+    pub prefix: Option<PrefixId>,
+    pub tokens: f64,
+    /// How long ago it was seen, in ms.
+    pub age_ms: f64,
+}
+
 /// A timer of the module's own, given back as it was asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Timer {
@@ -229,6 +241,8 @@
         peer: PeerId,
         payload: Vec<u8>,
     },
+    /// What an earlier run knew as kept at workers that are listed now, weighed already.
+    Recovered(Vec<Kept>),
     /// Other settings from now on. Rows that were there stay what and where they were; further ones may follow.
     Settings(Box<Settings>),
 }
