--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,6 +7,7 @@
 mod module;
 mod process;
 mod report;
+mod stores;
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -18,6 +19,7 @@
 use crate::load::{Load, Measured, Target};
 use crate::process::Program;
 pub use crate::report::{Added, Allocations, Form, Memory, ModuleShare, Refusals, Report};
+pub use crate::stores::{Durable, StoreCost};
 
 /// How long and how hard to measure.
 #[derive(Clone, Debug)]
@@ -34,6 +36,9 @@
     pub servers: Vec<usize>,
     /// Edits of the operators' list.
     pub edits: usize,
+    /// Entries of a store, and durable writes.
+    pub entries: Vec<usize>,
+    pub durable: usize,
 }
 
 impl Default for Plan {
@@ -46,6 +51,8 @@
             slow_ms: 20_000.0,
             servers: vec![10, 100, 1000],
             edits: 200,
+            entries: vec![10_000, 100_000, 1_000_000],
+            durable: 2000,
         }
     }
 }
@@ -62,6 +69,8 @@
             slow_ms: 2000.0,
             servers: vec![10, 100],
             edits: 5,
+            entries: vec![1000],
+            durable: 64,
         }
     }
 }
@@ -242,6 +251,13 @@
         report.memory.push(Memory { streams: open, reads: "slowly", empty_mib: empty, mib });
         pair.end().await;
     }
+    say("the store");
+    for entries in &plan.entries {
+        report.stores.push(stores::cost(*entries)?);
+    }
+    for at_once in [1, 64] {
+        report.durable.push(stores::durable(at_once, plan.durable).await?);
+    }
     say(&format!("{} drains by the operators' file", plan.edits));
     report.drains = Some(drains::measure(program, plan.edits).await?);
     for servers in &plan.servers {
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -7,6 +7,7 @@
 use crate::changes::Change;
 use crate::drains::Drains;
 use crate::load::Measured;
+use crate::stores::{Durable, StoreCost};
 
 #[derive(Clone, Debug, Serialize)]
 pub struct Report {
@@ -20,6 +21,8 @@
     pub refusals: Option<Refusals>,
     pub memory: Vec<Memory>,
     pub module: Vec<ModuleShare>,
+    pub stores: Vec<StoreCost>,
+    pub durable: Vec<Durable>,
     pub drains: Option<Drains>,
     pub changes: Vec<Change>,
 }
@@ -118,6 +121,8 @@
             refusals: None,
             memory: Vec::new(),
             module: Vec::new(),
+            stores: Vec::new(),
+            durable: Vec::new(),
             drains: None,
             changes: Vec::new(),
         }
@@ -168,6 +173,20 @@
                 "memory: {mib:.1} MiB with {streams} streams whose clients read {reads}, {empty_mib:.1} MiB with none"
             );
         }
+        for row in &self.stores {
+            let StoreCost { entries, behind_per_s, log_mib, compacted_mib, compact_ms, open_ms, weigh_ms } =
+                row;
+            let _ = writeln!(
+                text,
+                "store of {entries}: {behind_per_s:.0} writes/s behind, {log_mib:.1} MiB, {compacted_mib:.1} after a snapshot of {compact_ms:.0} ms, opened in {open_ms:.0} ms, weighed in {weigh_ms:.0}"
+            );
+        }
+        for Durable { at_once, per_s, p50_ms, p99_ms } in &self.durable {
+            let _ = writeln!(
+                text,
+                "durable writes, {at_once} at once: {per_s:.0}/s, {p50_ms:.2} ms at p50, {p99_ms:.2} at p99"
+            );
+        }
         if let Some(Drains { edits, p50_ms, worst_ms, asked, done }) = &self.drains {
             let _ = writeln!(
                 text,
--- a/crates/membership/src/entry.rs
+++ b/crates/membership/src/entry.rs
@@ -1,5 +1,6 @@
 //! What one entry of a version must be to be believed.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -63,15 +64,40 @@
     Ok(rows)
 }
 
-/// Two servers at one address, if there are.
-pub fn same_address(view: &View) -> Option<(WorkerId, WorkerId)> {
-    let mut taken: BTreeMap<SocketAddr, &WorkerId> = BTreeMap::new();
-    for (worker, row) in view.iter().filter(|(_, row)| !row.gone()) {
-        if let Some(other) = taken.insert(row.address, worker) {
-            return Some((other.clone(), worker.clone()));
-        }
+/// Both rows of each worker that either view has, in the order of their names. One pass: views of a thousand servers are
+/// compared at every change.
+pub fn joined<'a>(
+    old: &'a View,
+    new: &'a View,
+) -> impl Iterator<Item = (Option<&'a Arc<Row>>, Option<&'a Arc<Row>>)> {
+    let (mut old, mut new) = (old.iter().peekable(), new.iter().peekable());
+    std::iter::from_fn(move || {
+        let order = match (old.peek(), new.peek()) {
+            (None, None) => return None,
+            (Some(_), None) => Ordering::Less,
+            (None, Some(_)) => Ordering::Greater,
+            (Some((a, _)), Some((b, _))) => a.cmp(b),
+        };
+        let was = if order == Ordering::Greater { None } else { old.next() };
+        let now = if order == Ordering::Less { None } else { new.next() };
+        Some((was.map(|(_, row)| row), now.map(|(_, row)| row)))
+    })
+}
+
+/// Two servers at one address, if there are: among all, or of those that changed and any other.
+pub fn same_address(view: &View, changed: Option<&[WorkerId]>) -> Option<(WorkerId, WorkerId)> {
+    let live = || view.iter().filter(|(_, row)| !row.gone());
+    if let Some(changed) = changed {
+        return changed.iter().find_map(|worker| {
+            let row = view.get(worker).filter(|row| !row.gone())?;
+            let other = live().find(|(other, at)| at.address == row.address && *other != worker)?;
+            Some((other.0.clone(), worker.clone()))
+        });
     }
-    None
+    let mut all: Vec<_> = live().map(|(worker, row)| (row.address, worker)).collect();
+    all.sort_unstable();
+    let twice = all.windows(2).find(|pair| pair[0].0 == pair[1].0)?;
+    Some((twice[0].1.clone(), twice[1].1.clone()))
 }
 
 fn row(checks: &Checks, now_ms: f64, entry: &ServerEntry, known: &View) -> Result<Row, String> {
--- a/crates/membership/src/guard.rs
+++ b/crates/membership/src/guard.rs
@@ -4,7 +4,7 @@
 
 use paddleproxy::interface::{CellId, Role, WorkerId};
 
-use crate::entry::{Checks, Row, View};
+use crate::entry::{joined, Checks, Row, View};
 
 /// Why a version is held.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,12 +48,11 @@
 /// What `next` takes away of what `stands` has: usable servers that it leaves out or calls gone. One that drained before
 /// is not taken away, and one that another process replaces under its name is not either.
 pub fn taken(stands: &View, next: &View) -> BTreeSet<WorkerId> {
-    let missing = |worker: &WorkerId| next.get(worker).is_none_or(|row| row.gone());
-    stands
-        .iter()
-        .filter(|(worker, row)| row.usable() && missing(worker))
-        .map(|(worker, _)| worker.clone())
-        .collect()
+    let pairs = joined(stands, next).filter_map(|(was, now)| {
+        let was = was.filter(|was| was.usable() && now.is_none_or(|now| now.gone()))?;
+        Some(was.listing.worker.clone())
+    });
+    pairs.collect()
 }
 
 /// Guards against a list that lost its mind: more than a share of a role's or a cell's servers, or a role's last usable
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -574,72 +574,96 @@
 
     /// Compares with what the decisions know, and says what is new to them.
     fn tell(&mut self, now_ms: f64, kind: ListKind) -> Heard {
-        let (aside_ms, most, within_ms) =
-            (self.rules.quarantine_ms, self.rules.flaps, self.rules.flap_window_ms);
         let mut next = self.acting(now_ms);
         // A return that is one too many sets the server aside before it gets anything.
-        let mut flapped = false;
-        for (worker, _) in next.iter().filter(|(_, row)| row.usable()) {
-            let server = self.servers.entry(worker.clone()).or_default();
-            let was = self.acted.get(worker);
-            // A return is one from being gone; who drains a server and ends that means it.
-            let back = was.is_some_and(|was| was.gone()) || was.is_none() && server.gone_ms.is_some();
-            if back && !server.damping.aside(now_ms) {
-                server.damping.returned(now_ms, most, within_ms, aside_ms);
-                flapped |= server.damping.aside(now_ms);
-            }
-            server.gone_ms = None;
-        }
-        if flapped {
+        if self.returns(now_ms, &next) {
             next = self.acting(now_ms);
         }
-        let same = |old: &Row, new: &Row| {
-            let (a, b) = (&old.listing, &new.listing);
-            (a.zone, a.kind, a.cell, a.readiness, a.weight.to_bits(), a.started_ms.map(f64::to_bits))
-                == (b.zone, b.kind, b.cell, b.readiness, b.weight.to_bits(), b.started_ms.map(f64::to_bits))
-                && old.address == new.address
-        };
-        let mut rows: Vec<Listing> = Vec::new();
-        for (worker, row) in &next {
-            let known = self.acted.get(worker).is_some_and(|old| same(old, row));
-            if kind != ListKind::Changes || !known {
-                rows.push(row.listing.clone());
-            }
-        }
-        for (worker, row) in &self.acted {
-            if !next.contains_key(worker) && !row.gone() {
-                rows.push(Listing { readiness: Readiness::Gone, ..row.listing.clone() });
+        let (mut rows, mut changed, mut others): (Vec<Listing>, bool, bool) = (Vec::new(), false, false);
+        for (was, now) in entry::joined(&self.acted, &next) {
+            others |= was.is_none() || now.is_none();
+            match (was, now) {
+                (_, Some(now)) => {
+                    let same = was.is_some_and(|was| same(was, now));
+                    changed |= !same;
+                    if kind != ListKind::Changes || !same {
+                        rows.push(now.listing.clone());
+                    }
+                }
+                (Some(was), None) => {
+                    changed = true;
+                    if !was.gone() {
+                        rows.push(Listing { readiness: Readiness::Gone, ..was.listing.clone() });
+                    }
+                }
+                (None, None) => {}
             }
         }
-        let first = self.acted.is_empty() && !next.is_empty();
-        let changed = first
-            || next.len() != self.acted.len()
-            || next.iter().any(|(worker, row)| !self.acted.get(worker).is_some_and(|old| same(old, row)));
         if changed {
             self.revision += 1;
             // The address of what is gone stays until a whole list leaves it out: a dispatch may still be out.
             self.acted = next;
-            let (acted, servers) = (&self.acted, &mut self.servers);
-            // A server that left and comes back is still set aside if it was. Bounded, lest names without end pile up.
-            let mut room = LEFT_MAX;
-            servers.retain(|worker, server| {
-                let word = matches!(server.said, Some(Said { word: Word::Drain | Word::Quarantine, .. }));
-                let listed = acted.contains_key(worker);
-                if !listed {
-                    server.gone_ms.get_or_insert(now_ms);
-                }
-                let late = server.gone_ms.is_some_and(|since| now_ms - since < within_ms);
-                let kept = (word || late || server.damping.aside(now_ms)) && room > 0;
-                room -= usize::from(kept && !listed);
-                listed || kept
-            });
-            for worker in acted.keys() {
-                servers.entry(worker.clone()).or_default();
-            }
+        }
+        if others {
+            self.follow(now_ms);
         }
         if rows.is_empty() || !changed && kind == ListKind::Changes {
             return Heard::Same;
         }
         Heard::Listed { kind, rows: rows.into() }
     }
+
+    /// Notes servers that are usable again after they were gone; true where one is set aside for it. Who drains a server
+    /// and ends that means it: only being gone counts.
+    fn returns(&mut self, now_ms: f64, next: &View) -> bool {
+        let back = entry::joined(&self.acted, next).filter_map(|(was, now)| {
+            let now = now.filter(|now| now.usable())?;
+            let worker = &now.listing.worker;
+            let off = || self.servers.get(worker).is_some_and(|server| server.gone_ms.is_some());
+            was.map_or_else(off, |was| was.gone()).then(|| worker.clone())
+        });
+        let mut aside = false;
+        for worker in back.collect::<Vec<_>>() {
+            let server = self.servers.entry(worker).or_default();
+            server.gone_ms = None;
+            if !server.damping.aside(now_ms) {
+                let Rules { flaps, flap_window_ms, quarantine_ms, .. } = self.rules;
+                server.damping.returned(now_ms, flaps, flap_window_ms, quarantine_ms);
+                aside |= server.damping.aside(now_ms);
+            }
+        }
+        aside
+    }
+
+    /// Lets what is remembered of servers follow who is listed. A server that left and comes back is still set aside if
+    /// it was; bounded, lest names without end pile up.
+    fn follow(&mut self, now_ms: f64) {
+        let (acted, within_ms) = (&self.acted, self.rules.flap_window_ms);
+        let mut room = LEFT_MAX;
+        self.servers.retain(|worker, server| {
+            if acted.contains_key(worker) {
+                server.gone_ms = None;
+                return true;
+            }
+            server.gone_ms.get_or_insert(now_ms);
+            let word = matches!(server.said, Some(Said { word: Word::Drain | Word::Quarantine, .. }));
+            let late = server.gone_ms.is_some_and(|since| now_ms - since < within_ms);
+            let kept = (word || late || server.damping.aside(now_ms)) && room > 0;
+            room -= usize::from(kept);
+            kept
+        });
+        for worker in self.acted.keys() {
+            self.servers.entry(worker.clone()).or_default();
+        }
+    }
+}
+
+/// Whether a row says the same to the decisions and to the sockets.
+fn same(old: &Arc<Row>, new: &Arc<Row>) -> bool {
+    let bits = |row: &Row| (row.listing.weight.to_bits(), row.listing.started_ms.map(f64::to_bits));
+    let (a, b) = (&old.listing, &new.listing);
+    Arc::ptr_eq(old, new)
+        || (a.zone, a.kind, a.cell, a.readiness) == (b.zone, b.kind, b.cell, b.readiness)
+            && bits(old) == bits(new)
+            && old.address == new.address
 }
--- a/crates/membership/src/source.rs
+++ b/crates/membership/src/source.rs
@@ -127,9 +127,10 @@
         }
         let rows = entry::rows(checks, now_ms, &list.servers, &self.states)
             .map_err(|(server, what)| Refused::Entry { server, what })?;
+        let changed: Vec<_> = rows.iter().map(|row| row.listing.worker.clone()).collect();
         let mut states = if whole { View::new() } else { self.states.clone() };
         states.extend(rows.into_iter().map(|row| (row.listing.worker.clone(), Arc::new(row))));
-        if let Some((one, other)) = entry::same_address(&states) {
+        if let Some((one, other)) = entry::same_address(&states, (!whole).then_some(&changed[..])) {
             let what = format!("has the address of '{:.64}'", one.0);
             return Err(Refused::Entry { server: other.0.to_string(), what });
         }
