--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -148,6 +148,30 @@
     Ok(best)
 }
 
+/// What changes of the list cost, and a store.
+async fn lists_and_stores(plan: &Plan, report: &mut Report, say: &impl Fn(&str)) -> Result<()> {
+    say("changes of the list");
+    report.changes.extend(plan.servers.iter().filter_map(|servers| changes::cost(*servers)));
+    say("the store");
+    for entries in &plan.entries {
+        report.stores.push(stores::cost(*entries)?);
+    }
+    for at_once in [1, 64] {
+        report.durable.push(stores::durable(at_once, plan.durable).await?);
+    }
+    Ok(())
+}
+
+/// The part of the plan that needs no router.
+///
+/// # Errors
+/// A disk that fails.
+pub async fn run_alone(plan: &Plan, say: impl Fn(&str)) -> Result<Report> {
+    let mut report = Report::new();
+    lists_and_stores(plan, &mut report, &say).await?;
+    Ok(report)
+}
+
 /// Runs the whole plan with `program` as router and fleet.
 ///
 /// # Errors
@@ -251,17 +275,10 @@
         report.memory.push(Memory { streams: open, reads: "slowly", empty_mib: empty, mib });
         pair.end().await;
     }
-    say("the store");
-    for entries in &plan.entries {
-        report.stores.push(stores::cost(*entries)?);
-    }
-    for at_once in [1, 64] {
-        report.durable.push(stores::durable(at_once, plan.durable).await?);
-    }
+    lists_and_stores(plan, &mut report, &say).await?;
     say(&format!("{} drains by the operators' file", plan.edits));
     report.drains = Some(drains::measure(program, plan.edits).await?);
     for servers in &plan.servers {
-        report.changes.extend(changes::cost(*servers));
         say(&format!("the decisions with {servers} servers"));
         let module_us = module::cost_us(*servers);
         let pair = Pair::start(program, *servers, 0.0).await?;
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -144,11 +144,13 @@
                 row.rate, row.p50_ms, row.p99_ms, row.direct_p50_ms, row.direct_p99_ms, row.asked, row.done
             );
         }
-        let _ = writeln!(
-            text,
-            "\nCPU: {:.0} us a completion, {:.1} us a further event",
-            self.completion_us, self.event_us
-        );
+        if self.completion_us > 0.0 {
+            let _ = writeln!(
+                text,
+                "\nCPU: {:.0} us a completion, {:.1} us a further event",
+                self.completion_us, self.event_us
+            );
+        }
         for Form { path, added, event_us, allocations } in &self.forms {
             let (p50, p99) = (added.p50_ms, added.p99_ms);
             let _ = writeln!(
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -181,7 +181,10 @@
     },
     /// Loads a router on loopback: added latency, CPU a completion, memory.
     Bench {
-        /// A few seconds in all instead of a minute or two.
+        /// Only what needs no router: changes of the list, and the store.
+        #[arg(long)]
+        alone: bool,
+        /// A few seconds in all instead of a few minutes.
         #[arg(long)]
         quick: bool,
         #[arg(long, value_enum, default_value_t = Format::Text)]
@@ -230,7 +233,7 @@
         Command::Demo { format, .. } => run::demo(format == Format::Json),
         Command::Day { file, out, format } => run::day(&file, out, format == Format::Json),
         Command::Audit { dir, format } => run::audit(&dir, format == Format::Json),
-        Command::Bench { quick, format } => run::bench(quick, format == Format::Json),
+        Command::Bench { alone, quick, format } => run::bench(alone, quick, format == Format::Json),
         Command::Rehearse { file, routers, fleets, load, seed, policy, html, out, format } => {
             let varied = run::Varied { routers, fleets, load, seed, policy };
             run::rehearse(&file, &varied, html.as_deref(), out.as_deref(), format == Format::Json)
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -169,12 +169,15 @@
     report.kept
 }
 
-pub fn bench(quick: bool, as_json: bool) -> Result<bool> {
+pub fn bench(alone: bool, quick: bool, as_json: bool) -> Result<bool> {
     use paddleproxy_bench::Plan;
     let program = std::env::current_exe().context("finding this program")?;
     let plan = if quick { Plan::quick() } else { Plan::default() };
-    let report =
-        on_one_thread(paddleproxy_bench::run(&program, &plan, |step| eprintln!("measuring: {step}")))?;
+    let say = |step: &str| eprintln!("measuring: {step}");
+    let report = match alone {
+        true => on_one_thread(paddleproxy_bench::run_alone(&plan, say))?,
+        false => on_one_thread(paddleproxy_bench::run(&program, &plan, say))?,
+    };
     match as_json {
         true => println!("{}", serde_json::to_string(&report)?),
         false => print!("{}", report.text()),
--- a/crates/day/src/audit.rs
+++ b/crates/day/src/audit.rs
@@ -370,6 +370,7 @@
     let downs = downs(lines);
     let mut out: BTreeMap<&str, Vec<(f64, f64)>> = BTreeMap::new();
     let mut open: BTreeMap<&str, f64> = BTreeMap::new();
+    let mut sent: BTreeMap<&str, f64> = BTreeMap::new();
     let mut held: BTreeMap<(&str, &str), f64> = BTreeMap::new();
     let mut states = Vec::new();
     let mut unreachable: Vec<(f64, f64)> = Vec::new();
@@ -378,6 +379,7 @@
         match &line.what {
             What::Dispatch { request, .. } => {
                 open.insert(request, line.at_ms);
+                sent.insert(request, line.at_ms);
             }
             What::Ended { request, .. } => {
                 if let Some(from) = open.remove(request.as_str()) {
@@ -405,7 +407,9 @@
     }
     states.extend(held.into_iter().map(|((server, request), from)| (request, server, from, end_ms)));
     for (request, server, from_ms, to_ms) in states {
-        if router_of(request).is_some_and(|router| down_within(&downs, router, from_ms, to_ms)) {
+        // Killed while its read was out or its state waited: nobody is left to let go of it.
+        let sent_ms = sent.get(request).map_or(from_ms, |sent| sent.min(from_ms));
+        if router_of(request).is_some_and(|router| down_within(&downs, router, sent_ms, to_ms)) {
             continue;
         }
         rule.cases += 1;
