Whoever is called gone by name gets no work; only servers left out of a list are held

Change: a server called gone is spoken of like one that drains and counts at once, from any source; the guard is for servers that a whole list merely leaves out; a drain outlives a held version without its server; 'bench' times events against the engine's own stream.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -235,6 +235,11 @@
         let both = Load { rate: plan.rate, length_ms: plan.each_ms, tokens: SHORT, targets };
         let measured = load::run(&both).await;
         let added = Added::of(plan.rate / 2.0, &measured[0], &measured[1]);
+        let targets = vec![through, Target::Server(pair.server)];
+        let long = Load { rate: plan.rate / 2.0, length_ms: plan.each_ms, tokens: LONG, targets };
+        let both = load::run(&long).await;
+        let event_us = |measured: &Measured| measured.event_ns.value_at_quantile(0.5) as f64 / 1e3;
+        let added_event_us = event_us(&both[0]) - event_us(&both[1]);
         let (mut cost, mut made) = (Vec::new(), Vec::new());
         for tokens in [SHORT, LONG] {
             let load = Load { rate: 500.0, length_ms: plan.each_ms / 2.0, tokens, targets: vec![through] };
@@ -252,7 +257,7 @@
             [short, long] => Some(Allocations { completion: short, event: (long - short) / further }),
             _ => None,
         };
-        report.forms.push(Form { path: path.to_owned(), added, event_us, allocations });
+        report.forms.push(Form { path: path.to_owned(), added, added_event_us, event_us, allocations });
     }
     pair.end().await;
     say("refusals while streams run");
--- a/crates/membership/src/guard.rs
+++ b/crates/membership/src/guard.rs
@@ -45,11 +45,11 @@
     }
 }
 
-/// What `next` takes away of what `stands` has: usable servers that it leaves out or calls gone. One that drained before
-/// is not taken away, and one that another process replaces under its name is not either.
+/// What `next` takes away of what `stands` has: usable servers that it leaves out. One that it calls gone is spoken of by
+/// name, and that counts at once like a drain; so does one that drained before.
 pub fn taken(stands: &View, next: &View) -> BTreeSet<WorkerId> {
     let pairs = joined(stands, next).filter_map(|(was, now)| {
-        let was = was.filter(|was| was.usable() && now.is_none_or(|now| now.gone()))?;
+        let was = was.filter(|was| was.usable() && now.is_none())?;
         Some(was.listing.worker.clone())
     });
     pairs.collect()
--- a/crates/membership/src/source.rs
+++ b/crates/membership/src/source.rs
@@ -153,23 +153,26 @@
     /// Drains begin with the word; they end with a newer word of the same source, with another process under the name,
     /// or with one that may be older only once it was doubted long enough.
     fn drains_of(&mut self, now_ms: f64, next: &View, (epoch, version): (u64, u64)) {
-        let old = &self.states;
+        let (old, stands) = (&self.states, &self.stands);
         self.drains.retain(|worker, drain| {
-            let Some(row) = next.get(worker) else { return false };
+            // Left out: what was said of it stands as long as it is acted on.
+            let Some(row) = next.get(worker) else { return stands.contains_key(worker) };
             let another = old
                 .get(worker)
                 .is_some_and(|old| (old.entry.start, old.address) != (row.entry.start, row.address));
             match row.listing.readiness {
-                Readiness::Draining => {
-                    // Between the two it said otherwise: this is a drain anew.
-                    if drain.denied() {
+                // Who is called gone by name gets no new work either, whatever becomes of the version.
+                Readiness::Draining | Readiness::Gone => {
+                    // Another word than before, or the same after it said otherwise: this is a drain anew.
+                    let other =
+                        old.get(worker).is_none_or(|old| old.listing.readiness != row.listing.readiness);
+                    if drain.denied() || other {
                         drain.since_ms = now_ms;
                     }
                     (drain.epoch, drain.version) = (epoch, version);
                     (drain.doubted_ms, drain.denied) = (None, false);
                     true
                 }
-                Readiness::Gone => false,
                 Readiness::Ready if another => false,
                 Readiness::Ready if epoch == drain.epoch => {
                     drain.denied = true;
@@ -182,7 +185,7 @@
                 }
             }
         });
-        for (worker, _) in next.iter().filter(|(_, row)| row.listing.readiness == Readiness::Draining) {
+        for (worker, _) in next.iter().filter(|(_, row)| !row.usable()) {
             self.drains.entry(worker.clone()).or_insert(Drain {
                 since_ms: now_ms,
                 epoch,
