Read once more: one piece of code where two said the same

Cause: the change had twins: a struct for a listed server beside the wire's, two writers of whole files, two growths of sessions, two ways from stored texts to events and back, three readers of a process's memory, two sets of colours; it also had HTTP written by hand in the operators' commands, a field that nothing read, what a version takes away worked out twice, and JSON written for each answer in virtual time that nobody read. Change: each has one place, called from both sides; the operators' commands use hyper; the emulator keeps texts as values.

--- a/crates/bench/src/drains.rs
+++ b/crates/bench/src/drains.rs
@@ -33,7 +33,7 @@
     let mut text = format!("version {version}\n");
     for (name, server) in fleet.names().filter_map(|name| Some((name, fleet.server(name)?))) {
         let drains = if draining == Some(name) { " draining=#true" } else { "" };
-        let (address, zone, kind) = (server.address.get(), &server.row.zone, &server.kind_name);
+        let (address, zone, kind) = (server.address.get(), &server.row.zone, &server.kind().name);
         let cell = server.row.cell;
         text += &format!(
             "server \"{name}\" address=\"{address}\" zone=\"{zone}\" kind=\"{kind}\" cell={cell}{drains}\n"
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -49,9 +49,8 @@
 
     /// Memory that it holds, in MiB.
     pub fn memory_mib(&self) -> Result<f64> {
-        let text = self.read("status")?;
-        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).context("no VmRSS")?;
-        Ok(line.trim().trim_end_matches(" kB").parse::<f64>()? / 1024.0)
+        let pid = self.child.id().context("it has ended")?;
+        paddleproxy_day::resident_mib(&pid.to_string()).context("no VmRSS")
     }
 
     pub async fn end(mut self) {
--- a/crates/bench/src/stores.rs
+++ b/crates/bench/src/stores.rs
@@ -67,7 +67,8 @@
     let open_ms = began.elapsed().as_secs_f64() * 1e3;
     let starts = (0..100).map(|number| (format!("north-m{number}"), 1)).collect();
     let began = Instant::now();
-    let believed = retention::believe(1.7e12, &retention::TRUST, &starts, store.of(Kind::Kept));
+    let believed =
+        retention::believe(1.7e12, &retention::TRUST, &starts, retention::stored(store.of(Kind::Kept)));
     let weigh_ms = began.elapsed().as_secs_f64() * 1e3;
     anyhow::ensure!(store.len() == entries && !believed.is_empty(), "the store lost entries");
     Ok(StoreCost { entries, behind_per_s, log_mib, compacted_mib, compact_ms, open_ms, weigh_ms })
--- a/crates/cli/src/operators.rs
+++ b/crates/cli/src/operators.rs
@@ -1,34 +1,44 @@
 //! What operators ask of running routers and say to them, over the admin port.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use anyhow::{bail, ensure, Context, Result};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http1::handshake;
+use hyper::{Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
 use serde_json::{json, Value};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
+use crate::run::on_one_thread;
 use crate::WorkersWord;
 
 const WITHIN: Duration = Duration::from_secs(5);
 
 /// One short question to an admin port.
-fn ask(router: SocketAddr, method: &str, path: &str) -> Result<Value> {
+fn ask(router: SocketAddr, method: Method, path: &str) -> Result<Value> {
     ensure!(router.ip().is_loopback(), "{router} is not on the loopback range");
-    let mut stream =
-        TcpStream::connect_timeout(&router, WITHIN).with_context(|| format!("reaching {router}"))?;
-    stream.set_read_timeout(Some(WITHIN))?;
-    stream.set_write_timeout(Some(WITHIN))?;
-    write!(
-        stream,
-        "{method} {path} HTTP/1.1\r\nhost: {router}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
-    )?;
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).with_context(|| format!("hearing {router}"))?;
-    let (head, body) = answer.split_once("\r\n\r\n").context("no answer")?;
-    let value: Value = serde_json::from_str(body).with_context(|| format!("{router} answered '{body}'"))?;
-    if !head.starts_with("HTTP/1.1 200") {
-        bail!("{router}: {}", value["error"].as_str().unwrap_or(body.trim()));
-    }
+    on_one_thread(async move {
+        let answer = timeout(WITHIN, exchange(router, method, path)).await;
+        answer.with_context(|| format!("{router} does not answer"))?
+    })
+}
+
+async fn exchange(router: SocketAddr, method: Method, path: &str) -> Result<Value> {
+    let stream = TcpStream::connect(router).await.with_context(|| format!("reaching {router}"))?;
+    let (mut sender, connection) = handshake(TokioIo::new(stream)).await?;
+    tokio::task::spawn_local(async move { drop(connection.await) });
+    let request = Request::builder().method(method).uri(path).header("host", router.to_string());
+    let answer = sender.send_request(request.body(Empty::<Bytes>::new())?).await;
+    let answer = answer.with_context(|| format!("hearing {router}"))?;
+    let good = answer.status() == StatusCode::OK;
+    let body = answer.into_body().collect().await.with_context(|| format!("hearing {router}"))?.to_bytes();
+    let value: Value = serde_json::from_slice(&body)
+        .with_context(|| format!("{router} answered '{}'", String::from_utf8_lossy(&body)))?;
+    ensure!(good, "{router}: {}", value["error"].as_str().unwrap_or_default());
     Ok(value)
 }
 
@@ -51,7 +61,7 @@
     let mut good = true;
     for router in routers {
         // One router that can't be reached must not keep the others from hearing.
-        match ask(*router, "POST", &path) {
+        match ask(*router, Method::POST, &path) {
             Ok(answer) if as_json => {
                 println!("{}", json!({ "router": router, "revision": answer["revision"] }))
             }
@@ -72,7 +82,7 @@
 fn list(routers: &[SocketAddr], as_json: bool, sources: bool) -> Result<bool> {
     let mut good = true;
     for router in routers {
-        match ask(*router, "GET", "/status") {
+        match ask(*router, Method::GET, "/status") {
             Ok(answer) if as_json => println!("{}", json!({ "router": router, "status": answer })),
             Ok(answer) => print!("{}", text(*router, &answer, sources)),
             Err(cause) => {
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -7,3 +7,10 @@
 pub mod play;
 pub mod report;
 mod troubles;
+
+/// Memory that a process holds, in MiB, where the system tells it; by its id, or "self".
+pub fn resident_mib(process: &str) -> Option<f64> {
+    let text = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    line.trim().strip_suffix(" kB")?.parse::<f64>().ok().map(|kib| kib / 1024.0)
+}
--- a/crates/day/src/load.rs
+++ b/crates/day/src/load.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use paddleproxy::interface::{Effect, Group};
+use paddleproxy_emulator::troubles::Ramp;
 use paddleproxy_fleet::record::{Record, What};
 use paddleproxy_settings::day::{ClientLoad, DaySettings};
 use serde_json::json;
@@ -17,8 +18,7 @@
 #[derive(Default)]
 pub struct Mood {
     pub burst: RefCell<Option<(String, f64)>>,
-    /// Key, beginning, length and factor at the end.
-    pub ramp: RefCell<Option<(String, f64, f64, f64)>>,
+    pub ramp: RefCell<Option<Ramp>>,
     pub long: Cell<Option<(f64, f64)>>,
     pub hot: Cell<Option<(f64, usize)>>,
     pub gives_up: Cell<f64>,
@@ -65,11 +65,7 @@
         loop {
             let burst =
                 self.mood.burst.borrow().as_ref().filter(|(key, _)| *key == load.key).map(|(_, by)| *by);
-            let ramp = self.mood.ramp.borrow().clone();
-            let ramp = ramp.as_ref().filter(|(key, ..)| *key == load.key);
-            let ramp = ramp.map_or(1.0, |(_, from_ms, for_ms, factor)| {
-                1.0 + (factor - 1.0) * ((at_ms - from_ms) / for_ms.max(1.0)).clamp(0.0, 1.0)
-            });
+            let ramp = self.mood.ramp.borrow().as_ref().map_or(1.0, |ramp| ramp.at(at_ms, &load.key));
             let rate = load.sessions_per_s * burst.unwrap_or(1.0) * ramp;
             at_ms += -(1.0 - chance.f64()).ln() / rate.max(1e-3) * 1e3;
             if at_ms > self.day.length_ms {
--- a/crates/day/src/troubles.rs
+++ b/crates/day/src/troubles.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use paddleproxy_emulator::troubles::Ramp;
 use paddleproxy_fleet::record::What as Line;
 use paddleproxy_fleet::server::Server;
 use paddleproxy_settings::day::{Dead, Trouble, What};
@@ -86,7 +87,8 @@
         What::RouterKilled { router } => stage.kill_router(*router).await,
         What::RouterStopped { router } => stage.stop_router(*router).await,
         What::Ramp { key, factor } => {
-            *stage.mood.ramp.borrow_mut() = Some((key.clone(), now_ms, trouble.for_ms, *factor));
+            let (key, for_ms) = (key.clone(), trouble.for_ms);
+            *stage.mood.ramp.borrow_mut() = Some(Ramp { key, from_ms: now_ms, for_ms, factor: *factor });
         }
         What::Burst { key, factor } => *stage.mood.burst.borrow_mut() = Some((key.clone(), *factor)),
         What::LongPrompts { share, factor } => stage.mood.long.set(Some((*share, *factor))),
--- a/crates/emulator/src/clients.rs
+++ b/crates/emulator/src/clients.rs
@@ -9,14 +9,14 @@
 use crate::chance::{seed, Chance};
 use crate::record::What;
 use crate::server::Prompt;
+use crate::troubles::Ramp;
 use crate::world::{Ev, Sees, World};
 
 /// What troubles make of the clients.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Mood {
     pub burst: Option<(String, f64)>,
-    /// Key, beginning, length and factor at the end.
-    pub ramp: Option<(String, f64, f64, f64)>,
+    pub ramp: Option<Ramp>,
     pub long: Option<(f64, f64)>,
     pub hot: Option<(f64, f64)>,
     pub gives_up: f64,
@@ -60,10 +60,7 @@
     pub(crate) fn rate(&self, load: usize) -> f64 {
         let load = &self.day.clients[load];
         let burst = self.mood.burst.as_ref().filter(|(key, _)| *key == load.key).map_or(1.0, |(_, by)| *by);
-        let ramp = self.mood.ramp.as_ref().filter(|(key, ..)| *key == load.key);
-        let ramp = ramp.map_or(1.0, |(_, from_ms, for_ms, factor)| {
-            1.0 + (factor - 1.0) * ((self.now_ms - from_ms) / for_ms.max(1.0)).clamp(0.0, 1.0)
-        });
+        let ramp = self.mood.ramp.as_ref().map_or(1.0, |ramp| ramp.at(self.now_ms, &load.key));
         load.sessions_per_s * self.options.load * burst * ramp
     }
 
--- a/crates/emulator/src/troubles.rs
+++ b/crates/emulator/src/troubles.rs
@@ -9,6 +9,28 @@
 /// Times that one trouble comes again at most.
 const AGAIN_MAX: usize = 10_000;
 
+/// Sessions of a key that grow evenly to a multiple over a time.
+#[derive(Clone, Debug)]
+pub struct Ramp {
+    pub key: String,
+    pub from_ms: f64,
+    pub for_ms: f64,
+    /// At its end.
+    pub factor: f64,
+}
+
+impl Ramp {
+    /// The multiple of a key's sessions at a time.
+    pub fn at(&self, now_ms: f64, key: &str) -> f64 {
+        let part = ((now_ms - self.from_ms) / self.for_ms.max(1.0)).clamp(0.0, 1.0);
+        if self.key == key {
+            1.0 + (self.factor - 1.0) * part
+        } else {
+            1.0
+        }
+    }
+}
+
 /// Whether a list that leaves out a share of the servers leaves out this one.
 pub fn left_out(name: &str, share: f64) -> bool {
     let mixed = name.bytes().fold(7, |mixed, byte| seed(mixed, 3, u64::from(byte)));
@@ -109,7 +131,7 @@
             Befalls::RouterStopped { router } => self.stop_router(*router),
             Befalls::Ramp { key, factor } => {
                 let for_ms = self.troubles[row].for_ms;
-                self.mood.ramp = Some((key.clone(), now_ms, for_ms, *factor));
+                self.mood.ramp = Some(Ramp { key: key.clone(), from_ms: now_ms, for_ms, factor: *factor });
             }
             Befalls::Burst { key, factor } => self.mood.burst = Some((key.clone(), *factor)),
             Befalls::LongPrompts { share, factor } => self.mood.long = Some((*share, *factor)),
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -4,9 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use paddleproxy::interface::{
-    CompletionId, Kept, ListKind, LoadReport, PrefixId, Role, Seq, SessionId, WorkerId,
-};
+use paddleproxy::interface::{CompletionId, Kept, ListKind, LoadReport, Role, Seq, WorkerId};
 use paddleproxy_engine::{Refusal, ServerEntry, ServerList, StateReference};
 use paddleproxy_membership::{Heard, Membership, Saved, SourceId};
 use paddleproxy_routing::{
@@ -232,7 +230,7 @@
     admission: Admission,
     saved: Option<Saved>,
     /// What its store holds of kept texts.
-    kept: BTreeMap<Box<[u8]>, Vec<u8>>,
+    kept: BTreeMap<(Text, WorkerId), retention::Kept>,
     next: u32,
     asked: BTreeMap<CompletionId, Asked>,
     /// Dispatches that are out, and all of open completions, by completion and number.
@@ -533,21 +531,16 @@
         let node = &self.routers[router];
         let starts = node.membership.starts();
         let names: Vec<&String> = starts.keys().collect();
-        let entries = node.kept.iter().map(|(key, value)| (&**key, value.as_slice()));
+        let entries = node.kept.iter().map(|((text, server), kept)| (*text, &*server.0, kept.clone()));
         let rows = retention::believe(self.now_ms + late_ms, &retention::TRUST, &starts, entries);
-        let row = |row: retention::Believed| {
-            let (session, prefix) = match row.text {
-                Text::Session(number) => (Some(SessionId(number)), None),
-                Text::Prefix(number) => (None, Some(PrefixId(number))),
-            };
-            let mut worker = row.server;
+        let lies = |mut row: retention::Believed| {
             if self.options.memory == Memory::Lies {
-                let at = names.iter().position(|name| ***name == *worker.0).unwrap_or(0);
-                worker = WorkerId(Arc::from(names[(at + 1) % names.len()].as_str()));
+                let at = names.iter().position(|name| ***name == *row.server.0).unwrap_or(0);
+                row.server = WorkerId(Arc::from(names[(at + 1) % names.len()].as_str()));
             }
-            Kept { worker, session, prefix, tokens: row.tokens, age_ms: row.age_ms }
+            row
         };
-        rows.into_iter().map(row).collect()
+        rows.into_iter().map(lies).map(Kept::from).collect()
     }
 
     pub fn kill_router(&mut self, router: usize) {
@@ -725,14 +718,9 @@
                 let remembers = self.options.memory != Memory::Nothing;
                 let node = &mut self.routers[router];
                 if let Some(start) = node.membership.start(&worker).filter(|_| remembers) {
-                    let mut keep = |text, tokens| {
-                        let value = retention::Kept { tokens, at_ms, start };
-                        let value = serde_json::to_vec(&value).unwrap_or_default();
-                        node.kept.insert(retention::kept_key(text, &worker.0).bytes, value);
-                    };
-                    keep(Text::Session(session.0), tokens);
-                    if let Some((prefix, tokens)) = prefix {
-                        keep(Text::Prefix(prefix.0), tokens);
+                    for (text, tokens) in retention::texts(session, tokens, prefix) {
+                        let kept = retention::Kept { tokens, at_ms, start };
+                        node.kept.insert((text, worker.clone()), kept);
                     }
                 }
             }
--- a/crates/fleet/src/http.rs
+++ b/crates/fleet/src/http.rs
@@ -72,8 +72,7 @@
         let Ok((stream, _)) = listener.accept().await else { continue };
         let mut set = tasks.borrow_mut();
         while set.try_join_next().is_some() {}
-        let kind = &server.shared.settings.kinds[server.row.kind];
-        if kind.connections.is_some_and(|most| Rc::strong_count(&open) > most) {
+        if server.kind().connections.is_some_and(|most| Rc::strong_count(&open) > most) {
             continue;
         }
         let (server, tasks, open) = (server.clone(), tasks.clone(), open.clone());
@@ -202,7 +201,7 @@
         client: names.client.clone(),
         model: asked.model.clone(),
         work_ms,
-        writes: server.role != Role::Reader,
+        writes: server.kind().role != Role::Reader,
     });
     if server.presses(work_ms) {
         server.record(What::FellOver { server: server.name() });
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -7,11 +7,10 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use paddleproxy::interface::Role;
 use paddleproxy_emulator::repeats::{self, Seen};
 use paddleproxy_emulator::server::{Befalls, Did, Kind, Prompt, Server as Model, Work};
 use paddleproxy_engine::{Load, Refusal, ServerEntry, IN_HAND, QUEUE, WAITING_TOKENS};
-use paddleproxy_settings::fleet::{FleetSettings, ServerRow};
+use paddleproxy_settings::fleet::{FleetSettings, KindOfServer, ServerRow};
 use tokio::sync::{mpsc, Notify};
 use tokio::time::sleep_until;
 
@@ -93,8 +92,6 @@
 pub struct Server {
     pub shared: Rc<Shared>,
     pub row: ServerRow,
-    pub kind_name: String,
-    pub role: Role,
     pub name: RefCell<String>,
     pub address: Cell<SocketAddr>,
     pub start: Cell<u64>,
@@ -135,8 +132,6 @@
         model.tells_tokens = true;
         Rc::new(Server {
             name: RefCell::new(row.name.clone()),
-            kind_name: kind.name.clone(),
-            role: kind.role,
             shared,
             row,
             address: Cell::new(address),
@@ -149,6 +144,10 @@
         })
     }
 
+    pub fn kind(&self) -> &KindOfServer {
+        &self.shared.settings.kinds[self.row.kind]
+    }
+
     pub fn name(&self) -> String {
         self.name.borrow().clone()
     }
@@ -183,7 +182,7 @@
             name: self.name(),
             address: self.address.get().to_string(),
             zone: self.row.zone.clone(),
-            kind: self.kind_name.clone(),
+            kind: self.kind().name.clone(),
             cell: self.row.cell,
             readiness: readiness.into(),
             weight: 1.0,
--- a/crates/membership/src/guard.rs
+++ b/crates/membership/src/guard.rs
@@ -56,16 +56,16 @@
 }
 
 /// Guards against a list that lost its mind: more than a share of a role's or a cell's servers, or a role's last usable
-/// one, leave at once although nobody else knows of it. `known` are servers of which another word says the same; they
-/// don't count. Harm: dead servers stay listed until that word comes, and cost a refused connection each.
+/// one, leave at once although nobody else knows of it. `taken` is what `next` takes away; the `known` of
+/// them, of which another word says the same, don't count. Harm: dead servers stay listed until that word comes, and cost a refused connection each.
 pub fn too_much(
     checks: &Checks,
     stands: &View,
     next: &View,
+    taken: &BTreeSet<WorkerId>,
     known: &BTreeSet<WorkerId>,
     most: f64,
 ) -> Option<Why> {
-    let taken = taken(stands, next);
     // A share of 1 is all: nothing is ever too much.
     if taken.is_empty() || most >= 1.0 {
         return None;
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -491,7 +491,8 @@
         }
         let taken = guard::taken(stands, &source.states);
         let known = self.known_gone(now_ms, of, &taken);
-        let why = guard::too_much(&self.checks, stands, &source.states, &known, self.rules.most_removed)?;
+        let most = self.rules.most_removed;
+        let why = guard::too_much(&self.checks, stands, &source.states, &taken, &known, most)?;
         Some((why, taken))
     }
 
--- a/crates/membership/src/reload.rs
+++ b/crates/membership/src/reload.rs
@@ -1,7 +1,7 @@
 //! Which settings may change while a router runs, and how new ones stand beside those that open completions began
 //! under.
 
-use paddleproxy::interface::{Settings, WorkloadSettings};
+use paddleproxy::interface::Settings;
 use paddleproxy_settings::router::RouterSettings;
 
 /// One thing that only a new start can change.
@@ -83,9 +83,9 @@
         .enumerate()
         .map(|(row, workload)| {
             let now = stands.workload_rows.get(row).copied().unwrap_or(row);
-            let kept = rows.get(now).is_some_and(|old| equal(old, workload));
+            let kept = rows.get(now).is_some_and(|old| same(old, workload));
             // The newest equal one serves; so going back and forth does not grow without end.
-            let found = if kept { Some(now) } else { rows.iter().rposition(|old| equal(old, workload)) };
+            let found = if kept { Some(now) } else { rows.iter().rposition(|old| same(old, workload)) };
             found.unwrap_or_else(|| {
                 rows.push(workload.clone());
                 rows.len() - 1
@@ -100,8 +100,7 @@
     }
     applied.workload_rows = place;
     let same = same(stands, &applied);
-    let mut decisions = Settings { workloads: rows, ..next.clone() };
-    decisions.own_number = old.own_number;
+    let decisions = Settings { workloads: rows, ..next.clone() };
     Ok(Applied { settings: applied, decisions, same })
 }
 
@@ -110,10 +109,6 @@
     format!("{one:?}") == format!("{other:?}")
 }
 
-fn equal(one: &WorkloadSettings, other: &WorkloadSettings) -> bool {
-    same(one, other)
-}
-
 /// All but the rows and what is checked by name.
 fn rules_of(settings: &Settings) -> Settings {
     Settings { workloads: Vec::new(), customers: Vec::new(), kinds: Vec::new(), ..settings.clone() }
--- a/crates/membership/src/source.rs
+++ b/crates/membership/src/source.rs
@@ -71,8 +71,6 @@
     pub version: Option<u64>,
     /// When it last said anything at all.
     pub heard_ms: f64,
-    /// When it last said something new.
-    pub changed_ms: f64,
     /// All that it states, held versions included.
     pub states: View,
     /// What the guard has let through of it.
@@ -146,7 +144,6 @@
         (self.epoch, self.version) = (list.epoch, Some(list.version));
         self.states = states;
         self.fingerprint = fingerprint;
-        self.changed_ms = now_ms;
         Ok(Stated::New { whole })
     }
 
--- a/crates/rehearsal/src/cost.rs
+++ b/crates/rehearsal/src/cost.rs
@@ -5,11 +5,12 @@
 use std::time::Instant;
 
 use anyhow::Result;
+use paddleproxy_day::resident_mib;
 use paddleproxy_emulator::{run, Options};
 use paddleproxy_settings::day::DaySettings;
 use serde::Serialize;
 
-use crate::curves::{draw, Axes, Curve};
+use crate::curves::{draw, Axes, Curve, HEAD};
 
 /// One size: a day whose load grows with its servers.
 #[derive(Clone, Copy, Debug, Serialize)]
@@ -24,12 +25,6 @@
     pub memory_mib: Option<f64>,
 }
 
-fn memory_mib() -> Option<f64> {
-    let text = std::fs::read_to_string("/proc/self/status").ok()?;
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
-    line.trim().strip_suffix(" kB")?.parse::<f64>().ok().map(|kib| kib / 1024.0)
-}
-
 /// Plays the day with so many copies of its fleet, one after the other, smallest first.
 pub fn sizes(day: &Rc<DaySettings>, fleets: &[usize], routers: usize, say: impl Fn(&Size)) -> Vec<Size> {
     let mut all = Vec::new();
@@ -50,7 +45,7 @@
             dispatches: run.dispatches,
             virtual_s: run.ended_ms / 1e3,
             took_s: began.elapsed().as_secs_f64(),
-            memory_mib: memory_mib(),
+            memory_mib: resident_mib("self"),
         };
         say(&size);
         all.push(size);
@@ -73,10 +68,8 @@
         ("Events a second", "thousands", curve("events", &|s| s.events as f64 / s.took_s / 1e3)),
         ("Memory afterwards", "MiB", curve("memory", &|s| s.memory_mib.unwrap_or(f64::NAN))),
     ];
-    let mut page = String::from(
-        "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><h1>What the emulator costs</h1>\
-         <p>One thread; the load grows with the servers.</p>",
-    );
+    let mut page =
+        format!("{HEAD}<h1>What the emulator costs</h1><p>One thread; the load grows with the servers.</p>");
     for (title, unit, curve) in plots {
         let axes = Axes { title, x: "servers", y: unit, places: None };
         let _ = write!(page, "<p>{}</p>", draw(&axes, &[curve])?);
--- a/crates/rehearsal/src/curves.rs
+++ b/crates/rehearsal/src/curves.rs
@@ -8,8 +8,9 @@
 use plotters::prelude::*;
 
 use crate::experiment::{interval, points, title, Point, Row};
+use crate::page::escape;
 
-const COLOURS: [RGBColor; 8] = [
+pub(crate) const COLOURS: [RGBColor; 8] = [
     RGBColor(31, 97, 163),
     RGBColor(200, 80, 20),
     RGBColor(30, 130, 76),
@@ -142,7 +143,7 @@
     curves
 }
 
-const HEAD: &str =
+pub(crate) const HEAD: &str =
     "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><style>body{font:15px/1.45 sans-serif;\
     max-width:980px;margin:24px auto;color:#222}svg{max-width:100%;height:auto}pre{font-size:12px}</style>";
 
@@ -160,7 +161,7 @@
 /// A grid without a knob of numbers, or what the drawing library says.
 pub fn experiment_page(settings: &ExperimentSettings, rows: &[Row], summary: &str) -> Result<String> {
     let grid = points(settings);
-    let mut page = format!("{HEAD}<h1>{}</h1><p>{}</p>", settings.name, settings.question);
+    let mut page = format!("{HEAD}<h1>{}</h1><p>{}</p>", escape(&settings.name), escape(&settings.question));
     let _ = write!(page, "<p>Simulated; {} seeds a point, 95% confidence intervals.</p>", settings.seeds);
     match along(&grid) {
         Some(x) => {
@@ -186,7 +187,7 @@
             }
         }
     }
-    let _ = write!(page, "<pre>{}</pre></html>", summary.replace('&', "&amp;").replace('<', "&lt;"));
+    let _ = write!(page, "<pre>{}</pre></html>", escape(summary));
     Ok(page)
 }
 
--- a/crates/rehearsal/src/page.rs
+++ b/crates/rehearsal/src/page.rs
@@ -6,15 +6,9 @@
 use paddleproxy_day::report::Report;
 use plotters::prelude::*;
 
+use crate::curves::COLOURS;
 use crate::phases::{Rehearsal, Span};
 
-const COLOURS: [RGBColor; 5] = [
-    RGBColor(31, 97, 163),
-    RGBColor(200, 80, 20),
-    RGBColor(30, 130, 76),
-    RGBColor(128, 60, 150),
-    RGBColor(90, 90, 90),
-];
 const SIZE: (u32, u32) = (960, 300);
 
 type Series = (String, Vec<(f64, f64)>);
@@ -73,7 +67,7 @@
     Ok(svg)
 }
 
-fn escape(text: &str) -> String {
+pub(crate) fn escape(text: &str) -> String {
     text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
 }
 
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -429,7 +429,7 @@
             }
             Effect::Keeps { worker, session, tokens, prefix } => {
                 if let Some(start) = self.membership.start(&worker) {
-                    self.state.keeps(&worker, start, (session, tokens), prefix);
+                    self.state.keeps(&worker, start, session, tokens, prefix);
                 }
             }
             Effect::Subscribe => self.list_word(ListWord::Subscribe),
--- a/crates/router/src/files.rs
+++ b/crates/router/src/files.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use notify::{RecommendedWatcher, RecursiveMode, Watcher};
-use paddleproxy_engine as wire;
 use paddleproxy_membership::{reload, SourceId};
 use paddleproxy_routing::Bounds;
 use paddleproxy_settings as documents;
@@ -105,9 +104,8 @@
             Some(Err(why)) => Told::ListUnreadable { source: SourceId::File, why },
             Some(Ok((text, fingerprint))) => match documents::servers::parse(&name, &text) {
                 Err(problems) => Told::ListUnreadable { source: SourceId::File, why: problems.to_string() },
-                Ok(file) => {
+                Ok(list) => {
                     let (next, _) = oneshot::channel();
-                    let list = list(file);
                     Told::List { source: SourceId::File, list, fingerprint: Some(fingerprint), next }
                 }
             },
@@ -118,21 +116,6 @@
     }
 }
 
-fn list(file: documents::servers::ServersFile) -> wire::ServerList {
-    let servers = file.servers.into_iter().map(|row| wire::ServerEntry {
-        name: row.name,
-        address: row.address,
-        zone: row.zone,
-        kind: row.kind,
-        cell: row.cell,
-        readiness: row.readiness,
-        weight: row.weight,
-        start: row.start,
-        age_ms: None,
-    });
-    wire::ServerList { epoch: 0, version: file.version, after: None, servers: servers.collect() }
-}
-
 /// Follows the settings as long as the router runs.
 pub async fn settings(watched: Watched, started: Rc<RouterSettings>, front: Rc<Front>) {
     let name = watched.file.display().to_string();
@@ -181,19 +164,20 @@
             (stands, decisions) = (applied.settings, applied.decisions);
         }
         let good = good.clone();
-        let kept = tokio::task::spawn_blocking(move || keep(&good, &text)).await;
+        let kept = tokio::task::spawn_blocking(move || write_whole(&good, text.as_bytes())).await;
         if let Ok(Err(cause)) = kept {
             warn!(%cause, "the settings could not be kept for another start");
         }
     }
 }
 
-/// Keeps a text whole or not at all.
-fn keep(path: &Path, text: &str) -> std::io::Result<()> {
+/// Writes a file whole or not at all.
+pub fn write_whole(path: &Path, bytes: &[u8]) -> std::io::Result<()> {
     use std::io::Write;
-    let new = path.with_extension("new");
+    let mut new = path.as_os_str().to_owned();
+    new.push(".new");
     let mut file = std::fs::File::create(&new)?;
-    file.write_all(text.as_bytes())?;
+    file.write_all(bytes)?;
     file.sync_all()?;
     std::fs::rename(new, path)
 }
--- a/crates/router/src/list.rs
+++ b/crates/router/src/list.rs
@@ -15,6 +15,7 @@
 use crate::clock::duration;
 use crate::core::{Known, ToCore, Told};
 use crate::engines::Engines;
+use crate::files::write_whole;
 
 /// What the decisions want of the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -131,10 +132,5 @@
 }
 
 fn write(dir: &Path, list: &Saved) -> std::io::Result<()> {
-    use std::io::Write;
-    let new = dir.join(format!("{FILE}.new"));
-    let mut file = std::fs::File::create(&new)?;
-    file.write_all(&serde_json::to_vec(list)?)?;
-    file.sync_all()?;
-    std::fs::rename(new, dir.join(FILE))
+    write_whole(&dir.join(FILE), &serde_json::to_vec(list)?)
 }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -7,7 +7,7 @@
 
 use paddleproxy::interface::{Kept, PrefixId, SessionId, WorkerId};
 use paddleproxy_store::format::{Kind, Op};
-use paddleproxy_store::retention::{self, Text};
+use paddleproxy_store::retention;
 use paddleproxy_store::store::{Options, Store};
 use paddleproxy_store::{Disk, Handle};
 use tokio::time::timeout;
@@ -39,15 +39,8 @@
     /// What of it may be believed, given the processes that run now.
     pub fn believed(&self, starts: &std::collections::BTreeMap<String, u64>) -> Vec<Kept> {
         let entries = self.kept.iter().map(|(key, value)| (key.as_slice(), value.as_slice()));
-        let rows = retention::believe(wall_ms(), &retention::TRUST, starts, entries);
-        let row = |row: retention::Believed| {
-            let (session, prefix) = match row.text {
-                Text::Session(number) => (Some(SessionId(number)), None),
-                Text::Prefix(number) => (None, Some(PrefixId(number))),
-            };
-            Kept { worker: row.server, session, prefix, tokens: row.tokens, age_ms: row.age_ms }
-        };
-        rows.into_iter().map(row).collect()
+        let rows = retention::believe(wall_ms(), &retention::TRUST, starts, retention::stored(entries));
+        rows.into_iter().map(Kept::from).collect()
     }
 }
 
@@ -119,17 +112,16 @@
         &self,
         worker: &WorkerId,
         start: u64,
-        session: (SessionId, f64),
+        session: SessionId,
+        tokens: f64,
         prefix: Option<(PrefixId, f64)>,
     ) {
         let at_ms = wall_ms();
-        let op = |text, tokens| {
+        let op = |(text, tokens)| {
             let value = serde_json::to_vec(&retention::Kept { tokens, at_ms, start }).unwrap_or_default();
             Op::Put { key: retention::kept_key(text, &worker.0), value }
         };
-        let mut ops = vec![op(Text::Session(session.0 .0), session.1)];
-        ops.extend(prefix.map(|(prefix, tokens)| op(Text::Prefix(prefix.0), tokens)));
-        self.behind(ops);
+        self.behind(retention::texts(session, tokens, prefix).map(op).collect());
     }
 
     /// Work with a key is about to be sent; on the disk when this returns true.
--- a/crates/router/tests/files.rs
+++ b/crates/router/tests/files.rs
@@ -24,7 +24,7 @@
             "server \"{name}\" address=\"{}\" zone=\"{}\" kind=\"{}\" cell={}{drains}\n",
             server.address.get(),
             server.row.zone,
-            server.kind_name,
+            server.kind().name,
             server.row.cell
         ));
     }
--- a/crates/router/tests/matrix.rs
+++ b/crates/router/tests/matrix.rs
@@ -204,13 +204,6 @@
     usize::from(body.contains("\"stop_reason\":\"end_turn\""))
 }
 
-/// Memory of this process, in MiB, where the system tells it.
-fn resident_mib() -> Option<f64> {
-    let text = std::fs::read_to_string("/proc/self/status").ok()?;
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
-    line.trim().strip_suffix(" kB")?.parse::<f64>().ok().map(|kib| kib / 1024.0)
-}
-
 struct Case {
     client: &'static str,
     server: &'static str,
@@ -352,7 +345,7 @@
                 }
                 sleep(Duration::from_millis(10)).await;
             }
-            memory_mib.push(resident_mib());
+            memory_mib.push(paddleproxy_day::resident_mib("self"));
         }
         println!("{count} completions, finals seen: {:?}", tally.borrow());
         assert!(wrong.borrow().is_empty(), "{} wrong, first: {}", wrong.borrow().len(), wrong.borrow()[0]);
--- a/crates/settings/src/servers.rs
+++ b/crates/settings/src/servers.rs
@@ -1,32 +1,14 @@
 //! The operators' own list of servers. Its end says what it should hold, so that the first half of one is none.
 
-use crate::reader::{Block, Count, Problems, Source};
-
-/// One version of the list.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ServersFile {
-    pub version: u64,
-    pub servers: Vec<ListedServer>,
-}
+use paddleproxy_engine::{ServerEntry, ServerList};
 
-#[derive(Clone, Debug, PartialEq)]
-pub struct ListedServer {
-    pub name: String,
-    pub address: String,
-    pub zone: String,
-    pub kind: String,
-    pub cell: u32,
-    /// `ready` or `draining`.
-    pub readiness: String,
-    pub weight: f64,
-    pub start: u64,
-}
+use crate::reader::{Block, Count, Problems, Source};
 
 /// Parses a list.
 ///
 /// # Errors
 /// All problems found; a list that does not end as it should is one.
-pub fn parse(file: &str, text: &str) -> Result<ServersFile, Problems> {
+pub fn parse(file: &str, text: &str) -> Result<ServerList, Problems> {
     Source::read(file, text, |top| {
         let version = top.need::<Count>("version").0;
         let servers: Vec<_> = top.blocks("server").into_iter().map(server).collect();
@@ -42,17 +24,18 @@
         if of != version {
             end.problem(format!("'end' is of version {of}, the list of version {version}"));
         }
-        Some(ServersFile { version, servers })
+        // A file has no starts to count its versions anew from, and is always whole.
+        Some(ServerList { epoch: 0, version, after: None, servers })
     })
 }
 
-fn server(block: Block) -> ListedServer {
+fn server(block: Block) -> ServerEntry {
     let draining = block.property::<bool>("draining").unwrap_or(false);
     let weight = block.property::<f64>("weight").unwrap_or(1.0);
     if !(weight.is_finite() && weight >= 0.0) {
         block.problem("a weight must be a number from 0");
     }
-    let server = ListedServer {
+    let server = ServerEntry {
         name: block.argument().unwrap_or_default(),
         address: block.need_property("address"),
         zone: block.need_property("zone"),
@@ -61,6 +44,7 @@
         readiness: if draining { "draining" } else { "ready" }.to_owned(),
         weight,
         start: block.property::<Count>("start").map_or(0, |start| start.0),
+        age_ms: None,
     };
     block.done();
     server
--- a/crates/store/src/retention.rs
+++ b/crates/store/src/retention.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use paddleproxy::interface::WorkerId;
+use paddleproxy::interface::{self, PrefixId, SessionId, WorkerId};
 use serde::{Deserialize, Serialize};
 
 use crate::format::{Key, Kind, Op};
@@ -67,6 +67,36 @@
     pub age_ms: f64,
 }
 
+impl From<Believed> for interface::Kept {
+    fn from(row: Believed) -> Self {
+        let (session, prefix) = match row.text {
+            Text::Session(number) => (Some(SessionId(number)), None),
+            Text::Prefix(number) => (None, Some(PrefixId(number))),
+        };
+        interface::Kept { worker: row.server, session, prefix, tokens: row.tokens, age_ms: row.age_ms }
+    }
+}
+
+/// What one answer leaves at a server: what its session said, and the beginning that it shares, with their tokens.
+pub fn texts(
+    session: SessionId,
+    tokens: f64,
+    prefix: Option<(PrefixId, f64)>,
+) -> impl Iterator<Item = (Text, f64)> {
+    let prefix = prefix.map(|(prefix, tokens)| (Text::Prefix(prefix.0), tokens));
+    std::iter::once((Text::Session(session.0), tokens)).chain(prefix)
+}
+
+/// Kept texts as they stand in a store; what no version of this wrote is passed over.
+pub fn stored<'a>(
+    entries: impl Iterator<Item = (&'a [u8], &'a [u8])>,
+) -> impl Iterator<Item = (Text, &'a str, Kept)> {
+    entries.filter_map(|(key, value)| {
+        let (text, server) = kept_of(key)?;
+        Some((text, server, serde_json::from_slice(value).ok()?))
+    })
+}
+
 /// How far a restart believes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Trust {
@@ -113,12 +143,10 @@
     now_ms: f64,
     trust: &Trust,
     starts: &BTreeMap<String, u64>,
-    entries: impl Iterator<Item = (&'a [u8], &'a [u8])>,
+    entries: impl Iterator<Item = (Text, &'a str, Kept)>,
 ) -> Vec<Believed> {
     let mut all: Vec<Believed> = entries
-        .filter_map(|(key, value)| {
-            let (text, server) = kept_of(key)?;
-            let kept: Kept = serde_json::from_slice(value).ok()?;
+        .filter_map(|(text, server, kept)| {
             // A clock that went back makes nothing younger than just now.
             let age_ms = (now_ms - kept.at_ms).max(0.0);
             let same = starts.get(server) == Some(&kept.start);
@@ -184,7 +212,7 @@
         ];
         let starts = [("a".to_owned(), 5), ("b".to_owned(), 6)].into();
         let believed =
-            believe(now_ms, &TRUST, &starts, entries.iter().map(|(key, value)| (&**key, &**value)));
+            believe(now_ms, &TRUST, &starts, stored(entries.iter().map(|(key, value)| (&**key, &**value))));
         let seen: Vec<_> = believed.iter().map(|row| (row.text, row.tokens.round(), row.age_ms)).collect();
         let wanted = [
             (Text::Session(1), 800.0, 0.0),
--- a/src/control.rs
+++ b/src/control.rs
@@ -595,7 +595,7 @@
             let found = self.workers.iter().filter(|(id, w)| fits(id, w));
             let mut found: Vec<_> = found.map(|(id, w)| (Reverse(rank(id, key)), id.clone(), w)).collect();
             found.sort_by(|a, b| (&a.0, &a.1).cmp(&(&b.0, &b.1)));
-            // Weighted rendezvous: each gets its weight's share of many sessions. Equal weights change nothing.
+            // Weighted rendezvous: each gets its weight's share of sessions. Equal weights change nothing.
             let weight = |w: &Worker| w.listing.weight.max(f64::MIN_POSITIVE);
             let even = found.windows(2).all(|pair| weight(pair[0].2) == weight(pair[1].2));
             if self.settings.weights_act && !even {
