Settings that a router was started with are not taken as a change

Cause: where workloads stand among the decisions' rows was empty at the start and filled by the first read, so that an unchanged file was applied once and 'status' told of a change that nobody made; the test of changes passed by a race with that read. Change: each workload stands at its own row from the start, without a special case for an empty list.

--- a/crates/membership/src/reload.rs
+++ b/crates/membership/src/reload.rs
@@ -82,10 +82,10 @@
         .iter()
         .enumerate()
         .map(|(row, workload)| {
-            let now = stands.workload_rows.get(row).copied().unwrap_or(row);
-            let kept = rows.get(now).is_some_and(|old| same(old, workload));
+            let now = stands.workload_rows.get(row).copied();
+            let kept = now.filter(|now| same(&rows[*now], workload));
             // The newest equal one serves; so going back and forth does not grow without end.
-            let found = if kept { Some(now) } else { rows.iter().rposition(|old| same(old, workload)) };
+            let found = kept.or_else(|| rows.iter().rposition(|old| same(old, workload)));
             found.unwrap_or_else(|| {
                 rows.push(workload.clone());
                 rows.len() - 1
--- a/crates/router/tests/files.rs
+++ b/crates/router/tests/files.rs
@@ -263,6 +263,15 @@
         let taken = |status: &serde_json::Value| status["settings"]["taken"].as_u64().unwrap();
         let refused = |status: &serde_json::Value| status["settings"]["refused"].as_u64().unwrap();
         assert_eq!(finals(&bench.ask(&with_key("new-key")).await), ["aborted"]);
+        // The settings that it was started with are no change, however often they are read.
+        let good = bench.dir.path().join("router.good.kdl");
+        for _ in 0..400 {
+            if good.exists() {
+                break;
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+        assert!(good.exists() && taken(&status(&bench).await) == 0);
         let stop = Rc::new(Cell::new(false));
         let mut clients = traffic(&bench, &stop);
         // A new key, another target and another weight of a workload: taken.
--- a/crates/routing/src/facts.rs
+++ b/crates/routing/src/facts.rs
@@ -18,7 +18,7 @@
     names: Names,
     rules: Rules,
     workloads: Vec<WorkloadSettings>,
-    /// Row of the decisions' settings for each of the settings' own, where it is another.
+    /// Row of the decisions' settings for each of the settings' own.
     rows: Vec<usize>,
     /// For how long a key is remembered where its workload does not say, in ms.
     keys_ms: f64,
@@ -65,7 +65,8 @@
 
 impl Requests {
     pub fn new(names: Names, rules: Rules, workloads: Vec<WorkloadSettings>, keys_ms: f64) -> Self {
-        Requests { names, rules, workloads, rows: Vec::new(), keys_ms }
+        let rows = (0..workloads.len()).collect();
+        Requests { names, rules, workloads, rows, keys_ms }
     }
 
     /// Other names, keys and targets from now on; `rows` are the rows of `workloads` that they are meant by.
@@ -83,7 +84,7 @@
         let remembered = self.names.workloads[row].remembered;
         let own = self.names.workloads[row].keyed.filter(|_| keyed);
         let row = own.unwrap_or(row);
-        let row = self.rows.get(row).copied().unwrap_or(row);
+        let row = self.rows[row];
         let rules = self.workloads.get(row);
         let tokened = rules.filter(|rules| rules.effect == Effect::Tokened);
         let may_repeat = rules.is_some_and(|rules| match rules.effect {
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -29,7 +29,7 @@
     pub servers_file: Option<PathBuf>,
     /// What is logged, as `level` or `target=level,...`; as the command line says where absent.
     pub log: Option<String>,
-    /// Row in the decisions' settings of each workload, where it is not its own; grows while settings change.
+    /// Row in the decisions' settings of each workload: its own, until settings change.
     pub workload_rows: Vec<usize>,
 }
 
@@ -255,6 +255,7 @@
     let rules = top.need_block("requests").map(|block| finish(block, requests));
     let front = top.need_block("front").map(|block| finish(block, |block| front(block, answer_slack_ms)));
     let engines = top.need_block("engines").map(|block| finish(block, engines));
+    let workload_rows = (0..decisions.workloads.len()).collect();
     Some(RouterSettings {
         listen,
         admin,
@@ -270,7 +271,7 @@
         membership: membership.unwrap_or(MEMBERSHIP),
         servers_file,
         log: top.maybe("log"),
-        workload_rows: Vec::new(),
+        workload_rows,
     })
 }
 
