--- a/src/control.rs
+++ b/src/control.rs
@@ -40,6 +40,8 @@
 /// asked anew once less than the second is left of it.
 const SAID_HALVES: f64 = 0.5;
 const ASK_BELOW: f64 = 0.7;
+/// Our own counts are averaged over so many times the time in which a cold worker falls over.
+const MEAN_OVER: f64 = 4.0;
 /// The bound at a mixed server, as a share of a reader's: it reads among its streams.
 const MIXED_BOUND: f64 = 0.25;
 /// Share of the latency target that an answer to a probe may take, and times the most dispatches that a
@@ -110,8 +112,9 @@
     distrust: Stamped,
     /// Our dispatches of late, those turned away left out.
     sent: Stamped,
-    /// Of our dispatches out: tokens not yet read, and those that write or wait to.
-    waiting_tokens: f64,
+    /// Of our dispatches out: tokens not yet read, tokens of those that write or wait to, and their number.
+    waiting: Averaged,
+    held: Averaged,
     streams: f64,
     /// What it last said of its load, as a share of the bound, and whether a probe is out.
     said: Stamped,
@@ -133,6 +136,25 @@
     }
 }
 
+/// A count of ours and its fading mean, by which the other routers' is judged.
+#[derive(Clone, Copy, Default)]
+struct Averaged {
+    value: f64,
+    mean: f64,
+    at_ms: f64,
+}
+
+impl Averaged {
+    fn mean(&self, now_ms: f64, over_ms: f64) -> f64 {
+        self.value + (self.mean - self.value) * (-(now_ms - self.at_ms) / over_ms.max(1.0)).exp()
+    }
+
+    fn add(&mut self, change: f64, now_ms: f64, over_ms: f64) {
+        let mean = self.mean(now_ms, over_ms);
+        *self = Averaged { value: (self.value + change).max(0.0), mean, at_ms: now_ms };
+    }
+}
+
 /// A text that workers keep: what a session has said so far, or a beginning that sessions share.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Text {
@@ -240,7 +262,8 @@
                 role: kind.role,
                 distrust: Stamped::default(),
                 sent: Stamped::default(),
-                waiting_tokens: 0.0,
+                waiting: Averaged::default(),
+                held: Averaged::default(),
                 streams: 0.0,
                 said: Stamped { value: 0.0, at_ms: f64::NEG_INFINITY },
                 probed: false,
@@ -254,7 +277,7 @@
             worker.listing = row.clone();
         }
         let gone = |w: &Worker| w.listing.readiness == Readiness::Gone;
-        self.workers.retain(|_, w| !gone(w) || w.streams + w.waiting_tokens > 0.0);
+        self.workers.retain(|_, w| !gone(w) || w.streams + w.waiting.value > 0.0);
     }
 
     fn arrived(&mut self, facts: &Arrival, actions: &mut Vec<Action>) {
@@ -313,8 +336,9 @@
         c.state_at = None;
         let (worker, facts) = (d.worker.clone(), c.facts.clone());
         let tokens = std::mem::take(&mut d.tokens);
+        let over_ms = self.settings.fall_ms * MEAN_OVER;
         if let Some(w) = self.workers.get_mut(&worker) {
-            w.waiting_tokens = (w.waiting_tokens - tokens).max(0.0);
+            w.waiting.add(-tokens, self.now_ms, over_ms);
             if w.role == Role::Mixed {
                 self.remember(&facts, &worker);
             }
@@ -333,9 +357,12 @@
         d.may_have_run &= !matches!(outcome, Full | NoState | ConnectFailed | Moot | Read);
         let tokens = std::mem::take(&mut d.tokens);
         c.over |= over;
+        let over_ms = self.settings.fall_ms * MEAN_OVER;
         if let Some(w) = self.workers.get_mut(&worker) {
-            w.waiting_tokens = (w.waiting_tokens - tokens).max(0.0);
-            w.streams -= f64::from(u8::from(stage != Stage::Read));
+            w.waiting.add(-tokens, self.now_ms, over_ms);
+            let writes = f64::from(u8::from(stage != Stage::Read));
+            w.held.add(-writes * c.facts.prompt_tokens, self.now_ms, over_ms);
+            w.streams -= writes;
             // What was turned away is no sign of what a worker carries.
             w.sent.value = (w.sent.value - f64::from(u8::from(outcome == Full))).max(0.0);
         }
@@ -533,9 +560,14 @@
 
     fn busy(&self, w: &Worker, ease: f64) -> bool {
         let memory = self.settings.kinds[w.listing.kind.0].memory_tokens;
-        let own = w.waiting_tokens / (memory * READER_BOUND).max(1.0);
+        let over_ms = self.settings.fall_ms * MEAN_OVER;
+        let others = self.settings.routers.max(1) as f64 - 1.0;
+        let all = |ours: &Averaged| ours.value + others * ours.mean(self.now_ms, over_ms);
+        let part = if w.role == Role::Mixed { MIXED_BOUND } else { 1.0 };
+        let reading = all(&w.waiting) / (memory * READER_BOUND * part).max(1.0);
+        let guess = reading.max(all(&w.held) / (memory * MEMORY_FULL).max(1.0));
         let heard = self.heard(w);
-        let guess = (1.0 - heard / 2.0) * own * self.settings.routers.max(1) as f64;
+        let guess = (1.0 - heard / 2.0) * guess;
         (heard * w.said.value).max(guess) > ease * self.fresh_share(w).unwrap_or(1.0)
     }
 
@@ -685,7 +717,7 @@
         let workload = &self.settings.workloads[c.facts.workload.0];
         let harmless = workload.effect == Effect::Idempotent
             || workload.effect == Effect::Tokened && workload.group == Group::All
-            || c.dispatches.iter().all(|d| !d.may_have_run);
+            || c.dispatches.iter().all(|d| !d.may_have_run && matches!(d.phase, Phase::Planned | Phase::Ended));
         let limit_ms = Some(self.settings.max_retry_after_ms).filter(|_| self.settings.retry_after);
         let retry_after_ms = workload.latency_target_ms.min(limit_ms.unwrap_or(0.0));
         if let Some(c) = self.completions.get_mut(&id) {
@@ -697,6 +729,7 @@
 
     /// Emits what turns the present state of a completion into the wanted one.
     fn reconcile(&mut self, id: CompletionId, actions: &mut Vec<Action>) {
+        let over_ms = self.settings.fall_ms * MEAN_OVER;
         let Some(c) = self.completions.get_mut(&id) else { return };
         if let Some(answer) = c.answer.clone().filter(|_| !c.over) {
             actions.push(answer);
@@ -711,8 +744,10 @@
                     if let Some(w) = self.workers.get_mut(&d.worker) {
                         let value = w.sent.at(self.now_ms, self.settings.fall_ms) + 1.0;
                         w.sent = Stamped { value, at_ms: self.now_ms };
-                        w.streams += f64::from(u8::from(d.stage != Stage::Read));
-                        w.waiting_tokens += d.tokens;
+                        let writes = f64::from(u8::from(d.stage != Stage::Read));
+                        w.streams += writes;
+                        w.held.add(writes * c.facts.prompt_tokens, self.now_ms, over_ms);
+                        w.waiting.add(d.tokens, self.now_ms, over_ms);
                     }
                 }
                 Phase::Planned => d.phase = Phase::Ended,
