Prompts that wait to be fetched count as waiting at the writer

Change: a write's prompt counts as waiting until it begins; a mixed server has half a reader's bound.

--- a/src/control.rs
+++ b/src/control.rs
@@ -43,7 +43,7 @@
 /// Our own counts are averaged over so many times the time in which a cold worker falls over.
 const MEAN_OVER: f64 = 4.0;
 /// The bound at a mixed server, as a share of a reader's: it reads among its streams.
-const MIXED_BOUND: f64 = 0.25;
+const MIXED_BOUND: f64 = 0.5;
 /// Share of the latency target that an answer to a probe may take, and times the most dispatches that a
 /// completion may ask.
 const ASKING: f64 = 0.04;
@@ -432,7 +432,7 @@
             phase: Phase::Planned,
             sent_ms: self.now_ms,
             timeout_ms: (patience * c.target_ms).min(c.facts.client_timeout_ms - self.now_ms),
-            tokens: if stage == Stage::Write { 0.0 } else { c.facts.prompt_tokens - believed },
+            tokens: c.facts.prompt_tokens - if stage == Stage::Write { 0.0 } else { believed },
             believed,
             may_have_run: stage != Stage::Read,
             worker,
