--- a/src/control.rs
+++ b/src/control.rs
@@ -42,8 +42,8 @@
 const ASK_BELOW: f64 = 0.7;
 /// Our own counts are averaged over so many times the time in which a cold worker falls over.
 const MEAN_OVER: f64 = 4.0;
-/// The bound at a mixed server, as a share of a reader's: it reads among its streams.
-const MIXED_BOUND: f64 = 0.5;
+/// The bound at a worker that writes, as a share of a reader's: it reads and fetches among its streams.
+const WRITER_BOUND: f64 = 0.25;
 /// Share of the latency target that an answer to a probe may take, and times the most dispatches that a
 /// completion may ask.
 const ASKING: f64 = 0.04;
@@ -309,7 +309,7 @@
         let memory = self.settings.kinds[w.listing.kind.0].memory_tokens;
         let queued = load.queue.map(|queue| queue * SHORT_READ_TOKENS);
         let tokens = load.waiting_kilotokens.map(|thousands| thousands * 1e3).or(queued).unwrap_or(0.0);
-        let part = if w.role == Role::Mixed { MIXED_BOUND } else { 1.0 };
+        let part = if w.role == Role::Reader { 1.0 } else { WRITER_BOUND };
         let held = load.memory_share.filter(|_| w.role != Role::Reader).unwrap_or(0.0) / MEMORY_FULL;
         let reading = tokens / (memory * READER_BOUND * part).max(1.0);
         w.said = Stamped { value: reading.max(held), at_ms: self.now_ms };
@@ -563,7 +563,7 @@
         let over_ms = self.settings.fall_ms * MEAN_OVER;
         let others = self.settings.routers.max(1) as f64 - 1.0;
         let all = |ours: &Averaged| ours.value + others * ours.mean(self.now_ms, over_ms);
-        let part = if w.role == Role::Mixed { MIXED_BOUND } else { 1.0 };
+        let part = if w.role == Role::Reader { 1.0 } else { WRITER_BOUND };
         let reading = all(&w.waiting) / (memory * READER_BOUND * part).max(1.0);
         let guess = reading.max(all(&w.held) / (memory * MEMORY_FULL).max(1.0));
         let heard = self.heard(w);
