--- a/src/control.rs
+++ b/src/control.rs
@@ -466,7 +466,7 @@
     /// which nothing writes unstrained hands the whole path to the next cell by session hash.
     fn read_at(&self, c: &Completion) -> Option<(WorkerId, Stage)> {
         let home = self.home(c);
-        let home_easy = home.clone().filter(|home| !c.avoid.contains(home) && !self.strained(home, false));
+        let home_easy = home.clone().filter(|home| !c.avoid.contains(home) && !self.strained(c, home, false));
         let uncovered = c.facts.prompt_tokens - home.as_ref().map_or(0.0, |home| self.believed(c, home));
         if let Some(home) = &home_easy {
             if uncovered < (1.0 - COVERED) * c.facts.prompt_tokens || uncovered < SHORT_READ_TOKENS {
@@ -488,7 +488,7 @@
         // What finds little kept costs the readers most and is passed on or refused first, lest shared texts
         // are crowded out. Harm: under strain a text that no reader keeps waits longest.
         let share = |reader: &WorkerId| self.believed(c, reader) / c.facts.prompt_tokens.max(1.0);
-        let ease = |reader: &WorkerId| EASE_COLD + EASE_KEPT * share(reader);
+        let ease = |reader: &WorkerId| self.merit(c) * (EASE_COLD + EASE_KEPT * share(reader));
         let free = |reader: &&WorkerId| !self.busy(&self.workers[*reader], ease(reader));
         let free: Vec<_> = all.iter().filter(free).collect();
         let writes = |reader: &&&WorkerId, fits| self.writer_near(c, reader, fits).is_some();
@@ -504,7 +504,7 @@
         // No reader, no home: any worker that reads by itself.
         let reads =
             |w: &Worker| w.role == Role::Mixed || w.role == Role::Writer && self.settings.writers_read;
-        let alone = self.fewest(c, reads).filter(|worker| !self.strained(worker, true));
+        let alone = self.fewest(c, reads).filter(|worker| !self.strained(c, worker, true));
         alone.map(|worker| (worker, Stage::Whole))
     }
 
@@ -525,11 +525,11 @@
         let mut readers = self.workers.values().filter(|w| w.role == Role::Reader);
         let has_reader = readers.any(|w| Some(w.listing.cell) == home_cell);
         let cells = [home_cell.filter(|_| !has_reader), self.cell(at)];
-        let home = home.filter(|home| !c.avoid.contains(home) && !self.strained(home, false));
+        let home = home.filter(|home| !c.avoid.contains(home) && !self.strained(c, home, false));
         cells.into_iter().flatten().find_map(|cell| {
             let home = home.as_ref().filter(|home| self.cell(home) == Some(cell));
             let first = home.filter(|home| self.streams(home) <= self.median_streams()).cloned();
-            let easy = |worker: &WorkerId| !self.strained(worker, fits);
+            let easy = |worker: &WorkerId| !self.strained(c, worker, fits);
             let of = |role| self.fewest(c, |w| w.role == role && w.listing.cell == cell).filter(easy);
             first.or_else(|| of(Role::Writer)).or_else(|| home.cloned()).or_else(|| of(Role::Mixed))
         })
@@ -538,7 +538,7 @@
     fn fewest(&self, c: &Completion, of: impl Fn(&Worker) -> bool) -> Option<WorkerId> {
         let mut found = self.by_hash(c, c.facts.session.0, of);
         found.retain(|id| !c.avoid.contains(id));
-        let order = |id: &WorkerId| (self.strained(id, true), self.streams(id));
+        let order = |id: &WorkerId| (self.strained(c, id, true), self.streams(id));
         found.into_iter().min_by(|a, b| order(a).partial_cmp(&order(b)).unwrap_or(Ordering::Equal))
     }
 
@@ -552,10 +552,19 @@
 
     /// Guards against a writer that jams, whatever the cause: it holds more of our streams than the median
     /// and one, or is busy. Harm: histories spread. Crowded only compares: it is no reason to refuse.
-    fn strained(&self, id: &WorkerId, crowded_fits: bool) -> bool {
+    fn strained(&self, c: &Completion, id: &WorkerId, crowded_fits: bool) -> bool {
         let Some(w) = self.workers.get(id) else { return true };
         let crowded = w.streams > self.median_streams() + 1.0;
-        crowded && !crowded_fits || self.busy(w, 1.0)
+        crowded && !crowded_fits || self.busy(w, self.merit(c))
+    }
+
+    /// Factor of all bounds for a completion: the root of its workload's value over the mean of the values.
+    /// Guards against strain that takes the same share of every workload. Harm: the cheapest is refused first.
+    fn merit(&self, c: &Completion) -> f64 {
+        let workloads = &self.settings.workloads;
+        let mean = workloads.iter().map(|w| w.value).sum::<f64>() / workloads.len().max(1) as f64;
+        let share = if mean > 0.0 { workloads[c.facts.workload.0].value / mean } else { 1.0 };
+        share.sqrt()
     }
 
     fn busy(&self, w: &Worker, ease: f64) -> bool {
