--- a/crates/day/src/audit.rs
+++ b/crates/day/src/audit.rs
@@ -23,6 +23,9 @@
     pub cold_share: f64,
     pub cold_ms: f64,
     pub workloads: Vec<WorkloadFacts>,
+    /// Names of the routers' shapes by their numbers; empty where all have one.
+    #[serde(default)]
+    pub shapes: Vec<String>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -72,6 +75,10 @@
             cold_share: s.cold_share,
             cold_ms: s.cold_ms,
             workloads: rows.map(workload).collect(),
+            shapes: match day.shapes.is_empty() {
+                true => Vec::new(),
+                false => (0..day.routers).map(|router| day.shape_of(router).to_owned()).collect(),
+            },
         }
     }
 
--- a/crates/day/src/report.rs
+++ b/crates/day/src/report.rs
@@ -17,6 +17,8 @@
     pub kept: bool,
     pub workloads: Vec<Service>,
     pub customers: Vec<Service>,
+    /// By the shape of the router that got the first try; empty where all routers have one.
+    pub shapes: Vec<Service>,
     /// What befell, with how often it began.
     pub troubles: BTreeMap<String, usize>,
 }
@@ -43,6 +45,7 @@
 #[derive(Default)]
 struct Op<'a> {
     model: &'a str,
+    router: usize,
     customer: &'a str,
     asked_ms: f64,
     target_ms: f64,
@@ -55,9 +58,9 @@
     let mut troubles = BTreeMap::new();
     for line in lines {
         match &line.what {
-            What::Asked { op, attempt: 0, model, customer, target_ms, .. } => {
+            What::Asked { op, attempt: 0, router, model, customer, target_ms, .. } => {
                 let (asked_ms, target_ms) = (line.at_ms, *target_ms);
-                ops.insert(op, Op { model, customer, asked_ms, target_ms, ..Op::default() });
+                ops.insert(op, Op { model, router: *router, customer, asked_ms, target_ms, ..Op::default() });
             }
             What::First { op, .. } => {
                 if let Some(op) = ops.get_mut(op.as_str()) {
@@ -80,6 +83,10 @@
         rules,
         workloads: by(&ops, workload),
         customers: by(&ops, |op| op.customer.to_owned()),
+        shapes: match facts.shapes.is_empty() {
+            true => Vec::new(),
+            false => by(&ops, |op| facts.shapes.get(op.router).cloned().unwrap_or_default()),
+        },
         troubles,
     }
 }
@@ -135,7 +142,8 @@
                 let _ = writeln!(text, "    and {} more", rule.broken.len() - 5);
             }
         }
-        for (title, rows) in [("workload", &self.workloads), ("customer", &self.customers)] {
+        let tables = [("workload", &self.workloads), ("customer", &self.customers), ("shape", &self.shapes)];
+        for (title, rows) in tables.into_iter().filter(|(_, rows)| !rows.is_empty()) {
             let _ = writeln!(
                 text,
                 "\n{title:<16} {:>6} {:>9} {:>8} {:>7} {:>7} {:>5} {:>4} {:>9} {:>9} {:>9}",
--- a/crates/day/tests/judge.rs
+++ b/crates/day/tests/judge.rs
@@ -28,6 +28,7 @@
             workload("purse", "tokened", "all"),
             workload("notice", "non-idempotent", "all"),
         ],
+        shapes: Vec::new(),
     }
 }
 
--- a/crates/membership/src/reload.rs
+++ b/crates/membership/src/reload.rs
@@ -60,7 +60,7 @@
     keep("engines", same(&stands.engines, &new.engines), RESTART);
     keep("requests", same(&stands.rules, &new.rules), RESTART);
     keep("membership", stands.membership == new.membership, RESTART);
-    keep("rules", same(&rules_of(old), &rules_of(next)), RESTART);
+    keep("rules", same(&rules_of(old), &rules_of(next)) && stands.reports == new.reports, RESTART);
     let names = |settings: &RouterSettings| {
         settings.names.customers.iter().map(|row| row.name.clone()).collect::<Vec<_>>()
     };
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -359,6 +359,10 @@
     }
 
     fn reported(&mut self, worker: WorkerId, load: &Load) {
+        // A report that nobody asked for is no fault.
+        if !self.settings.reports {
+            return;
+        }
         let load = LoadReport {
             in_hand: load.metric(wire::IN_HAND),
             queue: load.metric(wire::QUEUE),
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -22,6 +22,8 @@
     /// The template of every router; its own number, zone and addresses are set when the day starts.
     pub router: RouterSettings,
     router_nodes: KdlDocument,
+    /// Routers that run in another shape than the template's.
+    pub shapes: Vec<Shape>,
     pub fleet: FleetSettings,
     pub clients: Vec<ClientLoad>,
     /// Time one way between a router and a server, inside a zone and to another, in ms; for virtual time alone.
@@ -29,6 +31,17 @@
     pub troubles: Vec<Trouble>,
 }
 
+/// Routers in which some of the template's rules are switched.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    pub name: String,
+    pub routers: Vec<usize>,
+    switches: Vec<(&'static str, bool)>,
+}
+
+/// What a shape may switch; the figures of the rules are the same for all, for they are judged by one measure.
+const SWITCHES: [&str; 5] = ["probes", "reports", "weights", "second-copies", "holds"];
+
 /// One stream of requests: sessions of some turns, each turn a request.
 #[derive(Clone, Debug)]
 pub struct ClientLoad {
@@ -237,6 +250,12 @@
 }
 
 impl DaySettings {
+    /// Name of the shape in which a router runs.
+    pub fn shape_of(&self, router: usize) -> &str {
+        let shape = self.shapes.iter().rfind(|shape| shape.routers.contains(&router));
+        shape.map_or("template", |shape| &shape.name)
+    }
+
     /// The document of one router of this day.
     pub fn router_document(&self, own: &Own) -> String {
         let mut document = self.router_nodes.clone();
@@ -261,6 +280,16 @@
             node.push(KdlEntry::new(own.list));
             list.nodes_mut().push(node);
         }
+        let shape = self.shapes.iter().filter(|shape| shape.routers.contains(&own.number));
+        let rules = document.get_mut("rules").and_then(|rules| rules.children_mut().as_mut());
+        if let Some((shape, rules)) = shape.last().zip(rules) {
+            for (name, value) in &shape.switches {
+                rules.nodes_mut().retain(|node| node.name().value() != *name);
+                let mut node = KdlNode::new(*name);
+                node.push(KdlEntry::new(*value));
+                rules.nodes_mut().push(node);
+            }
+        }
         document.autoformat();
         document.to_string()
     }
@@ -281,6 +310,7 @@
     head.done();
     if routers == 0 || routers > 64 {
         head.problem("'routers' must be from 1 to 64");
+        return None;
     }
     let template = top.need_block("router");
     let router_nodes = template.as_ref().and_then(|block| block.node()?.children().cloned());
@@ -299,6 +329,7 @@
         block.done();
         read
     });
+    let shapes: Vec<_> = top.blocks("shape").into_iter().map(|block| shape(&block, routers)).collect();
     let clients: Vec<_> = top.blocks("clients").into_iter().map(client_load).collect();
     let troubles: Vec<_> = top.blocks("trouble").into_iter().filter_map(trouble).collect();
     let settings = DaySettings {
@@ -310,6 +341,7 @@
         drain_grace_ms,
         router: read_router?,
         router_nodes: router_nodes?,
+        shapes,
         fleet: read_fleet?,
         clients,
         network_ms: network.unwrap_or((NETWORK_MS, NETWORK_MS)),
@@ -319,6 +351,23 @@
     Some(settings)
 }
 
+fn shape(block: &Block, routers: usize) -> Shape {
+    let numbers = block.block("routers").map_or(Vec::new(), |line| {
+        let numbers: Vec<usize> =
+            line.arguments::<Count>().into_iter().map(|count| count.0 as usize).collect();
+        line.done();
+        numbers
+    });
+    if numbers.is_empty() || numbers.iter().any(|number| *number >= routers) {
+        block.problem_of("routers", format!("'routers' names some of the day's, from 0 to {}", routers - 1));
+    }
+    let switch = |name| block.maybe::<bool>(name).map(|value| (name, value));
+    let switches = SWITCHES.into_iter().filter_map(switch).collect();
+    let name = block.argument().unwrap_or_default();
+    block.done();
+    Shape { name, routers: numbers, switches }
+}
+
 /// What one part of a day says of another must be there.
 fn agrees(top: &Block, day: &DaySettings) {
     for (row, kind) in day.fleet.kinds.iter().enumerate() {
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -31,6 +31,8 @@
     pub log: Option<String>,
     /// Row in the decisions' settings of each workload: its own, until settings change.
     pub workload_rows: Vec<usize>,
+    /// Whether what servers say of their load is heard.
+    pub reports: bool,
 }
 
 /// When a word on the list of servers is believed.
@@ -228,8 +230,15 @@
         cold_ms: limits.need::<Millis>("cold").0,
         weights_act: limits.maybe("weights").unwrap_or(true),
     };
+    let reports = limits.maybe("reports").unwrap_or(true);
+    let roles: Vec<_> = decisions.kinds.iter().map(|kind| kind.role).collect();
+    if roles.contains(&house::Role::Reader) && decisions.max_dispatches == 1 {
+        limits.problem_of("max-dispatches", "a reader and a writer take two dispatches; allow 2 at least");
+    }
     for (name, wrong) in [
         ("max-dispatches", decisions.max_dispatches == 0),
+        // Not above, rather than at most: what is no number is refused too.
+        ("fall-multiple", decisions.fall_multiple.partial_cmp(&0.0) != Some(std::cmp::Ordering::Greater)),
         ("pin-limit", decisions.pin_limit_ms <= 0.0),
         ("resolution", decisions.resolution_ms <= 0.0),
         ("fall-after", decisions.fall_ms <= 0.0),
@@ -239,7 +248,9 @@
             limits.problem_of(name, format!("'{name}' must be above 0"));
         }
     }
-    if decisions.own_number >= decisions.routers {
+    if decisions.routers == 0 {
+        top.problem_of("routers", "'routers' counts this one too and must be from 1");
+    } else if decisions.own_number >= decisions.routers {
         top.problem_of(
             "number",
             format!(
@@ -255,6 +266,9 @@
     let rules = top.need_block("requests").map(|block| finish(block, requests));
     let front = top.need_block("front").map(|block| finish(block, |block| front(block, answer_slack_ms)));
     let engines = top.need_block("engines").map(|block| finish(block, engines));
+    if decisions.probes_allowed && engines.as_ref().is_some_and(|engines| engines.probe_ms <= 0.0) {
+        top.problem_of("engines", "'probes' is #true in 'rules', which needs 'probe' above \"0ms\"");
+    }
     let workload_rows = (0..decisions.workloads.len()).collect();
     Some(RouterSettings {
         listen,
@@ -272,6 +286,7 @@
         servers_file,
         log: top.maybe("log"),
         workload_rows,
+        reports,
     })
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -489,7 +489,7 @@
         // are crowded out. Harm: under strain a text that no reader keeps waits longest.
         let share = |reader: &WorkerId| self.believed(c, reader) / c.facts.prompt_tokens.max(1.0);
         let ease = |reader: &WorkerId| self.merit(c) * (EASE_COLD + EASE_KEPT * share(reader));
-        let free = |reader: &&WorkerId| !self.busy(&self.workers[*reader], ease(reader));
+        let free = |reader: &&WorkerId| !self.busy(c, &self.workers[*reader], ease(reader));
         let free: Vec<_> = all.iter().filter(free).collect();
         let writes = |reader: &&&WorkerId, fits| self.writer_near(c, reader, fits).is_some();
         let found = free.iter().find(|reader| writes(reader, false));
@@ -555,11 +555,11 @@
     fn strained(&self, c: &Completion, id: &WorkerId, crowded_fits: bool) -> bool {
         let Some(w) = self.workers.get(id) else { return true };
         let crowded = w.streams > self.median_streams() + 1.0;
-        crowded && !crowded_fits || self.busy(w, self.merit(c))
+        crowded && !crowded_fits || self.busy(c, w, self.merit(c))
     }
 
     /// Factor of all bounds for a completion: the root of its workload's value over the mean of the values.
-    /// Guards against strain that takes the same share of every workload. Harm: the cheapest is refused first.
+    /// Guards against strain that takes the same share of every workload. Harm: the cheapest is refused most.
     fn merit(&self, c: &Completion) -> f64 {
         let workloads = &self.settings.workloads;
         let mean = workloads.iter().map(|w| w.value).sum::<f64>() / workloads.len().max(1) as f64;
@@ -567,13 +567,18 @@
         share.sqrt()
     }
 
-    fn busy(&self, w: &Worker, ease: f64) -> bool {
+    /// By what it says and by our own counts: ours now, and the mean of ours for each other router, since among
+    /// many the count of one moment says nothing of theirs. Guards against strain that no report tells. Harm:
+    /// late, and noisy where we send little. A fetch of ours as long as its own excuses a pure writer.
+    fn busy(&self, c: &Completion, w: &Worker, ease: f64) -> bool {
         let memory = self.settings.kinds[w.listing.kind.0].memory_tokens;
         let over_ms = self.settings.fall_ms * MEAN_OVER;
         let others = self.settings.routers.max(1) as f64 - 1.0;
         let all = |ours: &Averaged| ours.value + others * ours.mean(self.now_ms, over_ms);
         let part = if w.role == Role::Reader { 1.0 } else { WRITER_BOUND };
-        let reading = all(&w.waiting) / (memory * READER_BOUND * part).max(1.0);
+        let excused = if w.role == Role::Writer { c.facts.prompt_tokens } else { 0.0 };
+        let waiting = all(&w.waiting) - w.waiting.value.min(excused);
+        let reading = waiting / (memory * READER_BOUND * part).max(1.0);
         let guess = reading.max(all(&w.held) / (memory * MEMORY_FULL).max(1.0));
         let heard = self.heard(w);
         let guess = (1.0 - heard / 2.0) * guess;
@@ -726,7 +731,9 @@
         let workload = &self.settings.workloads[c.facts.workload.0];
         let harmless = workload.effect == Effect::Idempotent
             || workload.effect == Effect::Tokened && workload.group == Group::All
-            || c.dispatches.iter().all(|d| !d.may_have_run && matches!(d.phase, Phase::Planned | Phase::Ended));
+            || c.dispatches
+                .iter()
+                .all(|d| !d.may_have_run && matches!(d.phase, Phase::Planned | Phase::Ended));
         let limit_ms = Some(self.settings.max_retry_after_ms).filter(|_| self.settings.retry_after);
         let retry_after_ms = workload.latency_target_ms.min(limit_ms.unwrap_or(0.0));
         if let Some(c) = self.completions.get_mut(&id) {
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -158,7 +158,7 @@
 fn kept_prompts_wait_longer_at_a_reader_than_cold_ones() {
     let mut play = fleet(&["m0a", "r0a", "w0a"]);
     play.arrive(1, 5, 6000.0).ended(1, 0, Read, 0.0).ended(1, 1, Full, 0.0).began(1, 2);
-    play.arrive(2, 6, 7000.0).arrive(3, 7, 7000.0).arrive(4, 5, 6600.0);
+    play.arrive(2, 6, 7000.0).pass(6000.0).arrive(3, 7, 7000.0).arrive(4, 5, 6600.0);
     assert_snapshot!(play.trace());
 }
 
@@ -208,3 +208,41 @@
     };
     assert_snapshot!([0, 50, 75, 125, 199].map(used).concat());
 }
+
+/// Before 100 routers one prompt of ours says little; what is there again and again stands for all of theirs.
+#[test]
+fn others_are_judged_by_the_mean_of_our_own_counts() {
+    let mut play = Play::new(Settings { routers: 100, ..settings() }, &["m0a", "r0a", "r0b", "w0a"]);
+    play.arrive(1, 5, 4000.0).arrive(2, 5, 4000.0).pass(300.0).ended(1, 0, Read, 0.0).began(1, 1);
+    play.ended(2, 0, Read, 0.0).began(2, 1).pass(20.0).arrive(3, 6, 9000.0);
+    assert_snapshot!(play.trace());
+}
+
+/// What waits to be fetched counts at the writer, one of ours as long as the next excepted.
+#[test]
+fn slow_fetches_strain_a_writer() {
+    let mut play = fleet(&["m0a", "r0a", "r0b", "w0a"]);
+    play.list(Changes, vec![Listing { readiness: Readiness::Draining, ..row("m0a") }]);
+    play.arrive(1, 5, 4000.0).ended(1, 0, Read, 0.0).arrive(2, 6, 4000.0).ended(2, 0, Read, 0.0);
+    play.arrive(3, 7, 4000.0);
+    assert_snapshot!(play.trace());
+}
+
+/// A dispatch that is out may run, at a reader too, as long as nothing proves the contrary.
+#[test]
+fn non_idempotent_work_is_not_rate_limited_while_a_dispatch_is_out() {
+    let mut play = fleet(&ONE_CELL);
+    play.arrive_as(2, 1, 5, 4000.0).pass(3996.0).timer(1).ended(1, 0, Cancelled, 0.0);
+    play.list(Whole, Vec::new()).arrive_as(2, 2, 5, 4000.0);
+    assert_snapshot!(play.trace());
+}
+
+/// Of two workloads the one of greater value finds a worker that is too strained for the other.
+#[test]
+fn bounds_follow_the_value_of_a_workload() {
+    let mut valued = settings();
+    valued.workloads[2].value = 4.0;
+    let mut play = Play::new(valued, &["m0a", "r0a", "w0a"]);
+    play.arrive(1, 5, 6000.0).pass(1000.0).arrive(2, 6, 6000.0).arrive_as(2, 3, 7, 6000.0);
+    assert_snapshot!(play.trace());
+}
