--- a/crates/router/tests/files.rs
+++ b/crates/router/tests/files.rs
@@ -287,6 +287,10 @@
             (changed.replace("number 0", "number 1"), "'number' can't change while the router runs"),
             (changed.replace("state-dir \"", "state-dir \"/tmp/other"), "'state-dir' can't change"),
             (changed.replace("customer \"app\"", "customer \"renamed\""), "'customer' can't change"),
+            (changed.replace("routers 2", "routers 0"), "'routers' counts this one too"),
+            (changed.replace("max-dispatches 5", "max-dispatches 1"), "take two dispatches"),
+            // Another shape is a restart: completions under way keep what they began under.
+            (changed.replace("probes #true", "probes #false\n    reports #false"), "'rules' can't change"),
         ] {
             let before = refused(&status(&bench).await);
             write(&path, &wrong, 1);
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -352,7 +352,7 @@
 }
 
 fn shape(block: &Block, routers: usize) -> Shape {
-    let numbers = block.block("routers").map_or(Vec::new(), |line| {
+    let numbers = block.need_block("routers").map_or(Vec::new(), |line| {
         let numbers: Vec<usize> =
             line.arguments::<Count>().into_iter().map(|count| count.0 as usize).collect();
         line.done();
--- a/crates/settings/tests/documents.rs
+++ b/crates/settings/tests/documents.rs
@@ -77,3 +77,44 @@
     ]);
     insta::assert_snapshot!(found);
 }
+
+#[test]
+fn shapes_that_can_not_be_are_refused() {
+    insta::assert_snapshot!(problems(&[
+        ("routers 2", "routers 0"),
+        ("max-dispatches 5", "max-dispatches 1"),
+        ("fall-multiple 2.5", "fall-multiple -1"),
+        ("    probe \"100ms\"", "    probe \"0ms\""),
+        ("probes #true", "probes #true\n    reports \"none\""),
+    ]));
+    // Without probes nothing waits for one; reports are heard unless a router is told not to.
+    assert_eq!(
+        problems(&[("probes #true", "probes #false"), ("    probe \"100ms\"", "    probe \"0ms\"")]),
+        ""
+    );
+    assert!(router::parse("r.kdl", ROUTER).unwrap().reports);
+    let deaf = ROUTER.replace("probes #true", "probes #false\n    reports #false");
+    assert!(!router::parse("r.kdl", &deaf).unwrap().reports);
+}
+
+#[test]
+fn a_shape_names_routers_that_are_there_and_switches_no_figure() {
+    let day = |shape: &str| {
+        let own = format!(
+            "day \"d\" {{\n    length \"1s\"\n    rest \"1s\"\n    seed 1\n    routers 2\n    \
+            drain-grace \"1s\"\n}}\n{shape}\n"
+        );
+        let common = include_str!("../../../days/common.kdl").to_owned();
+        paddleproxy_settings::day::parse(&[("d.kdl".into(), own), ("common.kdl".into(), common)])
+    };
+    let good = day("shape \"new\" {\n    routers 1\n    probes #false\n}").unwrap();
+    assert_eq!((good.shape_of(0), good.shape_of(1)), ("template", "new"));
+    let wrong = [
+        "shape \"new\" {\n    routers 2\n}",
+        "shape \"new\" {\n}",
+        "shape \"new\" {\n    routers 1\n    pin-limit \"9s\"\n}",
+    ];
+    insta::assert_snapshot!(wrong
+        .map(|shape| day(shape).err().map(|wrong| wrong.to_string()).unwrap_or_default())
+        .join("\n"));
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -567,7 +567,7 @@
         share.sqrt()
     }
 
-    /// By what it says and by our own counts: ours now, and the mean of ours for each other router, since among
+    /// By what it says and by our counts: ours now, and the mean of ours for each other router, since among
     /// many the count of one moment says nothing of theirs. Guards against strain that no report tells. Harm:
     /// late, and noisy where we send little. A fetch of ours as long as its own excuses a pure writer.
     fn busy(&self, c: &Completion, w: &Worker, ease: f64) -> bool {
