--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -280,9 +280,9 @@
             node.push(KdlEntry::new(own.list));
             list.nodes_mut().push(node);
         }
-        let shape = self.shapes.iter().filter(|shape| shape.routers.contains(&own.number));
+        let shape = self.shapes.iter().rfind(|shape| shape.routers.contains(&own.number));
         let rules = document.get_mut("rules").and_then(|rules| rules.children_mut().as_mut());
-        if let Some((shape, rules)) = shape.last().zip(rules) {
+        if let Some((shape, rules)) = shape.zip(rules) {
             for (name, value) in &shape.switches {
                 rules.nodes_mut().retain(|node| node.name().value() != *name);
                 let mut node = KdlNode::new(*name);
