Module: one measure of strain, one place for counts, a workload's factor once

Cause: read once more, what makes a worker strained was written for reports and again for our own counts, a dispatch's counts were kept in three places, and the factor of a workload's value was summed anew for each worker looked at. Change: strain, Worker::count and Stage::streams serve all; the factor is taken when a completion arrives.

--- a/src/control.rs
+++ b/src/control.rs
@@ -63,6 +63,12 @@
     Whole,
 }
 
+impl Stage {
+    fn streams(self) -> f64 {
+        f64::from(u8::from(self != Stage::Read))
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     Planned,
@@ -90,6 +96,9 @@
 struct Completion {
     facts: Arrival,
     target_ms: f64,
+    /// Factor of all bounds: the root of its workload's value over the mean of the values. Guards against strain
+    /// that takes the same share of every workload. Harm: the cheapest is refused most.
+    merit: f64,
     dispatches: Vec<Dispatch>,
     avoid: Vec<WorkerId>,
     /// The reader at which a state waits, and the final answer; `over` once that is given.
@@ -123,6 +132,16 @@
     forgot_ms: f64,
 }
 
+impl Worker {
+    /// Counts what a dispatch of ours brings here; what it takes away again is below 0.
+    fn count(&mut self, settings: &Settings, now_ms: f64, waiting: f64, streams: f64, prompt_tokens: f64) {
+        let over_ms = settings.fall_ms * MEAN_OVER;
+        self.waiting.add(waiting, now_ms, over_ms);
+        self.held.add(streams * prompt_tokens, now_ms, over_ms);
+        self.streams += streams;
+    }
+}
+
 /// A value and when it was set; most halve as time passes.
 #[derive(Clone, Copy, Default)]
 struct Stamped {
@@ -281,11 +300,15 @@
     }
 
     fn arrived(&mut self, facts: &Arrival, actions: &mut Vec<Action>) {
-        let Some(workload) = self.settings.workloads.get(facts.workload.0) else { return };
+        let workloads = &self.settings.workloads;
+        let Some(workload) = workloads.get(facts.workload.0) else { return };
+        let mean = workloads.iter().map(|w| w.value).sum::<f64>() / workloads.len() as f64;
+        let share = if mean > 0.0 { workload.value / mean } else { 1.0 };
         let target_ms = workload.latency_target_ms + workload.target_per_token_ms * facts.prompt_tokens;
         let completion = Completion {
             facts: facts.clone(),
             target_ms,
+            merit: share.sqrt(),
             dispatches: Vec::new(),
             avoid: Vec::new(),
             state_at: None,
@@ -303,16 +326,23 @@
         self.reconcile(facts.completion, actions);
     }
 
-    /// What waits there to be read, or the memory held where it writes, as a share of what makes it strained.
     fn reported(&mut self, id: &WorkerId, load: &LoadReport) {
-        let Some(w) = self.workers.get_mut(id) else { return };
+        let Some(w) = self.workers.get(id) else { return };
         let memory = self.settings.kinds[w.listing.kind.0].memory_tokens;
         let queued = load.queue.map(|queue| queue * SHORT_READ_TOKENS);
         let tokens = load.waiting_kilotokens.map(|thousands| thousands * 1e3).or(queued).unwrap_or(0.0);
+        let held = load.memory_share.filter(|_| w.role != Role::Reader).unwrap_or(0.0) * memory;
+        let said = Stamped { value: self.strain(w, tokens, held), at_ms: self.now_ms };
+        self.workers.entry(id.clone()).and_modify(|w| w.said = said);
+    }
+
+    /// Tokens that wait there to be read or fetched, or those held where it writes, as a share of what makes it
+    /// strained.
+    fn strain(&self, w: &Worker, waiting: f64, held: f64) -> f64 {
+        let memory = self.settings.kinds[w.listing.kind.0].memory_tokens;
         let part = if w.role == Role::Reader { 1.0 } else { WRITER_BOUND };
-        let held = load.memory_share.filter(|_| w.role != Role::Reader).unwrap_or(0.0) / MEMORY_FULL;
-        let reading = tokens / (memory * READER_BOUND * part).max(1.0);
-        w.said = Stamped { value: reading.max(held), at_ms: self.now_ms };
+        let waiting = waiting / (memory * READER_BOUND * part).max(1.0);
+        waiting.max(held / (memory * MEMORY_FULL).max(1.0))
     }
 
     /// Who gave no answer in time is passed by; with the last one the decision goes on.
@@ -336,9 +366,8 @@
         c.state_at = None;
         let (worker, facts) = (d.worker.clone(), c.facts.clone());
         let tokens = std::mem::take(&mut d.tokens);
-        let over_ms = self.settings.fall_ms * MEAN_OVER;
         if let Some(w) = self.workers.get_mut(&worker) {
-            w.waiting.add(-tokens, self.now_ms, over_ms);
+            w.count(&self.settings, self.now_ms, -tokens, 0.0, 0.0);
             if w.role == Role::Mixed {
                 self.remember(&facts, &worker);
             }
@@ -357,12 +386,8 @@
         d.may_have_run &= !matches!(outcome, Full | NoState | ConnectFailed | Moot | Read);
         let tokens = std::mem::take(&mut d.tokens);
         c.over |= over;
-        let over_ms = self.settings.fall_ms * MEAN_OVER;
         if let Some(w) = self.workers.get_mut(&worker) {
-            w.waiting.add(-tokens, self.now_ms, over_ms);
-            let writes = f64::from(u8::from(stage != Stage::Read));
-            w.held.add(-writes * c.facts.prompt_tokens, self.now_ms, over_ms);
-            w.streams -= writes;
+            w.count(&self.settings, self.now_ms, -tokens, -stage.streams(), c.facts.prompt_tokens);
             // What was turned away is no sign of what a worker carries.
             w.sent.value = (w.sent.value - f64::from(u8::from(outcome == Full))).max(0.0);
         }
@@ -488,7 +513,7 @@
         // What finds little kept costs the readers most and is passed on or refused first, lest shared texts
         // are crowded out. Harm: under strain a text that no reader keeps waits longest.
         let share = |reader: &WorkerId| self.believed(c, reader) / c.facts.prompt_tokens.max(1.0);
-        let ease = |reader: &WorkerId| self.merit(c) * (EASE_COLD + EASE_KEPT * share(reader));
+        let ease = |reader: &WorkerId| c.merit * (EASE_COLD + EASE_KEPT * share(reader));
         let free = |reader: &&WorkerId| !self.busy(c, &self.workers[*reader], ease(reader));
         let free: Vec<_> = all.iter().filter(free).collect();
         let writes = |reader: &&&WorkerId, fits| self.writer_near(c, reader, fits).is_some();
@@ -555,33 +580,20 @@
     fn strained(&self, c: &Completion, id: &WorkerId, crowded_fits: bool) -> bool {
         let Some(w) = self.workers.get(id) else { return true };
         let crowded = w.streams > self.median_streams() + 1.0;
-        crowded && !crowded_fits || self.busy(c, w, self.merit(c))
-    }
-
-    /// Factor of all bounds for a completion: the root of its workload's value over the mean of the values.
-    /// Guards against strain that takes the same share of every workload. Harm: the cheapest is refused most.
-    fn merit(&self, c: &Completion) -> f64 {
-        let workloads = &self.settings.workloads;
-        let mean = workloads.iter().map(|w| w.value).sum::<f64>() / workloads.len().max(1) as f64;
-        let share = if mean > 0.0 { workloads[c.facts.workload.0].value / mean } else { 1.0 };
-        share.sqrt()
+        crowded && !crowded_fits || self.busy(c, w, c.merit)
     }
 
     /// By what it says and by our counts: ours now, and the mean of ours for each other router, since among
     /// many the count of one moment says nothing of theirs. Guards against strain that no report tells. Harm:
     /// late, and noisy where we send little. A fetch of ours as long as its own excuses a pure writer.
     fn busy(&self, c: &Completion, w: &Worker, ease: f64) -> bool {
-        let memory = self.settings.kinds[w.listing.kind.0].memory_tokens;
         let over_ms = self.settings.fall_ms * MEAN_OVER;
         let others = self.settings.routers.max(1) as f64 - 1.0;
         let all = |ours: &Averaged| ours.value + others * ours.mean(self.now_ms, over_ms);
-        let part = if w.role == Role::Reader { 1.0 } else { WRITER_BOUND };
         let excused = if w.role == Role::Writer { c.facts.prompt_tokens } else { 0.0 };
         let waiting = all(&w.waiting) - w.waiting.value.min(excused);
-        let reading = waiting / (memory * READER_BOUND * part).max(1.0);
-        let guess = reading.max(all(&w.held) / (memory * MEMORY_FULL).max(1.0));
         let heard = self.heard(w);
-        let guess = (1.0 - heard / 2.0) * guess;
+        let guess = (1.0 - heard / 2.0) * self.strain(w, waiting, all(&w.held));
         (heard * w.said.value).max(guess) > ease * self.fresh_share(w).unwrap_or(1.0)
     }
 
@@ -745,7 +757,6 @@
 
     /// Emits what turns the present state of a completion into the wanted one.
     fn reconcile(&mut self, id: CompletionId, actions: &mut Vec<Action>) {
-        let over_ms = self.settings.fall_ms * MEAN_OVER;
         let Some(c) = self.completions.get_mut(&id) else { return };
         if let Some(answer) = c.answer.clone().filter(|_| !c.over) {
             actions.push(answer);
@@ -760,10 +771,8 @@
                     if let Some(w) = self.workers.get_mut(&d.worker) {
                         let value = w.sent.at(self.now_ms, self.settings.fall_ms) + 1.0;
                         w.sent = Stamped { value, at_ms: self.now_ms };
-                        let writes = f64::from(u8::from(d.stage != Stage::Read));
-                        w.streams += writes;
-                        w.held.add(writes * c.facts.prompt_tokens, self.now_ms, over_ms);
-                        w.waiting.add(d.tokens, self.now_ms, over_ms);
+                        let prompt_tokens = c.facts.prompt_tokens;
+                        w.count(&self.settings, self.now_ms, d.tokens, d.stage.streams(), prompt_tokens);
                     }
                 }
                 Phase::Planned => d.phase = Phase::Ended,
