Shapes of routers are played in virtual time too, and are looked up in one place

Change: one table of switches serves documents and virtual time (DaySettings::router_of), the emulator's routers take their shape and hear no reports where it says so; one function sets a line; the check of fall-multiple needs no detour, since what is no finite number is refused before.

--- a/crates/day/src/audit.rs
+++ b/crates/day/src/audit.rs
@@ -75,10 +75,10 @@
             cold_share: s.cold_share,
             cold_ms: s.cold_ms,
             workloads: rows.map(workload).collect(),
-            shapes: match day.shapes.is_empty() {
-                true => Vec::new(),
-                false => (0..day.routers).map(|router| day.shape_of(router).to_owned()).collect(),
-            },
+            shapes: (0..day.routers)
+                .filter(|_| !day.shapes.is_empty())
+                .map(|router| day.shape_of(router).to_owned())
+                .collect(),
         }
     }
 
--- a/crates/day/src/report.rs
+++ b/crates/day/src/report.rs
@@ -5,6 +5,7 @@
 
 use hdrhistogram::Histogram;
 use paddleproxy_fleet::record::{Line, What};
+use paddleproxy_settings::day::TEMPLATE;
 use serde::Serialize;
 
 use crate::audit::{rules, Facts, Rule};
@@ -85,7 +86,8 @@
         customers: by(&ops, |op| op.customer.to_owned()),
         shapes: match facts.shapes.is_empty() {
             true => Vec::new(),
-            false => by(&ops, |op| facts.shapes.get(op.router).cloned().unwrap_or_default()),
+            // Beyond the day's own, where one is rehearsed with more of them, routers are as the template says.
+            false => by(&ops, |op| facts.shapes.get(op.router).map_or(TEMPLATE, |name| name).to_owned()),
         },
         troubles,
     }
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -225,6 +225,8 @@
     pub up: bool,
     pub boot: u64,
     pub zone: usize,
+    /// Whether it hears what servers say of their load.
+    reports: bool,
     ledger: Ledger<Box<dyn Decisions>>,
     membership: Membership,
     admission: Admission,
@@ -364,6 +366,7 @@
             up: false,
             boot: 0,
             zone: number % zones,
+            reports: day.router_of(number).reports,
             ledger: ledger(&day, &options, number, routers, 0, &truth),
             membership: membership(&day),
             admission: admission(&day),
@@ -834,6 +837,9 @@
     }
 
     fn report(&mut self, router: usize, boot: u64, server: usize) {
+        if !self.routers[router].reports {
+            return;
+        }
         let every_ms = self.day.fleet.report_every_ms;
         let mut load = self.nodes[server].model.load(self.now_ms, every_ms);
         let noise = self.day.fleet.report_noise;
@@ -1415,7 +1421,7 @@
         routers,
         own_number: number,
         zone: Some(paddleproxy::interface::ZoneId(number % zones)),
-        ..day.router.decisions.clone()
+        ..day.router_of(number).decisions
     };
     let decisions = options.policy.decisions(&settings, seed(options.seed, 100 + boot, number as u64), truth);
     Ledger::with(decisions, settings, day.router.front.answer_slack_ms)
--- a/crates/emulator/tests/days.rs
+++ b/crates/emulator/tests/days.rs
@@ -181,3 +181,23 @@
     assert!(finished(&run) > 0.97 && run.overdue == 0, "{}", finished(&run));
     assert!((run.mean_in_hand / run.rate_times_stay - 1.0).abs() < 0.2);
 }
+
+/// A shape is what its switches say: all routers in it play as if the template said so, and not as without it.
+#[test]
+fn routers_run_in_their_shape() {
+    let played = |change: &dyn Fn(&mut DaySettings)| {
+        let mut day = (*day("both-shapes")).clone();
+        change(&mut day);
+        run(&Rc::new(day), &Options::default()).lines
+    };
+    let all_in_it = played(&|day| day.shapes[0].routers = (0..day.routers).collect());
+    let template = played(&|day| day.shapes.clear());
+    let switched = played(&|day| {
+        day.shapes.clear();
+        let s = &mut day.router.decisions;
+        (s.probes_allowed, s.weights_act, s.second_copies, day.router.reports) = (false, false, false, false);
+    });
+    let half = played(&|_| ());
+    assert!(all_in_it == switched);
+    assert!(all_in_it != template && half != template && half != all_in_it);
+}
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -2,11 +2,11 @@
 
 use std::path::Path;
 
-use kdl::{KdlDocument, KdlEntry, KdlNode};
+use kdl::{KdlDocument, KdlEntry, KdlNode, KdlValue};
 
 use crate::fleet::{fleet, FleetSettings};
 use crate::reader::{Block, Count, Millis, Problems, Share, Source};
-use crate::router::{router, RouterSettings};
+use crate::router::{router, RouterSettings, Switch, SWITCHES};
 use crate::{text_of, Error};
 
 #[derive(Clone, Debug)]
@@ -36,11 +36,11 @@
 pub struct Shape {
     pub name: String,
     pub routers: Vec<usize>,
-    switches: Vec<(&'static str, bool)>,
+    switches: Vec<(&'static str, Switch, bool)>,
 }
 
-/// What a shape may switch; the figures of the rules are the same for all, for they are judged by one measure.
-const SWITCHES: [&str; 5] = ["probes", "reports", "weights", "second-copies", "holds"];
+/// Name of the shape of routers that run as the template says.
+pub const TEMPLATE: &str = "template";
 
 /// One stream of requests: sessions of some turns, each turn a request.
 #[derive(Clone, Debug)]
@@ -250,51 +250,58 @@
 }
 
 impl DaySettings {
+    fn shape(&self, router: usize) -> Option<&Shape> {
+        self.shapes.iter().rfind(|shape| shape.routers.contains(&router))
+    }
+
     /// Name of the shape in which a router runs.
     pub fn shape_of(&self, router: usize) -> &str {
-        let shape = self.shapes.iter().rfind(|shape| shape.routers.contains(&router));
-        shape.map_or("template", |shape| &shape.name)
+        self.shape(router).map_or(TEMPLATE, |shape| &shape.name)
+    }
+
+    /// The template as it is for one router in its shape.
+    pub fn router_of(&self, router: usize) -> RouterSettings {
+        let mut settings = self.router.clone();
+        for (_, switch, on) in self.shape(router).map_or(&[][..], |shape| &shape.switches) {
+            *switch(&mut settings) = *on;
+        }
+        settings
     }
 
     /// The document of one router of this day.
     pub fn router_document(&self, own: &Own) -> String {
         let mut document = self.router_nodes.clone();
-        let mut set = |name: &str, value: KdlEntry| {
-            document.nodes_mut().retain(|node| node.name().value() != name);
-            let mut node = KdlNode::new(name);
-            node.push(value);
-            document.nodes_mut().push(node);
-        };
-        set("number", KdlEntry::new(own.number as i128));
-        set("routers", KdlEntry::new(self.routers as i128));
-        set("zone", KdlEntry::new(own.zone));
-        set("listen", KdlEntry::new(own.listen));
-        set("state-dir", KdlEntry::new(own.state_dir));
-        set("seed", KdlEntry::new(i128::from(own.seed)));
+        set(&mut document, "number", own.number as i128);
+        set(&mut document, "routers", self.routers as i128);
+        set(&mut document, "zone", own.zone);
+        set(&mut document, "listen", own.listen);
+        set(&mut document, "state-dir", own.state_dir);
+        set(&mut document, "seed", i128::from(own.seed));
         if let Some(admin) = own.admin {
-            set("admin", KdlEntry::new(admin));
-        }
-        if let Some(list) = document.get_mut("list").and_then(|list| list.children_mut().as_mut()) {
-            list.nodes_mut().retain(|node| node.name().value() != "service");
-            let mut node = KdlNode::new("service");
-            node.push(KdlEntry::new(own.list));
-            list.nodes_mut().push(node);
+            set(&mut document, "admin", admin);
         }
-        let shape = self.shapes.iter().rfind(|shape| shape.routers.contains(&own.number));
-        let rules = document.get_mut("rules").and_then(|rules| rules.children_mut().as_mut());
-        if let Some((shape, rules)) = shape.zip(rules) {
-            for (name, value) in &shape.switches {
-                rules.nodes_mut().retain(|node| node.name().value() != *name);
-                let mut node = KdlNode::new(*name);
-                node.push(KdlEntry::new(*value));
-                rules.nodes_mut().push(node);
+        let mut within = |name, line, value: KdlValue| {
+            if let Some(block) = document.get_mut(name).and_then(|block| block.children_mut().as_mut()) {
+                set(block, line, value);
             }
+        };
+        within("list", "service", own.list.into());
+        for (name, _, on) in self.shape(own.number).map_or(&[][..], |shape| &shape.switches) {
+            within("rules", name, (*on).into());
         }
         document.autoformat();
         document.to_string()
     }
 }
 
+/// Puts a line into a block in place of what it said there before.
+fn set(block: &mut KdlDocument, name: &str, value: impl Into<KdlValue>) {
+    block.nodes_mut().retain(|node| node.name().value() != name);
+    let mut node = KdlNode::new(name);
+    node.push(KdlEntry::new(value));
+    block.nodes_mut().push(node);
+}
+
 /// Time one way on a network that is not described, in ms.
 const NETWORK_MS: f64 = 0.3;
 
@@ -310,7 +317,6 @@
     head.done();
     if routers == 0 || routers > 64 {
         head.problem("'routers' must be from 1 to 64");
-        return None;
     }
     let template = top.need_block("router");
     let router_nodes = template.as_ref().and_then(|block| block.node()?.children().cloned());
@@ -359,9 +365,10 @@
         numbers
     });
     if numbers.is_empty() || numbers.iter().any(|number| *number >= routers) {
-        block.problem_of("routers", format!("'routers' names some of the day's, from 0 to {}", routers - 1));
+        let last = routers.saturating_sub(1);
+        block.problem_of("routers", format!("'routers' names some of the day's, from 0 to {last}"));
     }
-    let switch = |name| block.maybe::<bool>(name).map(|value| (name, value));
+    let switch = |(name, switch)| block.maybe::<bool>(name).map(|on| (name, switch, on));
     let switches = SWITCHES.into_iter().filter_map(switch).collect();
     let name = block.argument().unwrap_or_default();
     block.done();
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -35,6 +35,19 @@
     pub reports: bool,
 }
 
+/// A switch of `rules`.
+pub(crate) type Switch = fn(&mut RouterSettings) -> &mut bool;
+
+/// What may differ between routers before the same servers. The figures of the rules are one for all, for they are
+/// judged by one measure.
+pub(crate) const SWITCHES: [(&str, Switch); 5] = [
+    ("probes", |router| &mut router.decisions.probes_allowed),
+    ("reports", |router| &mut router.reports),
+    ("weights", |router| &mut router.decisions.weights_act),
+    ("second-copies", |router| &mut router.decisions.second_copies),
+    ("holds", |router| &mut router.decisions.holds_allowed),
+];
+
 /// When a word on the list of servers is believed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct MembershipRules {
@@ -237,8 +250,7 @@
     }
     for (name, wrong) in [
         ("max-dispatches", decisions.max_dispatches == 0),
-        // Not above, rather than at most: what is no number is refused too.
-        ("fall-multiple", decisions.fall_multiple.partial_cmp(&0.0) != Some(std::cmp::Ordering::Greater)),
+        ("fall-multiple", decisions.fall_multiple <= 0.0),
         ("pin-limit", decisions.pin_limit_ms <= 0.0),
         ("resolution", decisions.resolution_ms <= 0.0),
         ("fall-after", decisions.fall_ms <= 0.0),
--- a/crates/settings/tests/documents.rs
+++ b/crates/settings/tests/documents.rs
@@ -1,5 +1,6 @@
 //! Wrong documents: every problem is found, with its place, what stood there and what is allowed.
 
+use paddleproxy_settings::day::Own;
 use paddleproxy_settings::{fleet, router};
 
 const ROUTER: &str = include_str!("router.kdl");
@@ -109,6 +110,22 @@
     };
     let good = day("shape \"new\" {\n    routers 1\n    probes #false\n}").unwrap();
     assert_eq!((good.shape_of(0), good.shape_of(1)), ("template", "new"));
+    // In virtual time and in a process of its own a router runs in the same shape.
+    let all = day(
+        "shape \"new\" {\n    routers 1\n    probes #false\n    reports #false\n    weights #false\n    \
+        second-copies #false\n    holds #false\n}",
+    )
+    .unwrap();
+    let shape = |router: &router::RouterSettings| {
+        let s = &router.decisions;
+        [s.probes_allowed, router.reports, s.weights_act, s.second_copies, s.holds_allowed]
+    };
+    for (number, on) in [(0, true), (1, false)] {
+        let (zone, list, listen) = ("north", "127.0.0.1:9", "127.0.0.1:0");
+        let own = Own { number, zone, list, listen, admin: None, state_dir: "s", seed: 1 };
+        let read = router::parse("r.kdl", &all.router_document(&own)).unwrap();
+        assert_eq!((shape(&all.router_of(number)), shape(&read)), ([on; 5], [on; 5]));
+    }
     let wrong = [
         "shape \"new\" {\n    routers 2\n}",
         "shape \"new\" {\n}",
--- a/src/control.rs
+++ b/src/control.rs
@@ -96,8 +96,8 @@
 struct Completion {
     facts: Arrival,
     target_ms: f64,
-    /// Factor of all bounds: the root of its workload's value over the mean of the values. Guards against strain
-    /// that takes the same share of every workload. Harm: the cheapest is refused most.
+    /// Factor of all bounds: the root of its workload's value over the mean of the values. Guards against
+    /// strain that takes the same share of every workload. Harm: the cheapest is refused most.
     merit: f64,
     dispatches: Vec<Dispatch>,
     avoid: Vec<WorkerId>,
@@ -336,8 +336,8 @@
         self.workers.entry(id.clone()).and_modify(|w| w.said = said);
     }
 
-    /// Tokens that wait there to be read or fetched, or those held where it writes, as a share of what makes it
-    /// strained.
+    /// Tokens that wait there to be read or fetched, or those held where it writes, as a share of what makes
+    /// it strained.
     fn strain(&self, w: &Worker, waiting: f64, held: f64) -> f64 {
         let memory = self.settings.kinds[w.listing.kind.0].memory_tokens;
         let part = if w.role == Role::Reader { 1.0 } else { WRITER_BOUND };
