--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -70,6 +70,12 @@
         #[arg(long)]
         config: PathBuf,
     },
+    /// Runs one router on the operators' platform, by the configuration that EDGE_CONFIG names, until SIGTERM.
+    Platform {
+        /// Instead of the file that EDGE_CONFIG names.
+        #[arg(long)]
+        config: Option<PathBuf>,
+    },
     /// What routers know of their servers, and where they have it from.
     Status {
         /// Admin addresses of routers.
@@ -223,6 +229,7 @@
     };
     let done = match arguments.command {
         Command::Serve { config } => run::serve(&config, set_log),
+        Command::Platform { config } => run::platform(config),
         Command::Store { what, dir, format } => stores::run(what, &dir, format == Format::Json),
         Command::Status { routers, format } => operators::status(&routers, format == Format::Json),
         Command::Workers { what, name, routers, format } => {
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -56,6 +56,15 @@
     Ok(true)
 }
 
+/// One router on the platform, by the configuration given or the one that the environment names.
+pub fn platform(config: Option<PathBuf>) -> Result<bool> {
+    let named = || std::env::var_os("EDGE_CONFIG").map(PathBuf::from);
+    let config =
+        config.or_else(named).context("EDGE_CONFIG: names no configuration, and neither does --config")?;
+    on_one_thread(async move { paddleproxy_gateway::run(&config).await })?;
+    Ok(true)
+}
+
 pub fn check(files: &[PathBuf], as_json: bool) -> Result<bool> {
     let mut good = true;
     let mut rows = Vec::new();
--- a/crates/drill/src/main.rs
+++ b/crates/drill/src/main.rs
@@ -1,6 +1,5 @@
 //! Runs one `Control` for each router behind the simulator's wire; decides nothing.
 
-mod settings;
 mod wire;
 
 use std::io::{stdin, stdout, BufReader, BufWriter};
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -10,7 +10,8 @@
 use paddleproxy::interface::*;
 use paddleproxy::Control;
 
-use crate::settings::{self, Provision};
+use paddleproxy_platform::report;
+use paddleproxy_platform::settings::{self, Provision};
 
 /// One router: its decisions and the wire's names for rows of its settings. None once it has failed.
 struct Instance {
@@ -382,15 +383,7 @@
                 .split_once(':')
                 .and_then(|(name, value)| Some((name, value.parse::<f64>().ok()?)))
                 .ok_or_else(|| anyhow!("field server_stats: '{pair}' is no pair"))?;
-            match name {
-                "busy_reqs" => load.in_hand = Some(value),
-                "pending" => load.queue = Some(value),
-                "cpu_share" => load.slots_share = Some(value),
-                "svc_ms" => load.latency_ms = Some(value),
-                "x0" => load.memory_share = Some(value),
-                "x1" => load.waiting_kilotokens = Some(value),
-                _ => {}
-            }
+            report::set(&mut load, name, value);
         }
         Ok(Some(Event::Reported { worker: self.worker(worker), load }))
     }
--- /dev/null
+++ b/crates/gateway/src/core.rs
@@ -0,0 +1,401 @@
+//! The core: one task that owns the book and where workers are reached. Everything else sends it what happened over
+//! one bounded channel; it says what the sockets do.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use paddleproxy::interface::*;
+use paddleproxy_engine::StateReference;
+use paddleproxy_platform::{report, List, Provision};
+use paddleproxy_router::book::Book;
+use paddleproxy_router::clock::{duration, Clock};
+use paddleproxy_router::duty::Duty;
+use paddleproxy_routing::{Effect, Input, Ledger, Sending, SocketEnd};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+use tracing::{debug, info, warn};
+
+use crate::discovery::Ask as AskList;
+use crate::dispatch::{pieces, Ask, Dispatch, End, Reply, Word};
+use crate::pool::Pool;
+
+/// What the core is told.
+pub enum Told {
+    Arrived {
+        arrival: Arrival,
+        ask: Rc<Ask>,
+        duty: Duty<Reply>,
+    },
+    Began {
+        completion: CompletionId,
+        seq: Seq,
+        took_ms: f64,
+    },
+    Ended {
+        completion: CompletionId,
+        seq: Seq,
+        took_ms: f64,
+        end: End,
+    },
+    Left {
+        completion: CompletionId,
+    },
+    Probed {
+        worker: WorkerId,
+        load: Option<LoadReport>,
+        answered: bool,
+        took_ms: f64,
+    },
+    HoldAnswered {
+        completion: CompletionId,
+        seq: Seq,
+        worker: WorkerId,
+        ask: Rc<Ask>,
+        held: bool,
+    },
+    /// What discovery says.
+    Listed(List),
+    Settings(Box<Provision>),
+    /// Open work, and figures for the log.
+    Tell(oneshot::Sender<(usize, String)>),
+}
+
+pub type ToCore = mpsc::Sender<Told>;
+
+pub struct Core {
+    book: Book,
+    provision: Provision,
+    pool: Rc<Pool>,
+    owed: BTreeMap<CompletionId, Duty<Reply>>,
+    asks: BTreeMap<CompletionId, Rc<Ask>>,
+    words: BTreeMap<(CompletionId, Seq), mpsc::Sender<Word>>,
+    /// Where the listed workers are reached.
+    dials: BTreeMap<WorkerId, Option<SocketAddr>>,
+    outcomes: BTreeMap<&'static str, u64>,
+    /// Releases that no worker has taken yet.
+    releasing: Rc<Cell<usize>>,
+    own: ToCore,
+    lists: mpsc::Sender<AskList>,
+}
+
+impl Core {
+    pub fn new(
+        provision: Provision,
+        clock: Clock,
+        seed: u64,
+        pool: Rc<Pool>,
+        own: ToCore,
+        lists: mpsc::Sender<AskList>,
+    ) -> Self {
+        let ledger = Ledger::new(provision.settings.clone(), provision.answer_slack_ms, seed);
+        Core {
+            book: Book::new(clock, ledger),
+            provision,
+            pool,
+            owed: BTreeMap::new(),
+            asks: BTreeMap::new(),
+            words: BTreeMap::new(),
+            dials: BTreeMap::new(),
+            outcomes: BTreeMap::new(),
+            releasing: Rc::default(),
+            own,
+            lists,
+        }
+    }
+
+    pub async fn run(mut self, mut told: mpsc::Receiver<Told>) {
+        loop {
+            tokio::select! {
+                biased;
+                due = self.book.due() => self.handle(Input::Due(due)),
+                next = told.recv() => match next {
+                    Some(next) => self.take(next),
+                    None => return,
+                },
+            }
+        }
+    }
+
+    fn take(&mut self, told: Told) {
+        match told {
+            Told::Arrived { arrival, ask, duty } => {
+                debug!(
+                    completion = arrival.completion.0,
+                    id = ask.id,
+                    prompt = arrival.prompt_tokens,
+                    "arrived"
+                );
+                self.owed.insert(arrival.completion, duty);
+                self.asks.insert(arrival.completion, ask);
+                self.handle(Input::Arrived { arrival, streamed: true });
+            }
+            Told::Began { completion, seq, took_ms } => {
+                self.handle(Input::Began { completion, seq, took_ms })
+            }
+            Told::Ended { completion, seq, took_ms, end } => self.ended(completion, seq, took_ms, end),
+            Told::Left { completion } => {
+                debug!(completion = completion.0, "the client left");
+                // Nobody waits for an answer any more, so none is lost.
+                self.owed.remove(&completion).into_iter().for_each(Duty::void);
+                self.handle(Input::Left { completion });
+            }
+            Told::Probed { worker, load, answered, took_ms } => {
+                self.reported(&worker, load);
+                self.handle(Input::Probed { worker, answered, took_ms });
+            }
+            Told::HoldAnswered { completion, seq, worker, ask, held } => {
+                // A place that is no longer wanted is let go of by the same id.
+                let over = !self.asks.contains_key(&completion);
+                self.asks.entry(completion).or_insert(ask);
+                self.handle(Input::HoldAnswered { completion, seq, worker, held });
+                if over {
+                    self.asks.remove(&completion);
+                }
+            }
+            Told::Listed(list) => {
+                let kind = if list.whole { ListKind::Whole } else { ListKind::Changes };
+                self.listed(list, kind);
+            }
+            Told::Settings(provision) => {
+                self.provision = *provision;
+                self.handle(Input::Settings(Box::new(self.provision.settings.clone())));
+            }
+            Told::Tell(to) => {
+                let figures = format!(
+                    "{:?}; owed {}, outcomes {:?}, connections {} held and {} opened",
+                    self.book.counts(),
+                    self.owed.len(),
+                    self.outcomes,
+                    self.pool.held(),
+                    self.pool.opened.get(),
+                );
+                let _ = to.send((self.book.open() + self.releasing.get(), figures));
+            }
+        }
+    }
+
+    pub fn listed(&mut self, list: List, kind: ListKind) {
+        if list.unknown > 0 {
+            warn!(
+                version = list.version,
+                unknown = list.unknown,
+                "entries that name what the settings don't"
+            );
+        }
+        if kind != ListKind::Changes {
+            let named = |worker: &WorkerId| list.rows.iter().any(|row| row.listing.worker == *worker);
+            self.dials.retain(|worker, _| named(worker));
+        }
+        for row in &list.rows {
+            let worker = row.listing.worker.clone();
+            if row.listing.readiness == Readiness::Gone {
+                self.dials.remove(&worker);
+            } else {
+                self.dials.insert(worker, row.dial);
+            }
+        }
+        debug!(version = list.version, ?kind, rows = list.rows.len(), "list");
+        let rows = list.rows.into_iter().map(|row| row.listing).collect();
+        self.handle(Input::Listed { kind, rows });
+    }
+
+    fn ended(&mut self, completion: CompletionId, seq: Seq, took_ms: f64, end: End) {
+        let End { end, kept_tokens, load } = end;
+        self.words.remove(&(completion, seq));
+        let worker = self.book.worker(completion, seq).cloned();
+        debug!(
+            completion = completion.0,
+            seq = seq.0,
+            worker = worker.as_ref().map_or("", |worker| &worker.0),
+            ?end,
+            took_ms,
+            kept_tokens,
+            ?load,
+            "ended"
+        );
+        *self.outcomes.entry(name(&end)).or_default() += 1;
+        if let Some(worker) = worker {
+            self.reported(&worker, load);
+        }
+        // Workers know a state by the id of its completion alone, so the reference has nothing to tell.
+        let state = (end == SocketEnd::ReadDone).then(StateReference::default);
+        self.handle(Input::Ended { completion, seq, took_ms, end, kept_tokens, state });
+    }
+
+    fn reported(&mut self, worker: &WorkerId, load: Option<LoadReport>) {
+        if let Some(load) = load.filter(|_| self.provision.reports) {
+            self.handle(Input::Reported { worker: worker.clone(), load });
+        }
+    }
+
+    fn handle(&mut self, input: Input) {
+        for effect in self.book.handle(input) {
+            self.carry_out(effect);
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Send(sending) => self.send(sending),
+            Effect::Stop { completion, seq } => {
+                if let Some(words) = self.words.get(&(completion, seq)) {
+                    // Room for one grant and one stop; a second stop says nothing new.
+                    let _ = words.try_send(Word::Stop);
+                }
+            }
+            Effect::Grant { completion, seq } => {
+                let Some(duty) = self.owed.remove(&completion) else { return };
+                let (sender, receiver) = pieces();
+                if let Some(words) = self.words.get(&(completion, seq)) {
+                    let _ = words.try_send(Word::Grant(sender));
+                }
+                duty.give(Reply::Stream(receiver));
+            }
+            Effect::RateLimit { completion, retry_after_ms } => {
+                debug!(completion = completion.0, retry_after_ms, "rate-limited");
+                let owed = self.owed.remove(&completion);
+                owed.into_iter().for_each(|duty| duty.give(Reply::RateLimited { retry_after_ms }));
+            }
+            // A whole answer is never delivered here: each is a stream that is granted.
+            Effect::Abort { completion } | Effect::Deliver { completion, .. } => {
+                debug!(completion = completion.0, "aborted");
+                self.owed.remove(&completion).into_iter().for_each(|duty| duty.give(Reply::Aborted));
+            }
+            Effect::Forget { completion } => {
+                self.owed.remove(&completion);
+                self.asks.remove(&completion);
+            }
+            Effect::Release { worker, completion, .. } => self.release(&worker, completion),
+            Effect::Hold { worker, completion, seq, .. } => self.hold(worker, completion, seq),
+            Effect::Probe { worker } => self.probe(worker),
+            Effect::CloseIdle { worker } => {
+                let dial = self.dials.get(&worker).copied().flatten();
+                dial.into_iter().for_each(|address| self.pool.close_idle(address));
+            }
+            // A discovery task with that many words waiting is about to ask anyway.
+            Effect::Subscribe | Effect::FetchList => drop(self.lists.try_send(AskList::Whole)),
+            Effect::Note(text) => info!(text, "decisions"),
+            // The book has set its timers; nothing is kept on a disk here.
+            Effect::Arm { .. } | Effect::Keeps { .. } => {}
+        }
+    }
+
+    fn send(&mut self, sending: Sending) {
+        let (completion, seq) = (sending.completion, sending.seq);
+        let Some(ask) = self.asks.get(&completion).cloned() else { return };
+        let (sender, words) = mpsc::channel(2);
+        self.words.insert((completion, seq), sender);
+        debug!(completion = completion.0, seq = seq.0, worker = %sending.worker.0, stage = ?sending.stage, "dispatch");
+        let dispatch = Dispatch {
+            address: self.dials.get(&sending.worker).copied().flatten(),
+            sending,
+            ask,
+            words,
+            pool: self.pool.clone(),
+            clock: self.book.clock,
+            core: self.own.clone(),
+            kept_tokens: 0.0,
+            load: None,
+        };
+        tokio::task::spawn_local(dispatch.run());
+    }
+
+    /// Any worker lets go of all that is held by an id, at whichever worker: where the named one does not take the
+    /// call, the next is told, for as long as the limit on what is held allows.
+    fn release(&self, worker: &WorkerId, completion: CompletionId) {
+        let Some(ask) = self.asks.get(&completion) else { return };
+        let path = room(&ask.id);
+        let named = self.dials.get(worker).copied().flatten();
+        let others = self.dials.values().copied().flatten().filter(|address| Some(*address) != named);
+        let to: Vec<_> = named.into_iter().chain(others).take(RELEASES).collect();
+        let (pool, pin_ms) = (self.pool.clone(), self.provision.settings.pin_limit_ms);
+        let releasing = self.releasing.clone();
+        releasing.set(releasing.get() + 1);
+        tokio::task::spawn_local(async move {
+            let each_ms = pin_ms / RELEASES as f64;
+            let mut heard = false;
+            for address in to {
+                let began = Instant::now();
+                let answer = pool.call(address, "DELETE", &path, each_ms).await;
+                heard = answer.is_ok_and(|(head, _)| head.status < 300);
+                if heard {
+                    break;
+                }
+                tokio::time::sleep_until(began + duration(each_ms / 2.0)).await;
+            }
+            if !heard {
+                debug!(path, "a release was not heard");
+            }
+            releasing.set(releasing.get() - 1);
+        });
+    }
+
+    fn hold(&self, worker: WorkerId, completion: CompletionId, seq: Seq) {
+        let Some(ask) = self.asks.get(&completion).cloned() else { return };
+        let Some(address) = self.dials.get(&worker).copied().flatten() else { return };
+        let (pool, core) = (self.pool.clone(), self.own.clone());
+        let within_ms = self.provision.settings.pin_limit_ms;
+        tokio::task::spawn_local(async move {
+            let status =
+                pool.call(address, "POST", &room(&ask.id), within_ms).await.map(|(head, _)| head.status);
+            // What is not known may be held; a worker that can't be heard gives no answer.
+            let held = match status {
+                Ok(200 | 204) => true,
+                Ok(409) => false,
+                _ => return,
+            };
+            let _ = core.send(Told::HoldAnswered { completion, seq, worker, ask, held }).await;
+        });
+    }
+
+    fn probe(&self, worker: WorkerId) {
+        let address = self.dials.get(&worker).copied().flatten();
+        let path = if self.provision.reports { "/_load" } else { "/ping" };
+        let (pool, core) = (self.pool.clone(), self.own.clone());
+        tokio::task::spawn_local(async move {
+            let began = Instant::now();
+            let answer = match address {
+                Some(address) => pool.call(address, "GET", path, pool.connect_ms()).await.ok(),
+                None => None,
+            };
+            let took_ms = began.elapsed().as_secs_f64() * 1e3;
+            let answered = answer.as_ref().is_some_and(|(head, _)| head.status == 200);
+            let load = answer.and_then(|(head, body)| {
+                head.load.or_else(|| std::str::from_utf8(&body).ok().and_then(report::parse))
+            });
+            let _ = core.send(Told::Probed { worker, load, answered, took_ms }).await;
+        });
+    }
+}
+
+/// Workers that are told to let go before it counts as not heard: as many as the time of the limit is cut into.
+const RELEASES: usize = 4;
+
+fn room(id: &str) -> String {
+    format!("/bootstrap/rooms/{id}")
+}
+
+/// For the log's figures.
+fn name(end: &SocketEnd) -> &'static str {
+    match end {
+        SocketEnd::ConnectRefused => "connect-refused",
+        SocketEnd::Unreachable => "unreachable",
+        SocketEnd::ConnectTimedOut => "connect-timed-out",
+        SocketEnd::NoAddress => "no-address",
+        SocketEnd::NeverWritten => "never-written",
+        SocketEnd::TurnedAway(paddleproxy_engine::Refusal::StateGone) => "state-gone",
+        SocketEnd::TurnedAway(_) => "full",
+        SocketEnd::ErrorStatus(_) => "error",
+        SocketEnd::BrokeBeforeAnswer => "broke-before-answer",
+        SocketEnd::BrokeWithinAnswer => "broke-within-answer",
+        SocketEnd::BrokeAfterFirst => "broke-after-first",
+        SocketEnd::Stalled => "stalled",
+        SocketEnd::TimedOut => "timed-out",
+        SocketEnd::Stopped => "stopped",
+        SocketEnd::Nonsense(_) => "nonsense",
+        SocketEnd::ReadDone => "read",
+        SocketEnd::AnswerDone => "finished",
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/discovery.rs
@@ -0,0 +1,175 @@
+//! Follows discovery: the whole list, then one watch after the other. Silence, a cut answer and what is no list leave
+//! the last good list in place, and asking goes on.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::BytesMut;
+use paddleproxy_platform::head::{self, Framing};
+use paddleproxy_platform::{Chunks, List, Provision, BODY_BYTES};
+use paddleproxy_router::clock::duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{sleep, timeout};
+use tracing::{info, warn};
+
+use crate::core::{ToCore, Told};
+use crate::limits::{ASK_AGAIN_MS, WATCH_MS, WATCH_SLACK_MS};
+use crate::pool::read;
+
+/// What the decisions want of discovery.
+pub enum Ask {
+    Whole,
+}
+
+/// Where discovery is, and the settings by which its lists are read.
+#[derive(Clone)]
+pub struct Source {
+    pub address: SocketAddr,
+    pub provision: Rc<Provision>,
+    /// Unix time at which the router's clock showed 0, in ms.
+    pub zero_ms: f64,
+}
+
+/// One call's answer on a connection that stays open.
+async fn call(
+    stream: &mut TcpStream,
+    address: SocketAddr,
+    path: &str,
+) -> Result<(u16, BytesMut, bool), String> {
+    let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
+    stream.write_all(request.as_bytes()).await.map_err(|cause| cause.to_string())?;
+    let (mut bytes, mut body) = (BytesMut::new(), BytesMut::new());
+    let mut chunks = Chunks::new(LIST_BYTES);
+    let mut head = None;
+    loop {
+        if head.is_none() {
+            head = head::answer(&mut bytes)?;
+        }
+        if let Some(head) = &head {
+            match head.framing {
+                Framing::Length(length) if length > LIST_BYTES => {
+                    return Err("a list that is too long".into())
+                }
+                Framing::Length(length) if bytes.len() >= length => {
+                    return Ok((head.status, bytes.split_to(length), !head.close && bytes.is_empty()));
+                }
+                Framing::Chunked
+                    if chunks.take(&mut bytes, &mut body).map_err(|cause| cause.to_string())? =>
+                {
+                    return Ok((head.status, body, !head.close && bytes.is_empty()));
+                }
+                _ => {}
+            }
+        }
+        if bytes.len() + body.len() > LIST_BYTES {
+            return Err("a list that is too long".into());
+        }
+        match (read(stream, &mut bytes).await, &head) {
+            (Ok(0), Some(head)) if head.framing == Framing::Close => return Ok((head.status, bytes, false)),
+            (Ok(0), _) => return Err("the answer was cut".into()),
+            (Ok(_), _) => {}
+            (Err(cause), _) => return Err(cause.to_string()),
+        }
+    }
+}
+
+/// Between an answer without news and the next watch, in ms: well within the time in which a watch goes on.
+const PACE_MS: f64 = 10.0;
+/// The most bytes of a list.
+const LIST_BYTES: usize = 4 * BODY_BYTES;
+
+/// Never returns while the core lives.
+pub async fn follow(
+    mut sources: watch::Receiver<Source>,
+    core: ToCore,
+    mut asked: mpsc::Receiver<Ask>,
+    first: oneshot::Sender<()>,
+) {
+    let mut first = Some(first);
+    let mut version: Option<u64> = None;
+    let mut stream: Option<TcpStream> = None;
+    let mut failing = false;
+    loop {
+        let source = sources.borrow_and_update().clone();
+        let address = source.address;
+        let path = match version {
+            None => "/catalog/members".to_owned(),
+            Some(version) => format!("/catalog/members?from={version}&hold_ms={WATCH_MS}"),
+        };
+        let within_ms = WATCH_SLACK_MS + if version.is_some() { WATCH_MS } else { 0.0 };
+        let exchange = async {
+            let mut open = match stream.take() {
+                Some(open) => open,
+                None => {
+                    let open = TcpStream::connect(address).await.map_err(|cause| cause.to_string())?;
+                    let _ = open.set_nodelay(true);
+                    open
+                }
+            };
+            let answer = call(&mut open, address, &path).await?;
+            Ok::<_, String>((answer, open))
+        };
+        let answer = tokio::select! {
+            biased;
+            changed = sources.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                if sources.borrow().address != address {
+                    // Versions of one address say nothing of another's.
+                    info!(from = %address, to = %sources.borrow().address, "discovery moves");
+                    version = None;
+                }
+                stream = None;
+                continue;
+            }
+            Some(Ask::Whole) = asked.recv() => {
+                version = None;
+                stream = None;
+                continue;
+            }
+            answer = timeout(duration(within_ms), exchange) => answer.unwrap_or(Err("no answer".into())),
+        };
+        let list = answer.and_then(|((status, body, stays), open)| {
+            if status != 200 {
+                return Err(format!("status {status}"));
+            }
+            let list = List::parse(&body, &source.provision, source.zero_ms)?;
+            if stays {
+                stream = Some(open);
+            }
+            Ok(list)
+        });
+        match list {
+            Ok(list) => {
+                if std::mem::take(&mut failing) {
+                    info!(%address, version = list.version, "discovery answers again");
+                }
+                // An older version of the same source never takes the place of a newer one.
+                let known = version.filter(|known| *known > list.version);
+                if known.is_none() && (list.whole || version.is_some()) {
+                    let news = list.whole || !list.rows.is_empty();
+                    version = Some(list.version);
+                    if !news {
+                        // One that answers a watch at once, with nothing, is not asked in a loop.
+                        sleep(duration(PACE_MS)).await;
+                    } else if core.send(Told::Listed(list)).await.is_err() {
+                        return;
+                    }
+                    let _ = first.take().map(|first| first.send(()));
+                } else {
+                    // Changes without a list that they build on, or a version that goes back: not now.
+                    sleep(duration(ASK_AGAIN_MS)).await;
+                }
+            }
+            Err(why) => {
+                if !std::mem::replace(&mut failing, true) {
+                    warn!(%address, why, "discovery does not answer; the last list stays");
+                }
+                sleep(duration(ASK_AGAIN_MS)).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/dispatch.rs
@@ -0,0 +1,275 @@
+//! One dispatch: a task that sends a completion to a worker and tells the core how it ended.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use paddleproxy::interface::LoadReport;
+use paddleproxy_platform::head::{AnswerHead, Framing};
+use paddleproxy_platform::request::refusal;
+use paddleproxy_platform::{Chunks, Events, BODY_BYTES};
+use paddleproxy_router::clock::{duration, Clock};
+use paddleproxy_router::duty::Answers;
+use paddleproxy_routing::{Pace, Sending, SocketEnd, Stage};
+use tokio::sync::mpsc;
+use tokio::time::{sleep_until, timeout, Instant};
+
+use crate::core::{ToCore, Told};
+use crate::limits::{DRAIN_MS, PIECES, SILENT_MS};
+use crate::pool::{Connection, Pool};
+
+/// What a client asked for, as workers are given it: unchanged.
+pub struct Ask {
+    pub id: String,
+    pub method: String,
+    pub target: String,
+    pub body: Bytes,
+    /// Gives the bytes back to the total when it ends.
+    pub _held: Held,
+}
+
+/// Bytes of open bodies.
+pub struct Held {
+    total: Rc<Cell<usize>>,
+    bytes: usize,
+}
+
+impl Held {
+    /// None where the total would pass the bound.
+    pub fn take(total: &Rc<Cell<usize>>, bytes: usize, most: usize) -> Option<Held> {
+        let sum = total.get().checked_add(bytes).filter(|sum| *sum <= most)?;
+        total.set(sum);
+        Some(Held { total: total.clone(), bytes })
+    }
+}
+
+impl Held {
+    /// Gives back what turned out not to be needed.
+    pub fn shrink(&mut self, bytes: usize) {
+        let less = self.bytes.saturating_sub(bytes);
+        self.total.set(self.total.get() - less);
+        self.bytes -= less;
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.total.set(self.total.get() - self.bytes);
+    }
+}
+
+/// A piece of a streamed answer for its client.
+pub enum Piece {
+    Events(Bytes),
+    /// The answer is whole. Without it the client's connection breaks off.
+    End,
+}
+
+/// What a client's connection is handed.
+pub enum Reply {
+    RateLimited { retry_after_ms: f64 },
+    Aborted,
+    Stream(mpsc::Receiver<Piece>),
+}
+
+impl Answers for Reply {
+    fn lost() -> Self {
+        Reply::Aborted
+    }
+}
+
+/// What the core tells a dispatch that is out.
+pub enum Word {
+    Grant(mpsc::Sender<Piece>),
+    Stop,
+}
+
+/// How it ended, with what it brought.
+pub struct End {
+    pub end: SocketEnd,
+    pub kept_tokens: f64,
+    pub load: Option<LoadReport>,
+}
+
+pub struct Dispatch {
+    pub sending: Sending,
+    pub address: Option<SocketAddr>,
+    pub ask: Rc<Ask>,
+    pub words: mpsc::Receiver<Word>,
+    pub pool: Rc<Pool>,
+    pub clock: Clock,
+    pub core: ToCore,
+    /// What it has learnt so far.
+    pub kept_tokens: f64,
+    pub load: Option<LoadReport>,
+}
+
+/// What is left of an answer that need not be waited for.
+type Rest = Option<(Connection, Framing)>;
+
+impl Dispatch {
+    pub async fn run(mut self) {
+        let sent = Instant::now();
+        let (completion, seq) = (self.sending.completion, self.sending.seq);
+        let (end, rest) = match self.carry(sent).await {
+            Ok((end, rest)) => (end, rest),
+            Err(end) => (end, None),
+        };
+        let took_ms = sent.elapsed().as_secs_f64() * 1e3;
+        let end = End { end, kept_tokens: self.kept_tokens, load: self.load };
+        // The core outlives its dispatches; if it does not, nobody is left to be told.
+        let _ = self.core.send(Told::Ended { completion, seq, took_ms, end }).await;
+        if let Some((mut connection, framing)) = rest {
+            let read = timeout(duration(DRAIN_MS), connection.body(framing)).await;
+            if matches!(read, Ok(Ok(_))) {
+                self.pool.keep(connection);
+            }
+        }
+    }
+
+    async fn carry(&mut self, sent: Instant) -> Result<(SocketEnd, Rest), SocketEnd> {
+        let address = self.address.ok_or(SocketEnd::NoAddress)?;
+        let until = self.clock.at(self.sending.until_ms);
+        let (pool, ask, until_ms, clock) =
+            (self.pool.clone(), self.ask.clone(), self.sending.until_ms, self.clock);
+        let exchange = async move {
+            let mut connection = pool.take(address).await?;
+            loop {
+                let head = request(&ask, until_ms - clock.now_ms());
+                if connection.write(&[head.as_bytes(), &ask.body]).await.is_ok() {
+                    break;
+                }
+                // No worker begins a request that has not come whole.
+                if !connection.used {
+                    return Err(SocketEnd::NeverWritten);
+                }
+                connection = pool.connect(address).await?;
+            }
+            let head = connection.head().await?;
+            Ok((connection, head))
+        };
+        let (connection, head) = tokio::select! {
+            biased;
+            _ = self.words.recv() => return Err(SocketEnd::Stopped),
+            answered = exchange => answered?,
+            () = sleep_until(until) => return Err(SocketEnd::TimedOut),
+        };
+        self.load = head.load;
+        if let Some(end) = refusal(head.status, head.declined) {
+            let rest = (!head.close && head.framing != Framing::Close).then_some((connection, head.framing));
+            return Ok((end, rest));
+        }
+        match (head.status, self.sending.stage) {
+            (202, Stage::Read) => self.read(connection, head, until).await,
+            (202, _) => Err(SocketEnd::Nonsense("a read where an answer was asked for".into())),
+            _ => self.answer(connection, head, until, sent).await,
+        }
+    }
+
+    async fn read(
+        &mut self,
+        mut connection: Connection,
+        head: AnswerHead,
+        until: Instant,
+    ) -> Result<(SocketEnd, Rest), SocketEnd> {
+        let body = tokio::select! {
+            biased;
+            _ = self.words.recv() => return Err(SocketEnd::Stopped),
+            body = connection.body(head.framing) => body?,
+            () = sleep_until(until) => return Err(SocketEnd::TimedOut),
+        };
+        self.kept_tokens = paddleproxy_platform::events::read_kept(&body).unwrap_or(0.0);
+        if !head.close && head.framing != Framing::Close {
+            self.pool.keep(connection);
+        }
+        Ok((SocketEnd::ReadDone, None))
+    }
+
+    async fn answer(
+        &mut self,
+        mut connection: Connection,
+        head: AnswerHead,
+        until: Instant,
+        sent: Instant,
+    ) -> Result<(SocketEnd, Rest), SocketEnd> {
+        if head.framing != Framing::Chunked {
+            return Err(SocketEnd::Nonsense("a stream that is not in chunks".into()));
+        }
+        let (mut chunks, mut events) = (Chunks::new(BODY_BYTES), Events::default());
+        let mut stream: Option<(mpsc::Sender<Piece>, Pace)> = None;
+        loop {
+            let done = chunks
+                .take(&mut connection.bytes, events.buffer())
+                .map_err(|why| SocketEnd::Nonsense(why.to_string()))?;
+            let whole = events.take().map_err(|why| SocketEnd::Nonsense(why.0.into()))?;
+            (self.kept_tokens, self.load) = (events.kept_tokens, events.load.or(self.load));
+            if done && !events.complete() {
+                return Err(SocketEnd::Nonsense("the stream ends within an event".into()));
+            }
+            if stream.is_none() && events.events > 0 {
+                let granted = self.begin(sent).await?;
+                stream = Some((granted, Pace::new(self.clock.now_ms(), SILENT_MS)));
+            }
+            if let Some((pieces, pace)) = stream.as_mut().filter(|_| !whole.is_empty()) {
+                // What the client takes its time for is not the worker's silence.
+                let sent = tokio::select! {
+                    biased;
+                    _ = self.words.recv() => return Err(SocketEnd::Stopped),
+                    sent = pieces.send(Piece::Events(whole)) => sent,
+                };
+                sent.map_err(|_| SocketEnd::Stopped)?;
+                pace.event(self.clock.now_ms());
+            }
+            if done {
+                if let Some((pieces, _)) = stream {
+                    let _ = pieces.send(Piece::End).await;
+                }
+                if !head.close {
+                    self.pool.keep(connection);
+                }
+                return Ok((SocketEnd::AnswerDone, None));
+            }
+            let limit = stream.as_ref().map_or(until, |(_, pace)| self.clock.at(pace.until_ms()));
+            let read = tokio::select! {
+                biased;
+                _ = self.words.recv() => return Err(SocketEnd::Stopped),
+                read = connection.read() => read,
+                () = sleep_until(limit) => {
+                    return Err(if stream.is_some() { SocketEnd::Stalled } else { SocketEnd::TimedOut });
+                }
+            };
+            if !matches!(read, Ok(true)) {
+                let began = stream.is_some();
+                return Err(if began { SocketEnd::BrokeAfterFirst } else { SocketEnd::BrokeWithinAnswer });
+            }
+        }
+    }
+
+    /// Asks the core whether this stream is the answer.
+    async fn begin(&mut self, sent: Instant) -> Result<mpsc::Sender<Piece>, SocketEnd> {
+        let (completion, seq) = (self.sending.completion, self.sending.seq);
+        let took_ms = sent.elapsed().as_secs_f64() * 1e3;
+        let _ = self.core.send(Told::Began { completion, seq, took_ms }).await;
+        match self.words.recv().await {
+            Some(Word::Grant(pieces)) => Ok(pieces),
+            Some(Word::Stop) | None => Err(SocketEnd::Stopped),
+        }
+    }
+}
+
+/// Where a granted stream goes, and where its client takes it from.
+pub fn pieces() -> (mpsc::Sender<Piece>, mpsc::Receiver<Piece>) {
+    mpsc::channel(PIECES)
+}
+
+/// The head of a dispatch; `wait_ms` is how long we shall still wait.
+fn request(ask: &Ask, wait_ms: f64) -> String {
+    let Ask { id, method, target, body, .. } = ask;
+    let wait_s = wait_ms.max(1.0) / 1e3;
+    format!(
+        "{method} {target} HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {id}\r\nReq-Deadline: {wait_s:.3}\r\n\
+         Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    )
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,130 @@
+//! A router on the operators' platform: its sockets, signals and limits, before the same ledger and decisions as
+//! `paddleproxy serve`. One current-thread runtime, tasks on a `LocalSet`, bounded channels, no locks. Decides
+//! nothing: `paddleproxy` does. `docs/design/platform.md` says why it is as it is.
+
+mod clients;
+mod core;
+mod discovery;
+mod dispatch;
+mod limits;
+mod pool;
+
+use std::path::Path;
+use std::rc::Rc;
+
+use anyhow::{anyhow, Context, Result};
+use paddleproxy::interface::ListKind;
+use paddleproxy_platform::Config;
+use paddleproxy_router::clock::{duration, wall_ms, Clock};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{sleep, Instant};
+use tracing::{info, warn};
+
+use crate::clients::{Gate, Life};
+use crate::core::{Core, Told};
+use crate::discovery::Source;
+use crate::limits::{Shares, CORE_QUEUE, LAST_CALL_MS};
+use crate::pool::Pool;
+
+/// How often idle connections are looked through, in ms.
+const SWEEP_MS: f64 = 1000.0;
+/// How often a router that ends looks whether it is done, in ms.
+const LOOK_MS: f64 = 5.0;
+
+fn read(path: &Path, zero_ms: f64) -> Result<Config> {
+    let text = std::fs::read(path).with_context(|| format!("configuration {}", path.display()))?;
+    Config::parse(&text, zero_ms).map_err(|cause| anyhow!(cause))
+}
+
+/// Runs a router by the configuration in a file until SIGTERM, then lets what is open end. SIGHUP reads the file
+/// again. Must run on a `LocalSet`.
+///
+/// # Errors
+/// A configuration that can't be read or lacks something, or an address that can't be listened on.
+pub async fn run(path: &Path) -> Result<()> {
+    // Before anything else: from here on no signal ends the process.
+    let mut hups = signal(SignalKind::hangup())?;
+    let mut terms = signal(SignalKind::terminate())?;
+    let clock = Clock::start();
+    let zero_ms = wall_ms() - clock.now_ms();
+    let Config { name, listen, discovery, seed, limits, known, provision } = read(path, zero_ms)?;
+    let shares = Shares::of(&limits);
+    let listener = TcpListener::bind(listen).await.with_context(|| format!("listening on {listen}"))?;
+    info!(name, %listen, %discovery, ?limits, ?shares, known = known.rows.len(), "starting");
+
+    let pool = Rc::new(Pool::new(shares.workers, provision.connect_ms, provision.idle_ms));
+    let (core, told) = mpsc::channel(CORE_QUEUE);
+    let (lists, asked) = mpsc::channel(2);
+    let mut state = Core::new(provision.clone(), clock, seed, pool.clone(), core.clone(), lists);
+    let connect_ms = provision.connect_ms;
+    state.listed(known, ListKind::Saved);
+    tokio::task::spawn_local(state.run(told));
+    let provision = Rc::new(provision);
+    let source = Source { address: discovery, provision: provision.clone(), zero_ms };
+    let (sources, source_words) = watch::channel(source);
+    let (life, lives) = watch::channel(Life::Starting);
+    let gate = Rc::new(Gate::new(clock, core.clone(), provision, shares, lives));
+    let (first, heard) = oneshot::channel();
+    tokio::task::spawn_local(discovery::follow(source_words, core.clone(), asked, first));
+    let accepting = tokio::task::spawn_local(gate.clone().listen(listener));
+    let swept = pool.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            sleep(duration(SWEEP_MS)).await;
+            swept.sweep();
+        }
+    });
+    // The list as it is now comes in no time; where discovery is silent, the known one has to do.
+    let started = life.clone();
+    tokio::task::spawn_local(async move {
+        let _ = tokio::time::timeout(duration(connect_ms), heard).await;
+        started.send_if_modified(|life| std::mem::replace(life, Life::Ready) == Life::Starting);
+    });
+
+    loop {
+        tokio::select! {
+            _ = terms.recv() => break,
+            _ = hups.recv() => match read(path, zero_ms) {
+                Ok(config) => {
+                    info!(discovery = %config.discovery, "configuration read again");
+                    pool.change(config.provision.connect_ms, config.provision.idle_ms);
+                    let provision = Rc::new(config.provision);
+                    *gate.provision.borrow_mut() = provision.clone();
+                    let _ = core.send(Told::Settings(Box::new((*provision).clone()))).await;
+                    sources.send_replace(Source { address: config.discovery, provision, zero_ms });
+                }
+                Err(cause) => warn!(cause = format!("{cause:#}"), "configuration refused; the last good one stays"),
+            },
+        }
+    }
+    life.send_replace(Life::Stopping);
+    info!(standing = gate.standing.get(), "stopping");
+    let last_call = Instant::now() + duration(LAST_CALL_MS);
+    loop {
+        // Open means more than connections: what is held at workers is let go of before the end.
+        let busy = gate.standing.get() > 0 || figures(&core).await.0 > 0;
+        if Instant::now() >= last_call && !accepting.is_finished() {
+            accepting.abort();
+        }
+        if Instant::now() >= last_call && !busy {
+            break;
+        }
+        sleep(duration(LOOK_MS)).await;
+    }
+    info!(
+        figures = figures(&core).await.1,
+        faults = ?gate.faults.borrow(),
+        given_up = gate.given_up.get(),
+        dropped = gate.dropped.get(),
+        "stopped"
+    );
+    Ok(())
+}
+
+async fn figures(core: &crate::core::ToCore) -> (usize, String) {
+    let (to, from) = oneshot::channel();
+    let _ = core.send(Told::Tell(to)).await;
+    from.await.unwrap_or_default()
+}
--- /dev/null
+++ b/crates/gateway/src/limits.rs
@@ -0,0 +1,86 @@
+//! How the limits that a router is told are shared out, by name. Resource limits only: nothing here says what is best
+//! for a completion.
+
+use paddleproxy_platform::config::Limits;
+use paddleproxy_platform::BODY_BYTES;
+
+/// Descriptors that the process holds beside connections: the runtime's, standard streams, a file being read, the
+/// listener, discovery's connection and the one that takes its place.
+const OWN: usize = 16;
+/// Of the rest: kept free for what is being accepted or closed, and for clients. Workers have what remains.
+const SPARE: f64 = 0.08;
+const CLIENTS: f64 = 0.45;
+/// Part of the memory that bodies of open completions may take.
+const BODIES: f64 = 0.2;
+
+/// A client has so long, in ms, to send a whole request from when it connected or began one, of the platform's 3 s.
+pub const REQUEST_MS: f64 = 2000.0;
+/// A connection without a request may stay for so many times the workers' idle time.
+pub const CLIENT_IDLE: f64 = 0.5;
+/// A client that takes nothing for so long, in ms, is cut.
+pub const SLOW_CLIENT_MS: f64 = 5000.0;
+/// How long what a client still sends is read and thrown away after an error, in ms, so that it can read the error.
+pub const LINGER_MS: f64 = 500.0;
+/// Bytes that are read ahead of the answer to the request before them.
+pub const AHEAD_BYTES: usize = 16 * 1024;
+/// A stream whose worker has said nothing for so long, in ms, is cut: the platform allows 5 s, and what the router
+/// sends on in the meantime is not lost.
+pub const SILENT_MS: f64 = 4000.0;
+/// Events of one stream that may wait for its client.
+pub const PIECES: usize = 8;
+/// A connection to a worker is closed after this part of the time after which the worker would.
+pub const WORKER_IDLE: f64 = 0.6;
+/// A connection rests so long, in ms, before it is used again: what comes behind an answer shows in that time.
+pub const REST_MS: f64 = 2.0;
+/// How long what follows a refusal's head is waited for, in ms, so that its connection can be used again.
+pub const DRAIN_MS: f64 = 1000.0;
+/// How long a watch waits at discovery, in ms, and how much longer its answer may take.
+pub const WATCH_MS: f64 = 2000.0;
+pub const WATCH_SLACK_MS: f64 = 1000.0;
+/// After a call that failed discovery is asked again after this, in ms: a watch goes on if it comes within 200 ms.
+pub const ASK_AGAIN_MS: f64 = 100.0;
+/// New connections are taken for so long, in ms, after SIGTERM: the platform sends some for up to 400.
+pub const LAST_CALL_MS: f64 = 650.0;
+/// Words that may wait for the core.
+pub const CORE_QUEUE: usize = 1024;
+
+/// Descriptors and bytes by name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shares {
+    /// Connections of clients, and to workers.
+    pub clients: usize,
+    pub workers: usize,
+    /// Bytes of bodies that open completions hold together.
+    pub body_bytes: usize,
+}
+
+impl Shares {
+    pub fn of(limits: &Limits) -> Self {
+        let left = limits.sockets.saturating_sub(OWN) as f64 * (1.0 - SPARE);
+        let clients = (left * CLIENTS) as usize;
+        let body_bytes = (limits.memory_mb * BODIES * 1048576.0) as usize;
+        Shares {
+            clients: clients.max(1),
+            workers: (left as usize).saturating_sub(clients).max(1),
+            // One request of the largest size always fits.
+            body_bytes: body_bytes.max(2 * BODY_BYTES),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn shares_stay_under_the_limits_that_are_told() {
+        for sockets in [48, 64, 256, 1024, 4096] {
+            for memory_mb in [1.0, 32.0, 192.0] {
+                let shares = Shares::of(&Limits { cores: 1.0, memory_mb, sockets });
+                assert!(shares.clients + shares.workers + OWN < sockets, "{sockets}: {shares:?}");
+                assert!(3 * (shares.clients + 1) >= sockets - OWN, "{sockets}: {shares:?}");
+                assert!(shares.body_bytes >= 2 * BODY_BYTES);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pool.rs
@@ -0,0 +1,296 @@
+//! Connections to workers: one request at a time on each, kept and used again, the newest first.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::BytesMut;
+use paddleproxy_platform::head::{self, AnswerHead, Framing};
+use paddleproxy_platform::{Chunks, BODY_BYTES};
+use paddleproxy_router::clock::duration;
+use paddleproxy_routing::SocketEnd;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{timeout, Instant};
+
+use crate::limits::{REST_MS, WORKER_IDLE};
+
+/// Bytes read from a socket at a time.
+pub const READ_BYTES: usize = 8 * 1024;
+
+struct Idle {
+    stream: TcpStream,
+    since: Instant,
+    slot: Slot,
+}
+
+impl Idle {
+    /// Nothing has come on it since, neither bytes nor its end.
+    fn silent(&self) -> bool {
+        matches!(self.stream.try_read(&mut [0]), Err(cause) if cause.kind() == ErrorKind::WouldBlock)
+    }
+}
+
+pub struct Pool {
+    idle: RefCell<BTreeMap<SocketAddr, Vec<Idle>>>,
+    /// Connections that stand or are being made.
+    held: Rc<Cell<usize>>,
+    most: usize,
+    connect_ms: Cell<f64>,
+    idle_ms: Cell<f64>,
+    pub opened: Cell<u64>,
+}
+
+/// Counts a connection for as long as it lives.
+struct Slot(Rc<Cell<usize>>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// A connection in use; dropped, it closes.
+pub struct Connection {
+    stream: TcpStream,
+    pub address: SocketAddr,
+    /// It has carried a request before.
+    pub used: bool,
+    pub bytes: BytesMut,
+    slot: Slot,
+}
+
+/// How far a request was written when its connection failed.
+pub struct Unwritten;
+
+impl Connection {
+    /// Writes all of a request.
+    ///
+    /// # Errors
+    /// The connection failed before the last byte was taken: the request can't have begun.
+    pub async fn write(&mut self, request: &[&[u8]]) -> Result<(), Unwritten> {
+        for part in request {
+            self.stream.write_all(part).await.map_err(|_| Unwritten)?;
+        }
+        Ok(())
+    }
+
+    /// Reads more into `bytes`; false at the end of the connection.
+    ///
+    /// # Errors
+    /// The connection broke.
+    pub async fn read(&mut self) -> Result<bool, ()> {
+        read(&self.stream, &mut self.bytes).await.map(|read| read > 0).map_err(|_| ())
+    }
+
+    /// Reads the head of an answer.
+    ///
+    /// # Errors
+    /// How the socket ended.
+    pub async fn head(&mut self) -> Result<AnswerHead, SocketEnd> {
+        loop {
+            match head::answer(&mut self.bytes) {
+                Ok(Some(head)) => return Ok(head),
+                Ok(None) => {}
+                Err(why) => return Err(SocketEnd::Nonsense(why.into())),
+            }
+            if !matches!(self.read().await, Ok(true)) {
+                return Err(SocketEnd::BrokeBeforeAnswer);
+            }
+        }
+    }
+
+    /// Reads a small body to its end.
+    ///
+    /// # Errors
+    /// How the socket ended.
+    pub async fn body(&mut self, framing: Framing) -> Result<BytesMut, SocketEnd> {
+        let mut body = BytesMut::new();
+        let mut chunks = Chunks::new(BODY_BYTES);
+        loop {
+            match framing {
+                Framing::Length(length) if length > BODY_BYTES => {
+                    return Err(SocketEnd::Nonsense("the answer is too long".into()))
+                }
+                Framing::Length(length) if self.bytes.len() >= length => {
+                    return Ok(self.bytes.split_to(length))
+                }
+                Framing::Chunked => match chunks.take(&mut self.bytes, &mut body) {
+                    Ok(true) => return Ok(body),
+                    Ok(false) => {}
+                    Err(why) => return Err(SocketEnd::Nonsense(why.to_string())),
+                },
+                _ => {}
+            }
+            if self.bytes.len() + body.len() > BODY_BYTES {
+                return Err(SocketEnd::Nonsense("the answer is too long".into()));
+            }
+            match self.read().await {
+                Ok(true) => {}
+                Ok(false) if framing == Framing::Close => return Ok(self.bytes.split()),
+                _ => return Err(SocketEnd::BrokeWithinAnswer),
+            }
+        }
+    }
+}
+
+/// Waits for bytes without holding a buffer meanwhile; 0 at the end of the connection.
+pub async fn read(stream: &TcpStream, bytes: &mut BytesMut) -> std::io::Result<usize> {
+    loop {
+        stream.readable().await?;
+        bytes.reserve(READ_BYTES);
+        match stream.try_read_buf(bytes) {
+            Err(cause) if cause.kind() == ErrorKind::WouldBlock => {}
+            other => return other,
+        }
+    }
+}
+
+impl Pool {
+    pub fn new(most: usize, connect_ms: f64, idle_ms: f64) -> Self {
+        Pool {
+            idle: RefCell::default(),
+            held: Rc::default(),
+            most,
+            connect_ms: Cell::new(connect_ms),
+            idle_ms: Cell::new(idle_ms),
+            opened: Cell::new(0),
+        }
+    }
+
+    /// Other times from now on.
+    pub fn change(&self, connect_ms: f64, idle_ms: f64) {
+        self.connect_ms.set(connect_ms);
+        self.idle_ms.set(idle_ms);
+    }
+
+    pub fn connect_ms(&self) -> f64 {
+        self.connect_ms.get()
+    }
+
+    /// Connections that stand or are being made, idle ones included.
+    pub fn held(&self) -> usize {
+        self.held.get()
+    }
+
+    /// A kept connection on which nothing has come since.
+    fn kept(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&address)?;
+        let now = Instant::now();
+        let oldest = now.checked_sub(duration(self.idle_ms.get() * WORKER_IDLE));
+        let rested = now.checked_sub(duration(REST_MS));
+        let mut row = kept.len();
+        while row > 0 {
+            row -= 1;
+            if rested.is_some_and(|rested| kept[row].since > rested) {
+                continue;
+            }
+            let idle = kept.remove(row);
+            if idle.silent() && oldest.is_none_or(|oldest| idle.since >= oldest) {
+                let Idle { stream, slot, .. } = idle;
+                return Some(Connection { stream, address, used: true, bytes: BytesMut::new(), slot });
+            }
+        }
+        None
+    }
+
+    /// A kept connection, or a new one.
+    ///
+    /// # Errors
+    /// No connection came up in time.
+    pub async fn take(&self, address: SocketAddr) -> Result<Connection, SocketEnd> {
+        match self.kept(address) {
+            Some(kept) => Ok(kept),
+            None => self.connect(address).await,
+        }
+    }
+
+    /// A new connection.
+    ///
+    /// # Errors
+    /// None came up in time, or there is no descriptor left for it.
+    pub async fn connect(&self, address: SocketAddr) -> Result<Connection, SocketEnd> {
+        if self.held.get() >= self.most && !self.give_up_one() {
+            return Err(SocketEnd::NoAddress);
+        }
+        self.held.set(self.held.get() + 1);
+        let slot = Slot(self.held.clone());
+        self.opened.set(self.opened.get() + 1);
+        match timeout(duration(self.connect_ms.get()), TcpStream::connect(address)).await {
+            Err(_) => Err(SocketEnd::ConnectTimedOut),
+            Ok(Ok(stream)) => {
+                let _ = stream.set_nodelay(true);
+                Ok(Connection { stream, address, used: false, bytes: BytesMut::new(), slot })
+            }
+            Ok(Err(cause)) => Err(match cause.kind() {
+                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => SocketEnd::ConnectRefused,
+                ErrorKind::TimedOut => SocketEnd::ConnectTimedOut,
+                _ => SocketEnd::Unreachable,
+            }),
+        }
+    }
+
+    /// Gives a connection back whose answer was read to its end; one that brought more than that closes.
+    pub fn keep(&self, connection: Connection) {
+        let Connection { stream, address, bytes, slot, .. } = connection;
+        if bytes.is_empty() {
+            let idle = Idle { stream, since: Instant::now(), slot };
+            self.idle.borrow_mut().entry(address).or_default().push(idle);
+        }
+    }
+
+    /// Closes the idle connection that was used longest ago, of any worker.
+    fn give_up_one(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = idle.iter().filter_map(|(address, kept)| Some((kept.first()?.since, *address))).min();
+        let Some((_, address)) = oldest else { return false };
+        idle.get_mut(&address).is_some_and(|kept| {
+            kept.remove(0);
+            true
+        })
+    }
+
+    pub fn close_idle(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
+    /// Closes what has been idle for too long, and what workers closed; called now and then.
+    pub fn sweep(&self) {
+        let oldest = Instant::now().checked_sub(duration(self.idle_ms.get() * WORKER_IDLE));
+        self.idle.borrow_mut().retain(|_, kept| {
+            kept.retain(|idle| idle.silent() && oldest.is_none_or(|oldest| idle.since >= oldest));
+            !kept.is_empty()
+        });
+    }
+
+    /// One small call without a body and its whole answer, within a time.
+    ///
+    /// # Errors
+    /// How the socket ended.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        method: &str,
+        path: &str,
+        within_ms: f64,
+    ) -> Result<(AnswerHead, BytesMut), SocketEnd> {
+        let request = format!("{method} {path} HTTP/1.1\r\nHost: backend.local\r\nContent-Length: 0\r\n\r\n");
+        let exchange = async {
+            let mut connection = self.take(address).await?;
+            if connection.write(&[request.as_bytes()]).await.is_err() {
+                connection = self.connect(address).await?;
+                connection.write(&[request.as_bytes()]).await.map_err(|_| SocketEnd::NeverWritten)?;
+            }
+            let head = connection.head().await?;
+            let body = connection.body(head.framing).await?;
+            if !head.close && head.framing != Framing::Close {
+                self.keep(connection);
+            }
+            Ok((head, body))
+        };
+        timeout(duration(within_ms), exchange).await.unwrap_or(Err(SocketEnd::TimedOut))
+    }
+}
--- /dev/null
+++ b/crates/platform/src/chunks.rs
@@ -0,0 +1,177 @@
+//! Bodies in chunks, read strictly and with bounds: what can't be read ends the body at once.
+
+use bytes::{Buf, BytesMut};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum At {
+    Size,
+    Data(usize),
+    /// The line's end that follows the data of a chunk.
+    DataEnd,
+    Trailers,
+    Done,
+}
+
+/// Longest line that names a size, and all trailers together, in bytes.
+const LINE_BYTES: usize = 256;
+const TRAILER_BYTES: usize = 4096;
+
+/// What is no body in chunks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Broken {
+    #[error("the size of a chunk can't be read")]
+    Size,
+    #[error("a chunk is larger than allowed")]
+    Large,
+    #[error("a chunk does not end where its size says")]
+    End,
+    #[error("trailers are too long")]
+    Trailers,
+}
+
+/// Lives for one body.
+#[derive(Debug)]
+pub struct Chunks {
+    at: At,
+    largest: usize,
+    trailers: usize,
+}
+
+impl Chunks {
+    /// No chunk may be larger than this, in bytes.
+    pub fn new(largest: usize) -> Self {
+        Chunks { at: At::Size, largest, trailers: 0 }
+    }
+
+    pub fn done(&self) -> bool {
+        self.at == At::Done
+    }
+
+    /// Takes what can be read from `from` and appends the data to `into`; true once the body has ended.
+    ///
+    /// # Errors
+    /// See [`Broken`].
+    pub fn take(&mut self, from: &mut BytesMut, into: &mut BytesMut) -> Result<bool, Broken> {
+        loop {
+            match self.at {
+                At::Done => return Ok(true),
+                // A line without a digit would be read as size 0.
+                At::Size if from.first().is_some_and(|byte| !byte.is_ascii_hexdigit()) => {
+                    return Err(Broken::Size);
+                }
+                At::Size => match httparse::parse_chunk_size(from) {
+                    Ok(httparse::Status::Complete((line, size))) => {
+                        if size > self.largest as u64 {
+                            return Err(Broken::Large);
+                        }
+                        from.advance(line);
+                        self.at = if size == 0 { At::Trailers } else { At::Data(size as usize) };
+                    }
+                    Ok(httparse::Status::Partial) if from.len() <= LINE_BYTES => return Ok(false),
+                    _ => return Err(Broken::Size),
+                },
+                At::Data(left) => {
+                    let part = left.min(from.len());
+                    if part == 0 {
+                        return Ok(false);
+                    }
+                    into.extend_from_slice(&from[..part]);
+                    from.advance(part);
+                    self.at = if part == left { At::DataEnd } else { At::Data(left - part) };
+                }
+                At::DataEnd => {
+                    let end = &from[..from.len().min(2)];
+                    if !b"\r\n".starts_with(end) {
+                        return Err(Broken::End);
+                    }
+                    if end.len() < 2 {
+                        return Ok(false);
+                    }
+                    from.advance(2);
+                    self.at = At::Size;
+                }
+                At::Trailers => {
+                    let Some(line) = from.iter().position(|byte| *byte == b'\n') else {
+                        let long = self.trailers + from.len() > TRAILER_BYTES;
+                        return if long { Err(Broken::Trailers) } else { Ok(false) };
+                    };
+                    self.trailers += line + 1;
+                    if self.trailers > TRAILER_BYTES {
+                        return Err(Broken::Trailers);
+                    }
+                    let empty = matches!(&from[..line], b"" | b"\r");
+                    from.advance(line + 1);
+                    if empty {
+                        self.at = At::Done;
+                    }
+                }
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn read(text: &[u8], step: usize) -> Result<(bool, Vec<u8>, usize), Broken> {
+        let (mut chunks, mut from, mut into) = (Chunks::new(64), BytesMut::new(), BytesMut::new());
+        let mut done = false;
+        for part in text.chunks(step.max(1)) {
+            from.extend_from_slice(part);
+            done = chunks.take(&mut from, &mut into)?;
+        }
+        Ok((done, into.to_vec(), from.len()))
+    }
+
+    #[test]
+    fn bodies_are_read_however_they_are_cut() {
+        let text = b"3\r\nabc\r\n4;x=1\r\nde\r\n\r\n0\r\nsome: trailer\r\n\r\nHTTP/1.1 200 OK";
+        for step in 1..text.len() {
+            let (done, data, behind) = read(text, step).unwrap();
+            assert!(done);
+            assert_eq!((data.as_slice(), behind), (b"abcde\r\n".as_slice(), 15), "in steps of {step}");
+        }
+    }
+
+    #[test]
+    fn what_does_not_fit_is_named() {
+        for (text, why) in [
+            (&b"xyz\r\n"[..], Broken::Size),
+            (b"\r\nabc", Broken::Size),
+            (b"-3\r\nabc", Broken::Size),
+            (b"ffffffffffffffffff\r\n", Broken::Size),
+            (b"b2d05e00\r\nabc", Broken::Large),
+            (b"41\r\n", Broken::Large),
+            (b"3\r\nabcd\r\n", Broken::End),
+            (b"3\r\nabc\n0\r\n", Broken::End),
+        ] {
+            assert_eq!(read(text, 64).unwrap_err(), why, "{:?}", String::from_utf8_lossy(text));
+        }
+        assert_eq!(read(&[b'0'; 400], 400).unwrap_err(), Broken::Size);
+        let endless = [b"0\r\n".as_slice(), &[b'a'; 5000]].concat();
+        assert_eq!(read(&endless, 100).unwrap_err(), Broken::Trailers);
+    }
+
+    proptest! {
+        #[test]
+        fn no_input_panics_or_grows(text in proptest::collection::vec(any::<u8>(), 0..600), step in 1usize..70) {
+            if let Ok((_, data, _)) = read(&text, step) {
+                prop_assert!(data.len() <= text.len());
+            }
+        }
+
+        #[test]
+        fn data_comes_out_as_it_went_in(parts in proptest::collection::vec("[a-z\r\n]{1,60}", 0..9), step in 1usize..70) {
+            let mut text = String::new();
+            for part in &parts {
+                text += &format!("{:x}\r\n{part}\r\n", part.len());
+            }
+            text += "0\r\n\r\n";
+            let (done, data, behind) = read(text.as_bytes(), step).unwrap();
+            prop_assert!(done && behind == 0);
+            prop_assert_eq!(data, parts.concat().into_bytes());
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/events.rs
@@ -0,0 +1,185 @@
+//! The stream of events that answers a completion: handed on unchanged, event by event, and looked at on the way.
+
+use bytes::{Buf, Bytes, BytesMut};
+use paddleproxy::interface::LoadReport;
+use serde::de::IgnoredAny;
+use serde::Deserialize;
+
+use crate::report;
+
+/// The most bytes of one event.
+const EVENT_BYTES: usize = 64 * 1024;
+
+#[derive(Deserialize)]
+struct Event {
+    #[serde(default)]
+    #[allow(dead_code)]
+    choices: Option<Vec<IgnoredAny>>,
+    #[serde(default)]
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    #[serde(default)]
+    prompt_tokens_details: Option<Details>,
+}
+
+#[derive(Deserialize)]
+struct Details {
+    #[serde(default)]
+    cached_tokens: Option<f64>,
+}
+
+/// Tokens of the prompt that a read found kept; None where its answer says nothing that can be read.
+pub fn read_kept(body: &[u8]) -> Option<f64> {
+    let details: Details = serde_json::from_slice(body).ok()?;
+    details.cached_tokens.filter(|kept| kept.is_finite() && *kept >= 0.0)
+}
+
+/// A body that is no stream of events.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct Spoilt(pub &'static str);
+
+/// Lives for one stream.
+#[derive(Debug, Default)]
+pub struct Events {
+    bytes: BytesMut,
+    /// Bytes looked at, and those of them that are whole events.
+    seen: usize,
+    whole: usize,
+    /// The event being read has data.
+    data: bool,
+    done: bool,
+    /// Events seen to their end.
+    pub events: usize,
+    /// Tokens of the prompt that were found kept.
+    pub kept_tokens: f64,
+    pub load: Option<LoadReport>,
+}
+
+impl Events {
+    /// Where the body's next bytes go.
+    pub fn buffer(&mut self) -> &mut BytesMut {
+        &mut self.bytes
+    }
+
+    /// The events that are complete, as they came; empty while there is none.
+    ///
+    /// # Errors
+    /// A line that belongs to no event, data that is no JSON, and an event past the bound.
+    pub fn take(&mut self) -> Result<Bytes, Spoilt> {
+        while let Some(end) = self.bytes[self.seen..].iter().position(|byte| *byte == b'\n') {
+            let line = &self.bytes[self.seen..self.seen + end];
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            let (ends, comment) = (line.is_empty(), line.first() == Some(&b':'));
+            if let Some(said) = line.strip_prefix(b": Srv-Load:") {
+                let said = std::str::from_utf8(said).ok().and_then(report::parse);
+                self.load = said.or(self.load);
+            } else if let Some(data) = line.strip_prefix(b"data:") {
+                let data = data.trim_ascii();
+                if self.done {
+                    return Err(Spoilt("data after the end of the stream"));
+                } else if data == b"[DONE]" {
+                    self.done = true;
+                } else {
+                    let event: Event = serde_json::from_slice(data)
+                        .map_err(|_| Spoilt("the data of an event is no JSON"))?;
+                    let kept = event.usage.and_then(|usage| usage.prompt_tokens_details);
+                    let kept = kept.and_then(|details| details.cached_tokens);
+                    self.kept_tokens = kept.filter(|kept| *kept >= 0.0).unwrap_or(self.kept_tokens);
+                }
+                self.data = true;
+            } else if !ends && !comment && !known(line) {
+                return Err(Spoilt("a line that belongs to no event"));
+            }
+            self.seen += end + 1;
+            if ends || comment && !self.data {
+                self.events += usize::from(self.data);
+                self.whole = self.seen;
+                self.data = false;
+            }
+        }
+        if self.bytes.len() - self.whole > EVENT_BYTES {
+            return Err(Spoilt("an event is too long"));
+        }
+        let taken = self.bytes.split_to(self.whole).freeze();
+        self.seen -= self.whole;
+        self.whole = 0;
+        Ok(taken)
+    }
+
+    /// Whether the body may end here: nothing is left over but blank space.
+    pub fn complete(&self) -> bool {
+        self.events > 0 && self.bytes.chunk().trim_ascii().is_empty() && !self.data
+    }
+}
+
+fn known(line: &[u8]) -> bool {
+    [&b"event:"[..], b"id:", b"retry:"].iter().any(|name| line.starts_with(name))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const STREAM: &str =
+        "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"oqvh\"},\"finish_reason\":null}]}\n\n\
+        data: {\"choices\":[],\"usage\":{\"prompt_tokens\":5120,\"completion_tokens\":200,\
+        \"prompt_tokens_details\":{\"cached_tokens\":4096}}}\n\n: Srv-Load: TEXT queue=3\n\ndata: [DONE]\n\n";
+
+    #[test]
+    fn events_go_out_as_they_came_however_they_are_cut() {
+        for step in 1..STREAM.len() {
+            let (mut events, mut out) = (Events::default(), Vec::new());
+            for part in STREAM.as_bytes().chunks(step) {
+                events.buffer().extend_from_slice(part);
+                let whole = events.take().unwrap();
+                assert!(whole.is_empty() || whole.ends_with(b"\n"));
+                out.extend_from_slice(&whole);
+            }
+            assert_eq!(String::from_utf8(out).unwrap(), STREAM);
+            assert!(events.complete());
+            assert_eq!((events.events, events.kept_tokens), (3, 4096.0));
+            assert_eq!(events.load.unwrap().queue, Some(3.0));
+        }
+    }
+
+    #[test]
+    fn noise_is_spoilt() {
+        for noise in [
+            "\u{1}\u{2}noise\n",
+            "data: {\"choices\":[\n\n",
+            "1a\n",
+            "data: [DONE]\n\ndata: {}\n\n",
+            "data: 7\n\n",
+        ] {
+            let mut events = Events::default();
+            events.buffer().extend_from_slice(noise.as_bytes());
+            assert!(events.take().is_err(), "{noise:?}");
+        }
+        let mut events = Events::default();
+        events.buffer().extend_from_slice(&vec![b'a'; EVENT_BYTES + 1]);
+        assert!(events.take().is_err());
+        let mut events = Events::default();
+        events.buffer().extend_from_slice(b": Srv-Load: TEXT queue=\x80\n\ndata: {}\n\ndata: {\"ch");
+        assert_eq!(&events.take().unwrap()[..], b": Srv-Load: TEXT queue=\x80\n\ndata: {}\n\n");
+        assert_eq!(events.load, None);
+        assert!(!events.complete(), "half an event is left over");
+    }
+
+    proptest! {
+        #[test]
+        fn no_body_panics(parts in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 0..80), 0..8)) {
+            let mut events = Events::default();
+            for part in parts {
+                events.buffer().extend_from_slice(&part);
+                if events.take().is_err() {
+                    break;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/head.rs
@@ -0,0 +1,294 @@
+//! Heads of requests and answers. Read strictly: what two parties could read in two ways is refused.
+
+use crate::{report, BODY_BYTES, HEAD_BYTES, HEAD_FIELDS};
+use paddleproxy::interface::LoadReport;
+
+/// What is wrong with a request, as the status that says so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{status}: {why}")]
+pub struct Fault {
+    pub status: u16,
+    pub why: &'static str,
+}
+
+impl Fault {
+    pub const fn new(status: u16, why: &'static str) -> Self {
+        Fault { status, why }
+    }
+}
+
+/// Where a body ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    Length(usize),
+    Chunked,
+    /// Only an answer: with its connection.
+    Close,
+}
+
+/// The platform's own fields, as they were sent.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Fields {
+    pub id: Option<String>,
+    pub kind: Option<String>,
+    pub owner: Option<String>,
+    pub key: Option<String>,
+    pub deadline: Option<String>,
+    pub extra: Option<String>,
+    pub retry: Option<String>,
+    pub cost: Option<String>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestHead {
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    pub framing: Framing,
+    /// The client closes after the answer.
+    pub close: bool,
+    /// The client waits to be told to send its body.
+    pub expects: bool,
+    pub fields: Fields,
+    /// Length of the head itself, in bytes.
+    pub bytes: usize,
+}
+
+/// Fields that say where a body ends, gathered over a head.
+#[derive(Default)]
+struct Lengths {
+    length: Option<usize>,
+    chunked: bool,
+}
+
+const BOTH: Fault = Fault::new(400, "both Content-Length and Transfer-Encoding");
+const LENGTH: Fault = Fault::new(400, "Content-Length is no length");
+const CODING: Fault = Fault::new(400, "Transfer-Encoding is not chunked");
+const TWICE: Fault = Fault::new(400, "a field is there twice");
+const NO_HEAD: Fault = Fault::new(400, "not the head of an HTTP/1.1 request");
+
+impl Lengths {
+    fn take(&mut self, name: &str, value: &[u8]) -> Result<(), Fault> {
+        if name.eq_ignore_ascii_case("content-length") {
+            let text = std::str::from_utf8(value).map_err(|_| LENGTH)?.trim();
+            if text.is_empty() || !text.bytes().all(|digit| digit.is_ascii_digit()) {
+                return Err(LENGTH);
+            }
+            // A number beyond any size is only too large.
+            let length = text.parse().unwrap_or(usize::MAX);
+            if self.length.replace(length).is_some() {
+                return Err(LENGTH);
+            }
+        } else if name.eq_ignore_ascii_case("transfer-encoding") {
+            if self.chunked || !value.eq_ignore_ascii_case(b"chunked") {
+                return Err(CODING);
+            }
+            self.chunked = true;
+        }
+        if self.chunked && self.length.is_some() {
+            return Err(BOTH);
+        }
+        Ok(())
+    }
+}
+
+fn closes(name: &str, value: &[u8]) -> bool {
+    let close = |part: &[u8]| part.trim_ascii().eq_ignore_ascii_case(b"close");
+    name.eq_ignore_ascii_case("connection") && value.split(|byte| *byte == b',').any(close)
+}
+
+/// Reads the head of a request; None while it has not all come.
+///
+/// # Errors
+/// What can't be read, or could be read in two ways, and what is past a bound.
+pub fn request(bytes: &[u8]) -> Result<Option<RequestHead>, Fault> {
+    let mut fields = [httparse::EMPTY_HEADER; HEAD_FIELDS];
+    let mut head = httparse::Request::new(&mut fields);
+    let length = match head.parse(&bytes[..bytes.len().min(HEAD_BYTES)]) {
+        Ok(httparse::Status::Complete(length)) => length,
+        Ok(httparse::Status::Partial) if bytes.len() < HEAD_BYTES => return Ok(None),
+        Ok(httparse::Status::Partial) => return Err(Fault::new(431, "the head is too long")),
+        Err(httparse::Error::TooManyHeaders) => return Err(Fault::new(431, "the head has too many fields")),
+        Err(_) => return Err(NO_HEAD),
+    };
+    if head.version != Some(1) {
+        return Err(Fault::new(505, "HTTP/1.1 is spoken here"));
+    }
+    let (mut lengths, mut close, mut expects, mut own) =
+        (Lengths::default(), false, false, Fields::default());
+    for field in head.headers.iter() {
+        lengths.take(field.name, field.value)?;
+        close |= closes(field.name, field.value);
+        expects |= field.name.eq_ignore_ascii_case("expect");
+        let slot = match field.name.to_ascii_lowercase().as_str() {
+            "req-id" => &mut own.id,
+            "req-kind" => &mut own.kind,
+            "req-owner" => &mut own.owner,
+            "req-key" => &mut own.key,
+            "req-deadline" => &mut own.deadline,
+            "req-extra" => &mut own.extra,
+            "req-retry" => &mut own.retry,
+            "req-cost" => &mut own.cost,
+            _ => continue,
+        };
+        let text = std::str::from_utf8(field.value).map_err(|_| NO_HEAD)?;
+        if slot.replace(text.trim().to_owned()).is_some() {
+            return Err(TWICE);
+        }
+    }
+    let framing = match lengths {
+        Lengths { chunked: true, .. } => Framing::Chunked,
+        Lengths { length, .. } => Framing::Length(length.unwrap_or(0)),
+    };
+    if matches!(framing, Framing::Length(length) if length > BODY_BYTES) {
+        return Err(Fault::new(413, "the body is too long"));
+    }
+    Ok(Some(RequestHead {
+        method: head.method.unwrap_or_default().to_owned(),
+        target: head.path.unwrap_or_default().to_owned(),
+        framing,
+        close,
+        expects,
+        fields: own,
+        bytes: length,
+    }))
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct AnswerHead {
+    pub status: u16,
+    pub framing: Framing,
+    pub close: bool,
+    /// The worker says that it turned the request away: it never ran.
+    pub declined: bool,
+    pub load: Option<LoadReport>,
+}
+
+/// Takes the head of an answer off the front of `bytes`, with any interim answers before it; None while it has not
+/// all come.
+///
+/// # Errors
+/// What is no head, or longer than [`HEAD_BYTES`], interim answers included.
+pub fn answer(bytes: &mut bytes::BytesMut) -> Result<Option<AnswerHead>, &'static str> {
+    let mut from = 0;
+    loop {
+        let mut fields = [httparse::EMPTY_HEADER; HEAD_FIELDS];
+        let mut head = httparse::Response::new(&mut fields);
+        let length = match head.parse(&bytes[from..bytes.len().min(HEAD_BYTES)]) {
+            Ok(httparse::Status::Complete(length)) => length,
+            Ok(httparse::Status::Partial) if bytes.len() < HEAD_BYTES => return Ok(None),
+            Ok(httparse::Status::Partial) => return Err("the head of the answer does not end"),
+            Err(_) => return Err("the head of the answer can't be read"),
+        };
+        from += length;
+        let status = head.code.unwrap_or_default();
+        if (100..200).contains(&status) && status != 101 {
+            continue;
+        }
+        let (mut lengths, mut close, mut declined, mut load) = (Lengths::default(), false, false, None);
+        for field in head.headers.iter() {
+            lengths.take(field.name, field.value).map_err(|fault| fault.why)?;
+            close |= closes(field.name, field.value);
+            declined |= field.name.eq_ignore_ascii_case("srv-declined") && field.value == b"1";
+            if field.name.eq_ignore_ascii_case("srv-load") {
+                load = std::str::from_utf8(field.value).ok().and_then(report::parse);
+            }
+        }
+        let framing = match lengths {
+            _ if matches!(status, 204 | 304) => Framing::Length(0),
+            Lengths { chunked: true, .. } => Framing::Chunked,
+            Lengths { length: Some(length), .. } => Framing::Length(length),
+            Lengths { length: None, .. } => Framing::Close,
+        };
+        bytes::Buf::advance(bytes, from);
+        return Ok(Some(AnswerHead { status, framing, close, declined, load }));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn status(text: &str) -> u16 {
+        request(text.as_bytes()).unwrap_err().status
+    }
+
+    #[test]
+    fn a_head_is_read_with_its_fields() {
+        let text = "POST /v1/chat/completions?a=1 HTTP/1.1\r\nHost: backend.local\r\nreq-id: 9b1f\r\nReq-Kind: chat\r\n\
+                    Req-Deadline: 4.800\r\nContent-Length: 2\r\nConnection: keep-alive, Close\r\n\r\n{}";
+        let head = request(text.as_bytes()).unwrap().unwrap();
+        assert_eq!((head.method.as_str(), head.target.as_str()), ("POST", "/v1/chat/completions?a=1"));
+        assert_eq!((head.framing, head.close, head.bytes), (Framing::Length(2), true, text.len() - 2));
+        assert_eq!(head.fields.id.as_deref(), Some("9b1f"));
+        assert_eq!(head.fields.deadline.as_deref(), Some("4.800"));
+        for cut in 0..text.len() - 2 {
+            assert_eq!(request(&text.as_bytes()[..cut]), Ok(None), "cut at {cut}");
+        }
+    }
+
+    #[test]
+    fn what_could_be_read_in_two_ways_is_refused() {
+        let with = |fields: &str| format!("POST / HTTP/1.1\r\n{fields}\r\n\r\n");
+        for fields in [
+            "Content-Length: 5\r\nTransfer-Encoding: chunked",
+            "Transfer-Encoding: chunked\r\nContent-Length: 5",
+            "Content-Length: 5\r\nContent-Length: 5",
+            "Content-Length: 5, 5",
+            "Content-Length: -1",
+            "Content-Length: +5",
+            "Content-Length: 0x10",
+            "Content-Length:",
+            "Transfer-Encoding: gzip, chunked",
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+            "Transfer-Encoding : chunked",
+            "Req-Id: a\r\nReq-Id: b",
+            "Req-Id: \u{e9}\r\n folded: x",
+        ] {
+            assert_eq!(status(&with(fields)), 400, "{fields}");
+        }
+        assert_eq!(status(&with("Content-Length: 62914560")), 413);
+        assert_eq!(status(&with("Content-Length: 99999999999999999999999")), 413);
+        assert_eq!(status("\u{1}\u{2}noise\r\n\r\n"), 400);
+        assert_eq!(status("GET / HTTP/1.0\r\n\r\n"), 505);
+        assert_eq!(status(&with(&"X: y\r\n".repeat(80))), 431);
+        assert_eq!(status(&format!("GET / HTTP/1.1\r\nX: {}", "y".repeat(HEAD_BYTES))), 431);
+    }
+
+    #[test]
+    fn answers_are_read_past_interim_ones() {
+        let mut bytes = bytes::BytesMut::from(
+            &b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 503 No\r\nSrv-Declined: 1\r\n\
+               Srv-Load: TEXT queue=2\r\nContent-Length: 0\r\n\r\nrest"[..],
+        );
+        let head = answer(&mut bytes).unwrap().unwrap();
+        assert_eq!((head.status, head.declined, head.framing), (503, true, Framing::Length(0)));
+        assert_eq!(head.load.unwrap().queue, Some(2.0));
+        assert_eq!(&bytes[..], b"rest");
+        let mut bad = bytes::BytesMut::from(&b"HTTP/1.1 200 OK\r\nSrv-Load: \x80 what\r\n\r\n"[..]);
+        assert_eq!(
+            answer(&mut bad).unwrap().unwrap().load,
+            None,
+            "a report that can't be read spoils nothing"
+        );
+    }
+
+    #[test]
+    fn heads_that_never_end_are_given_up() {
+        let mut bytes = bytes::BytesMut::from(&b"HTTP/1.1 100 Continue\r\n\r\n".repeat(1000)[..]);
+        assert!(answer(&mut bytes).is_err());
+        assert!(answer(&mut bytes::BytesMut::from(&[7u8; 40][..])).is_err());
+    }
+
+    proptest! {
+        #[test]
+        fn no_head_panics(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+            let _ = request(&bytes);
+            let _ = answer(&mut bytes::BytesMut::from(&bytes[..]));
+            let mut long = b"POST / HTTP/1.1\r\n".to_vec();
+            long.extend(&bytes);
+            let _ = request(&long);
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,26 @@
+//! What the operators' platform speaks, free of I/O: a router's configuration and settings, heads and their fields,
+//! bodies in chunks, streams of events, lists of discovery, load reports, and what each answer of a worker means.
+//! `docs/design/platform.md` explains it; the drill shares the settings and the reports.
+
+pub mod chunks;
+pub mod config;
+pub mod events;
+pub mod head;
+pub mod list;
+pub mod report;
+pub mod request;
+pub mod settings;
+
+pub use chunks::Chunks;
+pub use config::Config;
+pub use events::Events;
+pub use head::{AnswerHead, Fault, Fields, Framing, RequestHead};
+pub use list::List;
+pub use settings::Provision;
+
+/// The most bytes of a body, of the platform's protocol.
+pub const BODY_BYTES: usize = 256 * 1024;
+/// The most bytes of a head that is read to its end.
+pub const HEAD_BYTES: usize = 16 * 1024;
+/// The most fields of a head.
+pub const HEAD_FIELDS: usize = 64;
--- /dev/null
+++ b/crates/platform/src/report.rs
@@ -0,0 +1,51 @@
+//! Load reports of workers: named values, by the names of the settings or of the sockets.
+
+use paddleproxy::interface::LoadReport;
+
+/// Takes one named value; unknown names say nothing.
+pub fn set(load: &mut LoadReport, name: &str, value: f64) {
+    match name {
+        "busy_reqs" | "inflight" => load.in_hand = Some(value),
+        "pending" | "queue" => load.queue = Some(value),
+        "cpu_share" | "util" => load.slots_share = Some(value),
+        "svc_ms" | "latency_ms" => load.latency_ms = Some(value),
+        "x0" => load.memory_share = Some(value),
+        "x1" => load.waiting_kilotokens = Some(value),
+        _ => {}
+    }
+}
+
+/// Reads `TEXT inflight=7, queue=2, util=0.61`. None where it can't be read: a wrong report says nothing at all,
+/// and so does one without a value that is known here.
+pub fn parse(text: &str) -> Option<LoadReport> {
+    let pairs = text.trim().strip_prefix("TEXT ")?;
+    let mut load = LoadReport::default();
+    for pair in pairs.split(',') {
+        let (name, value) = pair.trim().split_once('=')?;
+        let value: f64 = value.trim().parse().ok()?;
+        if !value.is_finite() || value < 0.0 {
+            return None;
+        }
+        set(&mut load, name.trim(), value);
+    }
+    (load != LoadReport::default()).then_some(load)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_report_is_read_whole_or_not_at_all() {
+        let load = parse(" TEXT inflight=7, queue=2, util=0.61,x0=0.4, odd=1").unwrap();
+        assert_eq!((load.in_hand, load.queue, load.slots_share), (Some(7.0), Some(2.0), Some(0.61)));
+        assert_eq!(load.memory_share, Some(0.4));
+        for bad in
+            ["", "TEXT", "TEXT ", "JSON {}", "TEXT queue", "TEXT queue=x", "TEXT queue=NaN", "TEXT queue=-1"]
+        {
+            assert_eq!(parse(bad), None, "{bad}");
+        }
+        assert_eq!(parse("TEXT odd=1"), None);
+        assert_eq!(parse("TEXT queue=2, util=\u{1}"), None);
+    }
+}
--- a/crates/drill/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -1,19 +1,31 @@
-//! Turns the settings of the wire into those of the module.
+//! Turns the settings of the platform into those of the module: on its wire and in a router's configuration they are
+//! one object under the same names and units.
 
 use paddleproxy::interface as house;
 use serde::Deserialize;
 
-/// The module's settings and the names that the wire uses for their rows.
+/// The module's settings, the names that the platform uses for their rows, and what sockets need to know beside.
+#[derive(Clone, Debug)]
 pub struct Provision {
     pub settings: house::Settings,
     pub workloads: Vec<String>,
     pub customers: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
+    /// How long a client waits at most, by workload.
+    pub client_timeouts_ms: Vec<f64>,
+    /// Time past the client timeout in which a final answer still counts.
+    pub answer_slack_ms: f64,
+    /// A connection not made by then counts as none.
+    pub connect_ms: f64,
+    /// Idle connections are closed by workers after this.
+    pub idle_ms: f64,
+    /// Whether workers tell their load.
+    pub reports: bool,
 }
 
 #[derive(Deserialize)]
-struct Conf {
+pub(crate) struct Conf {
     balancers: usize,
     slot_no: usize,
     my_zone: String,
@@ -30,6 +42,14 @@
     family_info: Family,
     invariants: Invariants,
     resolution_s: f64,
+    #[serde(default)]
+    report: Report,
+}
+
+#[derive(Default, Deserialize)]
+struct Report {
+    #[serde(default)]
+    how: String,
 }
 
 fn whole() -> f64 {
@@ -44,6 +64,8 @@
     dedup_scope: String,
     window_s: f64,
     importance: f64,
+    #[serde(default)]
+    deadline_s: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -61,6 +83,19 @@
     retry_after: bool,
     max_retry_after_s: f64,
     max_attempts: usize,
+    #[serde(default = "connect_s")]
+    connect_timeout_s: f64,
+    #[serde(default = "idle_s")]
+    conn_idle_s: f64,
+}
+
+/// What holds where a wire has no connections and so names no times for them.
+fn connect_s() -> f64 {
+    0.25
+}
+
+fn idle_s() -> f64 {
+    30.0
 }
 
 #[derive(Deserialize)]
@@ -75,6 +110,8 @@
 
 #[derive(Deserialize)]
 struct Invariants {
+    #[serde(default)]
+    answer_slack_s: f64,
     #[serde(default)]
     must_ask_in_s: f64,
     cold_s: f64,
@@ -83,8 +120,21 @@
     fall_s: f64,
 }
 
+/// Reads the settings object.
+///
+/// # Errors
+/// The path to the field that is missing or wrong, and what is wrong with it.
 pub fn parse(text: &str) -> Result<Provision, String> {
-    let conf: Conf = serde_json::from_str(text).map_err(|cause| format!("settings: {cause}"))?;
+    let mut json = serde_json::Deserializer::from_str(text);
+    let conf: Conf = serde_path_to_error::deserialize(&mut json).map_err(|cause| {
+        let path = cause.path().to_string();
+        let path = if path == "." { String::new() } else { format!("{path}: ") };
+        format!("settings: {path}{}", cause.inner())
+    })?;
+    provision(conf)
+}
+
+pub(crate) fn provision(conf: Conf) -> Result<Provision, String> {
     let mut workloads = Vec::new();
     for (row, service) in conf.services.iter().enumerate() {
         workloads.push(house::WorkloadSettings {
@@ -156,6 +206,15 @@
     };
     Ok(Provision {
         settings,
+        client_timeouts_ms: conf
+            .services
+            .iter()
+            .map(|service| service.deadline_s.map_or(f64::INFINITY, |seconds| seconds * 1e3))
+            .collect(),
+        answer_slack_ms: conf.invariants.answer_slack_s * 1e3,
+        connect_ms: conf.caps.connect_timeout_s * 1e3,
+        idle_ms: conf.caps.conn_idle_s * 1e3,
+        reports: !matches!(conf.report.how.as_str(), "" | "none"),
         workloads: conf.services.into_iter().map(|service| service.name).collect(),
         customers: conf.tenants.into_iter().map(|tenant| tenant.name).collect(),
         zones: conf.localities,
--- a/crates/router/src/answer.rs
+++ b/crates/router/src/answer.rs
@@ -7,8 +7,9 @@
 use bytes::Bytes;
 use paddleproxy_messages::{Answer, ApiError, Encoder, ErrorKind, Piece, Stop, Usage};
 use paddleproxy_routing::{Key, Repeats};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
+use crate::duty::{Answers, Dropped, Duty};
 use crate::state::State;
 
 /// What the client's connection is handed.
@@ -25,8 +26,11 @@
     pub ended: Rc<Cell<bool>>,
 }
 
-/// Answers that were dropped instead of given; 0 in a router without a fault.
-pub type Dropped = Rc<Cell<u64>>;
+impl Answers for Reply {
+    fn lost() -> Self {
+        Reply::Error(ApiError::new(ErrorKind::Api, "the answer was lost inside the router"))
+    }
+}
 
 /// What is remembered of a request that carries a key, once its fate is known.
 pub struct Keyed {
@@ -63,9 +67,9 @@
     }
 }
 
-/// The duty to answer one completion.
+/// The duty to answer one completion, with what is remembered of its key.
 pub struct Owed {
-    reply: Option<oneshot::Sender<Reply>>,
+    reply: Option<Duty<Reply>>,
     keyed: Option<Keyed>,
     encoder: Encoder,
     pieces: usize,
@@ -77,7 +81,7 @@
 
 impl Owed {
     pub fn new(
-        reply: oneshot::Sender<Reply>,
+        reply: Duty<Reply>,
         keyed: Option<Keyed>,
         encoder: Encoder,
         pieces: usize,
@@ -87,9 +91,8 @@
     }
 
     fn give(&mut self, reply: Reply) {
-        if let Some(sender) = self.reply.take() {
-            // A client that has left takes no answer.
-            let _ = sender.send(reply);
+        if let Some(duty) = self.reply.take() {
+            duty.give(reply);
         }
     }
 
@@ -115,7 +118,7 @@
     /// For a client who has left: nobody waits for an answer.
     pub fn void(mut self) {
         self.keyed.take().into_iter().for_each(Keyed::lost);
-        self.reply = None;
+        self.reply.take().into_iter().for_each(Duty::void);
     }
 
     pub fn begin(mut self) -> Stream {
@@ -136,10 +139,6 @@
 impl Drop for Owed {
     fn drop(&mut self) {
         self.keyed.take().into_iter().for_each(Keyed::lost);
-        if self.reply.is_some() {
-            self.dropped.set(self.dropped.get() + 1);
-            self.give(Reply::Error(ApiError::new(ErrorKind::Api, "the answer was lost inside the router")));
-        }
     }
 }
 
--- a/crates/router/src/clock.rs
+++ b/crates/router/src/clock.rs
@@ -25,3 +25,10 @@
 pub fn duration(ms: f64) -> std::time::Duration {
     std::time::Duration::from_secs_f64((ms.clamp(0.0, 86_400_000.0) / 1e3).max(0.0))
 }
+
+/// Wall clock in ms since 1970; for files and names only.
+pub fn wall_ms() -> f64 {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0.0, |since| since.as_secs_f64() * 1e3)
+}
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -5,22 +5,21 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use futures_util::StreamExt;
 use hyper::Method;
 use paddleproxy::interface::*;
 use paddleproxy_engine as wire;
 use paddleproxy_engine::Load;
 use paddleproxy_membership::{Heard, Membership, Saved, SourceId, Status as ListStatus, Word as ListSays};
 use paddleproxy_messages::{Answer, ApiError, ErrorKind};
-use paddleproxy_routing::{Counts, Due, Effect, Facts, Input, Ledger, Sending, SocketEnd};
+use paddleproxy_routing::{Counts, Effect, Facts, Input, Ledger, Sending, SocketEnd};
 use paddleproxy_settings::router::RouterSettings;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep_until, Instant};
-use tokio_util::time::DelayQueue;
 use tracing::{debug, info, warn};
 
 use crate::answer::Owed;
-use crate::clock::{duration, Clock};
+use crate::book::Book;
+use crate::clock::{duration, wall_ms, Clock};
 use crate::dispatch::{request_id, Ask, Dispatch, End, Word};
 use crate::engines::Engines;
 use crate::list::ListWord;
@@ -132,10 +131,9 @@
     settings: Rc<RouterSettings>,
     clock: Clock,
     boot: u64,
-    ledger: Ledger,
+    book: Book,
     membership: Membership,
     engines: Rc<Engines>,
-    timers: DelayQueue<Due>,
     owed: BTreeMap<CompletionId, Owed>,
     asks: BTreeMap<CompletionId, Rc<Ask>>,
     words: BTreeMap<(CompletionId, Seq), mpsc::Sender<Word>>,
@@ -166,12 +164,11 @@
         let roles = decisions.kinds.iter().map(|kind| kind.role);
         let kinds = settings.names.kinds.iter().cloned().zip(roles).collect();
         Core {
-            ledger: Ledger::new(decisions.clone(), settings.front.answer_slack_ms, seed),
+            book: Book::new(clock, Ledger::new(decisions.clone(), settings.front.answer_slack_ms, seed)),
             membership: Membership::new(settings.names.zones.clone(), kinds, settings.membership),
             clock,
             boot,
             engines,
-            timers: DelayQueue::new(),
             owed: BTreeMap::new(),
             asks: BTreeMap::new(),
             words: BTreeMap::new(),
@@ -209,9 +206,7 @@
             let wakes = self.wakes;
             tokio::select! {
                 biased;
-                Some(due) = self.timers.next(), if !self.timers.is_empty() => {
-                    self.handle(Input::Due(due.into_inner()));
-                }
+                due = self.book.due() => self.handle(Input::Due(due)),
                 _ = sleep_until(wakes.unwrap_or_else(Instant::now)), if wakes.is_some() => {
                     let heard = self.membership.tick(self.clock.now_ms());
                     self.heard(heard);
@@ -296,8 +291,8 @@
             Told::Stop => self.handle(Input::Stop),
             Told::Ask { status } => {
                 let _ = status.send(Status {
-                    counts: self.ledger.counts(),
-                    open: self.ledger.open(),
+                    counts: self.book.counts(),
+                    open: self.book.open(),
                     servers: self.membership.len(),
                     version: self.membership.version(),
                     revision: self.membership.revision(),
@@ -350,7 +345,7 @@
             SocketEnd::ReadDone | SocketEnd::AnswerDone => true,
             _ => return,
         };
-        if let Some(worker) = self.ledger.worker(completion, seq).cloned() {
+        if let Some(worker) = self.book.worker(completion, seq).cloned() {
             let heard = self.membership.observe(self.clock.now_ms(), &worker, there);
             if matches!(heard, Heard::Listed { .. }) {
                 self.heard(heard);
@@ -375,9 +370,7 @@
     }
 
     fn handle(&mut self, input: Input) {
-        let mut effects = Vec::new();
-        self.ledger.handle(self.clock.now_ms(), input, &mut effects);
-        for effect in effects {
+        for effect in self.book.handle(input) {
             self.carry_out(effect);
         }
     }
@@ -419,9 +412,8 @@
                 self.owed.remove(&completion);
                 self.asks.remove(&completion);
             }
-            Effect::Arm { in_ms, due } => {
-                self.timers.insert(due, duration(in_ms));
-            }
+            // The book has set its timers.
+            Effect::Arm { .. } => {}
             Effect::Release { worker, completion, seq } => self.release(worker, completion, seq),
             Effect::Hold { worker, completion, seq, tokens } => self.hold(worker, completion, seq, tokens),
             Effect::Probe { worker } => self.probe(worker),
@@ -530,13 +522,6 @@
     }
 }
 
-/// Wall clock in ms since 1970; for files and names only.
-pub fn wall_ms() -> f64 {
-    std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .map_or(0.0, |since| since.as_secs_f64() * 1e3)
-}
-
 #[cfg(test)]
 #[path = "core_tests.rs"]
 mod tests;
--- a/crates/router/src/dispatch_tests.rs
+++ b/crates/router/src/dispatch_tests.rs
@@ -11,7 +11,7 @@
 use paddleproxy_settings::router::EngineSettings;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
 use super::*;
 use crate::answer::Owed;
@@ -142,10 +142,10 @@
     if stop {
         words.try_send(Word::Stop).ok().unwrap();
     }
-    let (reply, client) = oneshot::channel();
+    let (duty, client) = crate::duty::Duty::new(Rc::default());
     let (dialect, id, model) = (paddleproxy_messages::Dialect::published(), "i".into(), "m".into());
     let encoder = paddleproxy_messages::Encoder { dialect, id, model, created: 0, tells_usage: true };
-    let mut owed = Some(Owed::new(reply, None, encoder, 64, Rc::default()));
+    let mut owed = Some(Owed::new(duty, None, encoder, 64, Rc::default()));
     let client = tokio::task::spawn_local(async move {
         if let Ok(crate::answer::Reply::Stream(mut pieces)) = client.await {
             while pieces.pieces.recv().await.is_some() {}
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -20,15 +20,16 @@
 use paddleproxy_routing::{Admission, Facts, Key, Place, Reason, Repeats, Requests, TurnedAway, Verdict};
 use paddleproxy_settings::router::FrontSettings;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tokio_io_timeout::TimeoutStream;
 use tracing::debug;
 
-use crate::answer::{Dropped, Keyed, Owed, Pieces, Reply};
-use crate::clock::{duration, Clock};
-use crate::core::{wall_ms, ToCore, Told};
+use crate::answer::{Keyed, Owed, Pieces, Reply};
+use crate::clock::{duration, wall_ms, Clock};
+use crate::core::{ToCore, Told};
 use crate::dispatch::Ask;
+use crate::duty::{Dropped, Duty};
 use crate::polite::Polite;
 use crate::state::{Left, State};
 
@@ -351,9 +352,9 @@
             effect_key: key.map(|key| self.requests.borrow().effect_key(customer, key)),
             model: asked.model,
         };
-        let (reply, answer) = oneshot::channel();
+        let (duty, answer) = Duty::new(self.dropped.clone());
         let owed =
-            Owed::new(reply, keyed, encoder.clone(), self.settings.pieces_waiting, self.dropped.clone());
+            Owed::new(duty, keyed, encoder.clone(), self.settings.pieces_waiting, self.dropped.clone());
         let mut leave = Leave { completion, core: Some(self.core.clone()) };
         let told = Told::Arrived { completion, facts, received_ms, ask: Rc::new(ask), owed };
         if self.core.send(told).await.is_err() {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -3,9 +3,11 @@
 
 mod admin;
 mod answer;
-mod clock;
+pub mod book;
+pub mod clock;
 mod core;
 mod dispatch;
+pub mod duty;
 mod engines;
 mod files;
 mod front;
@@ -26,8 +28,9 @@
 use tokio::sync::{mpsc, watch};
 use tracing::info;
 
+use crate::clock::wall_ms;
 use crate::clock::{duration, Clock};
-use crate::core::{wall_ms, Core, Told};
+use crate::core::{Core, Told};
 use crate::engines::Engines;
 use crate::front::Front;
 
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 use tracing::{error, info, warn};
 
-use crate::core::wall_ms;
+use crate::clock::wall_ms;
 
 /// A client does not wait longer than this for the disk; then its request is turned away.
 const DISK_WITHIN: Duration = Duration::from_millis(1000);
