Tests of the platform's sockets; shares, ends and what they found

Found by them and mended: a client whose descriptor is wanted lingered 0.5 s on it, so that a flood took the usual clients' places (clients.rs); a report with control bytes spoilt its answer (head.rs reads heads of answers leniently, framing strictly); the first event counted as a gap of 0 ms, so that a stream was given up after 2 s of silence instead of 4 (dispatch.rs). After SIGTERM resting connections stay for 650 ms and what has no answer gets one before the earliest kill; the ledger forgets workers that are gone.

--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -575,7 +575,7 @@
 
     fn stop_ends(&mut self, router: usize, boot: u64) {
         if self.routers[router].up && self.routers[router].boot == boot {
-            self.tell(router, boot, Input::Stop);
+            self.tell(router, boot, Input::Stop { streams: true });
             let node = &mut self.routers[router];
             (node.up, node.asked) = (false, BTreeMap::new());
             self.start_router(router);
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -25,8 +25,8 @@
 pub enum Life {
     Starting,
     Ready,
-    /// Told to stop: what comes is still answered, and each connection closes after its answer.
-    Stopping,
+    /// Told to stop, and no connections come any more: each closes after its answer, and at once where it rests.
+    Closing,
 }
 
 /// What a connection is doing, in the order in which descriptors that run short are taken back.
@@ -102,7 +102,7 @@
 enum Over {
     /// Nothing more to say on it.
     Close,
-    /// The client left while a completion of its was open.
+    /// Nobody is there any more, or its descriptor is wanted elsewhere.
     Left,
 }
 
@@ -208,6 +208,7 @@
                 Err(Over::Left) => return,
             }
         }
+        self.doing(Doing::Nothing);
         // Unread bytes would turn the close into a reset, and the client might never read its answer.
         let _ = stream.shutdown().await;
         let linger = async {
@@ -231,7 +232,7 @@
             biased;
             taken = self.request(stream, bytes) => taken?,
             () = sleep_until(by) => Err(Fault::new(408, "the request did not come whole in time")),
-            () = self.close.notified() => return Err(Over::Close),
+            () = self.close.notified() => return Err(Over::Left),
         };
         let (head, body, held) = match taken {
             Ok(taken) => taken,
@@ -258,7 +259,7 @@
             Ok(()) => {}
             Err(fault) => self.refuse(stream, fault, close).await?,
         }
-        if close || self.gate.life() == Life::Stopping {
+        if close || self.gate.life() == Life::Closing {
             return Err(Over::Close);
         }
         Ok(())
@@ -280,7 +281,7 @@
         let mut life = self.gate.life.clone();
         let stopping = async {
             // A connection that rests closes at once; one that has just come may still bring its request.
-            while first || *life.borrow_and_update() != Life::Stopping {
+            while first || *life.borrow_and_update() != Life::Closing {
                 if life.changed().await.is_err() {
                     std::future::pending::<()>().await;
                 }
@@ -293,7 +294,7 @@
                 _ => Err(Over::Left),
             },
             () = sleep_until(until) => Err(Over::Close),
-            () = self.close.notified() => Err(Over::Close),
+            () = self.close.notified() => Err(Over::Left),
             () = stopping => Err(Over::Close),
         }
     }
@@ -462,7 +463,7 @@
         fields: &str,
         body: &str,
     ) -> Result<(), Over> {
-        let close = if self.gate.life() == Life::Stopping && !fields.contains("Connection") {
+        let close = if self.gate.life() == Life::Closing && !fields.contains("Connection") {
             "Connection: close\r\n"
         } else {
             ""
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -58,6 +58,8 @@
     /// What discovery says.
     Listed(List),
     Settings(Box<Provision>),
+    /// What has no answer yet is answered now; streams that run go on.
+    LastAnswers,
     /// Open work, and figures for the log.
     Tell(oneshot::Sender<(usize, String)>),
 }
@@ -162,6 +164,7 @@
                 self.provision = *provision;
                 self.handle(Input::Settings(Box::new(self.provision.settings.clone())));
             }
+            Told::LastAnswers => self.handle(Input::Stop { streams: false }),
             Told::Tell(to) => {
                 let figures = format!(
                     "{:?}; owed {}, outcomes {:?}, connections {} held and {} opened",
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -207,7 +207,8 @@
             if done && !events.complete() {
                 return Err(SocketEnd::Nonsense("the stream ends within an event".into()));
             }
-            if stream.is_none() && events.events > 0 {
+            let first = stream.is_none();
+            if first && events.events > 0 {
                 let granted = self.begin(sent).await?;
                 stream = Some((granted, Pace::new(self.clock.now_ms(), SILENT_MS)));
             }
@@ -219,7 +220,10 @@
                     sent = pieces.send(Piece::Events(whole)) => sent,
                 };
                 sent.map_err(|_| SocketEnd::Stopped)?;
-                pace.event(self.clock.now_ms());
+                // The first event has begun the pace and is no gap.
+                if !first {
+                    pace.event(self.clock.now_ms());
+                }
             }
             if done {
                 if let Some((pieces, _)) = stream {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod pool;
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
 
@@ -25,7 +26,7 @@
 use crate::clients::{Gate, Life};
 use crate::core::{Core, Told};
 use crate::discovery::Source;
-use crate::limits::{Shares, CORE_QUEUE, LAST_CALL_MS};
+use crate::limits::{last_answers_ms, Shares, CORE_QUEUE, LAST_CALL_MS};
 use crate::pool::Pool;
 
 /// How often idle connections are looked through, in ms.
@@ -38,6 +39,15 @@
     Config::parse(&text, zero_ms).map_err(|cause| anyhow!(cause))
 }
 
+/// What a running router is told from outside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// The configuration has changed.
+    Reload,
+    /// Let what is open end, then end.
+    Stop,
+}
+
 /// Runs a router by the configuration in a file until SIGTERM, then lets what is open end. SIGHUP reads the file
 /// again. Must run on a `LocalSet`.
 ///
@@ -47,11 +57,37 @@
     // Before anything else: from here on no signal ends the process.
     let mut hups = signal(SignalKind::hangup())?;
     let mut terms = signal(SignalKind::terminate())?;
+    let (told, signals) = mpsc::channel(4);
+    tokio::task::spawn_local(async move {
+        loop {
+            let signal = tokio::select! {
+                _ = terms.recv() => Signal::Stop,
+                _ = hups.recv() => Signal::Reload,
+            };
+            if told.send(signal).await.is_err() {
+                return;
+            }
+        }
+    });
+    serve(path, signals, |_| {}).await
+}
+
+/// As [`run`], with whoever holds the other end of `signals` in place of the system's; `ready` is given the address
+/// on which clients are taken.
+///
+/// # Errors
+/// As [`run`].
+pub async fn serve(
+    path: &Path,
+    mut signals: mpsc::Receiver<Signal>,
+    ready: impl FnOnce(SocketAddr),
+) -> Result<()> {
     let clock = Clock::start();
     let zero_ms = wall_ms() - clock.now_ms();
     let Config { name, listen, discovery, seed, limits, known, provision } = read(path, zero_ms)?;
     let shares = Shares::of(&limits);
     let listener = TcpListener::bind(listen).await.with_context(|| format!("listening on {listen}"))?;
+    let listen = listener.local_addr()?;
     info!(name, %listen, %discovery, ?limits, ?shares, known = known.rows.len(), "starting");
 
     let pool = Rc::new(Pool::new(shares.workers, provision.connect_ms, provision.idle_ms));
@@ -83,33 +119,37 @@
         started.send_if_modified(|life| std::mem::replace(life, Life::Ready) == Life::Starting);
     });
 
-    loop {
-        tokio::select! {
-            _ = terms.recv() => break,
-            _ = hups.recv() => match read(path, zero_ms) {
-                Ok(config) => {
-                    info!(discovery = %config.discovery, "configuration read again");
-                    pool.change(config.provision.connect_ms, config.provision.idle_ms);
-                    let provision = Rc::new(config.provision);
-                    *gate.provision.borrow_mut() = provision.clone();
-                    let _ = core.send(Told::Settings(Box::new((*provision).clone()))).await;
-                    sources.send_replace(Source { address: config.discovery, provision, zero_ms });
-                }
-                Err(cause) => warn!(cause = format!("{cause:#}"), "configuration refused; the last good one stays"),
-            },
+    ready(listen);
+    while let Some(Signal::Reload) = signals.recv().await {
+        match read(path, zero_ms) {
+            Ok(config) => {
+                info!(discovery = %config.discovery, "configuration read again");
+                pool.change(config.provision.connect_ms, config.provision.idle_ms);
+                let provision = Rc::new(config.provision);
+                *gate.provision.borrow_mut() = provision.clone();
+                let _ = core.send(Told::Settings(Box::new((*provision).clone()))).await;
+                sources.send_replace(Source { address: config.discovery, provision, zero_ms });
+            }
+            Err(cause) => {
+                warn!(cause = format!("{cause:#}"), "configuration refused; the last good one stays")
+            }
         }
     }
-    life.send_replace(Life::Stopping);
-    info!(standing = gate.standing.get(), "stopping");
-    let last_call = Instant::now() + duration(LAST_CALL_MS);
-    loop {
-        // Open means more than connections: what is held at workers is let go of before the end.
-        let busy = gate.standing.get() > 0 || figures(&core).await.0 > 0;
-        if Instant::now() >= last_call && !accepting.is_finished() {
-            accepting.abort();
-        }
-        if Instant::now() >= last_call && !busy {
-            break;
+    let stopped = Instant::now();
+    let longest_ms = gate.provision.borrow().client_timeouts_ms.iter().copied().fold(0.0, f64::max);
+    let answers_ms = last_answers_ms(longest_ms);
+    info!(standing = gate.standing.get(), answers_ms, "stopping");
+    // Guards against clients that have a connection here and nobody else to go to: those that rest stay as long as
+    // new ones come. Harm: a request or two more meet a router that ends.
+    sleep(duration(LAST_CALL_MS)).await;
+    accepting.abort();
+    life.send_replace(Life::Closing);
+    let mut answered = false;
+    // Open means more than connections: what is held at workers is let go of before the end.
+    while gate.standing.get() + figures(&core).await.0 > 0 {
+        if !answered && stopped.elapsed() >= duration(answers_ms) {
+            answered = true;
+            let _ = core.send(Told::LastAnswers).await;
         }
         sleep(duration(LOOK_MS)).await;
     }
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -44,6 +44,17 @@
 /// Words that may wait for the core.
 pub const CORE_QUEUE: usize = 1024;
 
+/// The platform kills a router no earlier after SIGTERM than this, in ms, and the longest client timeout, which counts
+/// as the second at most.
+const KILL_MS: f64 = 700.0;
+const KILL_LONGEST_MS: f64 = 3000.0;
+/// Answers are given so long before that, in ms: time for the last bytes to be written.
+const KILL_MARGIN_MS: f64 = 200.0;
+/// Time after SIGTERM, in ms, by which every completion has its final answer.
+pub fn last_answers_ms(longest_ms: f64) -> f64 {
+    KILL_MS + longest_ms.min(KILL_LONGEST_MS) - KILL_MARGIN_MS
+}
+
 /// Descriptors and bytes by name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shares {
--- /dev/null
+++ b/crates/gateway/tests/common/mod.rs
@@ -0,0 +1,392 @@
+//! A router of the platform with scripted workers and a scripted discovery on free local ports, in this process.
+#![allow(dead_code)] // Each test file uses its part.
+
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use paddleproxy_gateway::Signal;
+use serde_json::{json, Value};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+/// Runs a test's body on one thread with local tasks; a test that hangs fails after a minute.
+pub fn local(work: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let bounded = async { timeout(Duration::from_secs(60), work).await.expect("it hangs") };
+    tokio::task::LocalSet::new().block_on(&runtime, bounded);
+}
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub const FIRST: &str =
+    "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"oqvh\"},\"finish_reason\":null}]}\n\n";
+pub const LAST: &str =
+    "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"x\"},\"finish_reason\":\"stop\"}]}\n\n\
+    data: {\"choices\":[],\"usage\":{\"prompt_tokens\":9,\"completion_tokens\":2,\"prompt_tokens_details\":\
+    {\"cached_tokens\":0}}}\n\ndata: [DONE]\n\n";
+pub const HEAD: &str =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// A whole good answer.
+pub fn good() -> String {
+    format!("{HEAD}{}{}0\r\n\r\n", chunk(FIRST), chunk(LAST))
+}
+
+pub fn plain(status: &str, fields: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// What a worker does about one request.
+#[derive(Clone)]
+pub enum Step {
+    Say(String),
+    Bytes(Vec<u8>),
+    Wait(u64),
+    /// Sends this again and again until nobody takes it.
+    Flood(Vec<u8>),
+    Close,
+    /// Says nothing more and waits for the other side to close.
+    Hang,
+}
+
+/// One request as a worker saw it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seen {
+    pub connection: usize,
+    pub method: String,
+    pub target: String,
+    pub id: String,
+    pub deadline: String,
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+type Script = Rc<dyn Fn(&Seen, usize) -> Vec<Step>>;
+
+pub struct Worker {
+    pub name: String,
+    pub kind: &'static str,
+    pub address: SocketAddr,
+    pub seen: Rc<RefCell<Vec<Seen>>>,
+    pub connections: Rc<Cell<usize>>,
+    /// Connections that the router closed.
+    pub closed: Rc<Cell<usize>>,
+    script: Rc<RefCell<Script>>,
+}
+
+/// Reads one request; None at the end of the connection.
+async fn request(stream: &mut TcpStream, bytes: &mut Vec<u8>, connection: usize) -> Option<Seen> {
+    loop {
+        if let Some(end) = bytes.windows(4).position(|part| part == b"\r\n\r\n") {
+            let head = String::from_utf8(bytes[..end].to_vec()).unwrap();
+            let field = |name: &str| {
+                let line = head.lines().find(|line| line.to_lowercase().starts_with(&format!("{name}:")));
+                line.map_or(String::new(), |line| line[name.len() + 1..].trim().to_owned())
+            };
+            let length: usize = field("content-length").parse().unwrap_or(0);
+            if bytes.len() >= end + 4 + length {
+                let mut first = head.lines().next().unwrap().split(' ');
+                let body = bytes[end + 4..end + 4 + length].to_vec();
+                bytes.drain(..end + 4 + length);
+                return Some(Seen {
+                    connection,
+                    method: first.next().unwrap().to_owned(),
+                    target: first.next().unwrap().to_owned(),
+                    id: field("req-id"),
+                    deadline: field("req-deadline"),
+                    head,
+                    body,
+                });
+            }
+        }
+        let mut part = [0; 4096];
+        match stream.read(&mut part).await {
+            Ok(0) | Err(_) => return None,
+            Ok(read) => bytes.extend_from_slice(&part[..read]),
+        }
+    }
+}
+
+impl Worker {
+    pub async fn start(
+        name: &str,
+        kind: &'static str,
+        script: impl Fn(&Seen, usize) -> Vec<Step> + 'static,
+    ) -> Rc<Worker> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let worker = Rc::new(Worker {
+            name: name.into(),
+            kind,
+            address: listener.local_addr().unwrap(),
+            seen: Rc::default(),
+            connections: Rc::default(),
+            closed: Rc::default(),
+            script: Rc::new(RefCell::new(Rc::new(script))),
+        });
+        let shared = worker.clone();
+        tokio::task::spawn_local(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                let number = shared.connections.get();
+                shared.connections.set(number + 1);
+                tokio::task::spawn_local(shared.clone().serve(stream, number));
+            }
+        });
+        worker
+    }
+
+    /// Answers differently from now on.
+    pub fn now(&self, script: impl Fn(&Seen, usize) -> Vec<Step> + 'static) {
+        *self.script.borrow_mut() = Rc::new(script);
+    }
+
+    /// Requests for completions that it saw.
+    pub fn asked(&self) -> Vec<Seen> {
+        self.seen.borrow().iter().filter(|seen| seen.target.starts_with("/v1/")).cloned().collect()
+    }
+
+    /// The calls of this kind that it saw.
+    pub fn calls(&self, method: &str) -> Vec<String> {
+        let seen = self.seen.borrow();
+        seen.iter().filter(|seen| seen.method == method).map(|seen| seen.target.clone()).collect()
+    }
+
+    async fn serve(self: Rc<Self>, mut stream: TcpStream, number: usize) {
+        let mut bytes = Vec::new();
+        while let Some(seen) = request(&mut stream, &mut bytes, number).await {
+            let steps = if seen.target.starts_with("/v1/") {
+                let script = self.script.borrow().clone();
+                let asked = self.asked().len();
+                self.seen.borrow_mut().push(seen.clone());
+                script(&seen, asked)
+            } else {
+                self.seen.borrow_mut().push(seen.clone());
+                match seen.method.as_str() {
+                    "GET" => vec![Step::Say(plain("200 OK", "", "TEXT inflight=1, queue=0, util=0.1"))],
+                    _ => vec![Step::Say(plain("204 No Content", "", ""))],
+                }
+            };
+            for step in steps {
+                let said = match step {
+                    Step::Say(text) => stream.write_all(text.as_bytes()).await,
+                    Step::Bytes(bytes) => stream.write_all(&bytes).await,
+                    Step::Wait(wait) => {
+                        sleep(ms(wait)).await;
+                        Ok(())
+                    }
+                    Step::Flood(bytes) => loop {
+                        if let Err(cause) = stream.write_all(&bytes).await {
+                            break Err(cause);
+                        }
+                        tokio::task::yield_now().await;
+                    },
+                    Step::Close => return,
+                    Step::Hang => {
+                        while stream.read(&mut [0; 512]).await.is_ok_and(|read| read > 0) {}
+                        Err(std::io::ErrorKind::ConnectionReset.into())
+                    }
+                };
+                if said.is_err() {
+                    self.closed.set(self.closed.get() + 1);
+                    return;
+                }
+            }
+        }
+        self.closed.set(self.closed.get() + 1);
+    }
+}
+
+/// A discovery that says what it is told to say.
+pub struct Discovery {
+    pub address: SocketAddr,
+    /// Answers to calls; the last is said again and again. A watch waits until it differs from what was said.
+    pub says: Rc<RefCell<String>>,
+    /// Rises with each change of `says`.
+    pub turn: Rc<Cell<u64>>,
+    pub calls: Rc<RefCell<Vec<String>>>,
+    pub silent: Rc<Cell<bool>>,
+}
+
+impl Discovery {
+    pub async fn start(says: String) -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let discovery = Discovery {
+            address: listener.local_addr().unwrap(),
+            says: Rc::new(RefCell::new(says)),
+            turn: Rc::new(Cell::new(1)),
+            calls: Rc::default(),
+            silent: Rc::default(),
+        };
+        let (says, turn, calls, silent) = (
+            discovery.says.clone(),
+            discovery.turn.clone(),
+            discovery.calls.clone(),
+            discovery.silent.clone(),
+        );
+        tokio::task::spawn_local(async move {
+            loop {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let (says, turn, calls, silent) = (says.clone(), turn.clone(), calls.clone(), silent.clone());
+                tokio::task::spawn_local(async move {
+                    let (mut bytes, mut told) = (Vec::new(), 0);
+                    while let Some(seen) = request(&mut stream, &mut bytes, 0).await {
+                        calls.borrow_mut().push(seen.target.clone());
+                        while silent.get() || seen.target.contains("hold_ms") && told == turn.get() {
+                            sleep(ms(2)).await;
+                        }
+                        told = turn.get();
+                        let says = says.borrow().clone();
+                        let answer = match says.strip_prefix("raw:") {
+                            Some(raw) => raw.to_owned(),
+                            None => plain("200 OK", "", &says),
+                        };
+                        if stream.write_all(answer.as_bytes()).await.is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        discovery
+    }
+
+    pub fn say(&self, says: String) {
+        *self.says.borrow_mut() = says;
+        self.turn.set(self.turn.get() + 1);
+    }
+}
+
+pub fn host(worker: &Worker, health: &str) -> Value {
+    json!({ "host": worker.name, "dial": worker.address.to_string(), "site": "a", "class": worker.kind, "block": 0,
+            "health": health, "share": 1.0, "born_ms": 0 })
+}
+
+pub fn list(seq: u64, workers: &[&Worker]) -> Value {
+    let hosts: Vec<_> = workers.iter().map(|worker| host(worker, "ready")).collect();
+    json!({ "seq": seq, "whole": true, "hosts": hosts })
+}
+
+pub fn settings() -> Value {
+    json!({
+        "balancers": 1, "slot_no": 0, "my_zone": "a", "localities": ["a"],
+        "machine_types": ["prefill", "decode", "combined"],
+        "services": [{ "name": "chat", "slo_s": 0.4, "deadline_s": 20.0, "idempotency": "repeatable",
+                       "dedup_scope": "all", "window_s": 5.0, "importance": 1.0, "stream": true }],
+        "tenants": [{ "name": "acme", "quota_per_s": 100.0, "portion": 1.0 }],
+        "caps": { "cancel": true, "second_copies": true, "retry_after": true, "max_retry_after_s": 0.5,
+                  "max_attempts": 5, "conn_idle_s": 30.0, "connect_timeout_s": 0.25, "probes": false },
+        "report": { "how": "answers", "names": ["cpu_share", "pending", "x0"] },
+        "family_info": { "aim_us_per_1000_prompt_tokens": [0.0], "holds_allowed": true,
+                         "kv_tokens": [200000.0, 200000.0, 200000.0], "pin_limit_s": 0.5,
+                         "role_by_kind": ["read", "write", "both"], "self_prefill": true },
+        "invariants": { "answer_slack_s": 0.008, "cold_s": 12.0, "cold_share": 0.3, "fall_multiple": 2.5,
+                        "fall_s": 2.0, "must_ask_in_s": 10.0 },
+        "resolution_s": 0.002
+    })
+}
+
+pub struct Platform {
+    pub clients: SocketAddr,
+    pub discovery: Discovery,
+    pub signals: mpsc::Sender<Signal>,
+    pub router: JoinHandle<anyhow::Result<()>>,
+    pub file: PathBuf,
+    pub config: Value,
+    _dir: tempfile::TempDir,
+}
+
+impl Platform {
+    pub async fn start(workers: &[&Worker]) -> Platform {
+        Platform::with(workers, |_| {}).await
+    }
+
+    pub async fn with(workers: &[&Worker], change: impl Fn(&mut Value)) -> Platform {
+        let discovery = Discovery::start(list(1, workers).to_string()).await;
+        let mut config = json!({
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
+            "seed": "8c1f30d27a5be964", "limits": { "cores": 1.0, "memory_mb": 64, "sockets": 256 },
+            "known": list(1, workers), "settings": settings()
+        });
+        change(&mut config);
+        let dir = tempfile::tempdir().unwrap();
+        let file = dir.path().join("config.json");
+        std::fs::write(&file, config.to_string()).unwrap();
+        let (signals, taken) = mpsc::channel(4);
+        let (sender, ready) = tokio::sync::oneshot::channel();
+        let path = file.clone();
+        let router = tokio::task::spawn_local(async move {
+            paddleproxy_gateway::serve(&path, taken, move |at| sender.send(at).unwrap()).await
+        });
+        let clients = ready.await.unwrap();
+        let platform = Platform { clients, discovery, signals, router, file, config, _dir: dir };
+        platform.until("GET /_health HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", " 200 ").await;
+        platform
+    }
+
+    /// Asks until the answer says so.
+    pub async fn until(&self, request: &str, said: &str) {
+        loop {
+            let answer = raw(self.clients, request.as_bytes()).await;
+            if answer.contains(said) {
+                return;
+            }
+            sleep(ms(5)).await;
+        }
+    }
+
+    pub async fn ask(&self, id: &str) -> String {
+        raw(self.clients, completion(id, "Connection: close\r\n", "{}").as_bytes()).await
+    }
+}
+
+/// A request of a usual client.
+pub fn completion(id: &str, fields: &str, body: &str) -> String {
+    prompt(id, 100, fields, body)
+}
+
+pub fn prompt(id: &str, tokens: usize, fields: &str, body: &str) -> String {
+    format!(
+        "POST /v1/chat/completions?trace=1 HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {id}\r\nReq-Kind: chat\r\n\
+         Req-Owner: acme\r\nReq-Key: 7f3a9c21e0b4d655\r\nReq-Deadline: 8.000\r\n\
+         Req-Extra: prompt_len={tokens},max_out=8\r\n{fields}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Sends bytes as they are and reads to the end of the connection.
+pub async fn raw(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    // A peer that has answered may close before it has read all.
+    let _ = stream.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// The data of the chunks of an answer, and whether the last chunk came.
+pub fn body(answer: &str) -> (String, bool) {
+    let mut rest = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    let mut data = String::new();
+    while let Some((size, more)) = rest.split_once("\r\n") {
+        let size = usize::from_str_radix(size, 16).unwrap();
+        if size == 0 {
+            return (data, true);
+        }
+        data += &more[..size];
+        rest = &more[size + 2..];
+    }
+    (data, false)
+}
--- /dev/null
+++ b/crates/gateway/tests/life.rs
@@ -0,0 +1,232 @@
+//! A router's life: discovery, new configurations, the end; and that nothing grows with what has come and gone.
+
+mod common;
+
+use common::*;
+use paddleproxy_gateway::Signal;
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout, Instant};
+
+fn served() -> Vec<Step> {
+    vec![Step::Say(good())]
+}
+
+#[test]
+fn a_drain_that_is_told_is_kept_and_the_list_outlives_a_silent_discovery() {
+    local(async {
+        let one = Worker::start("w-1", "combined", |_, _| served()).await;
+        let two = Worker::start("w-2", "combined", |_, _| served()).await;
+        let platform = Platform::start(&[&one, &two]).await;
+        let home = if body(&platform.ask("a1").await).1 && one.asked().len() == 1 { &one } else { &two };
+        let other = if home.name == one.name { &two } else { &one };
+        let change = json!({ "seq": 2, "whole": false, "hosts": [host(home, "draining")] });
+        platform.discovery.say(change.to_string());
+        while platform.discovery.calls.borrow().last().is_none_or(|call| !call.contains("from=2")) {
+            sleep(ms(2)).await;
+        }
+        assert!(body(&platform.ask("a2").await).1);
+        assert_eq!((home.asked().len(), other.asked().len()), (1, 1));
+        // An older version, what is no list, half an answer, silence: none of them changes anything.
+        let old = list(1, &[home]).to_string();
+        for lie in [
+            old.as_str(),
+            "{\"seq\":",
+            "raw:HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\n{",
+            "raw:nonsense\r\n\r\n",
+        ] {
+            platform.discovery.say(lie.into());
+            sleep(ms(150)).await;
+            assert!(body(&platform.ask("a3").await).1, "{lie}");
+            assert_eq!(home.asked().len(), 1, "{lie}");
+        }
+        platform.discovery.silent.set(true);
+        assert!(body(&platform.ask("a4").await).1);
+        platform
+            .discovery
+            .say(json!({ "seq": 3, "whole": false, "hosts": [host(home, "ready")] }).to_string());
+        platform.discovery.silent.set(false);
+        for _ in 0..1000 {
+            assert!(body(&platform.ask("a5").await).1);
+            if home.asked().len() > 1 {
+                return;
+            }
+            sleep(ms(5)).await;
+        }
+        panic!("the drain's end was never heard");
+    });
+}
+
+#[test]
+fn watches_follow_each_other_without_a_gap() {
+    local(async {
+        let worker = Worker::start("w-1", "combined", |_, _| served()).await;
+        let platform = Platform::start(&[&worker]).await;
+        for version in 2..12 {
+            platform.discovery.say(list(version, &[&worker]).to_string());
+            let waits = format!("from={version}&");
+            let called = async {
+                while !platform.discovery.calls.borrow().iter().any(|call| call.contains(&waits)) {
+                    sleep(ms(1)).await;
+                }
+            };
+            timeout(ms(200), called).await.expect("a watch goes on within 200 ms");
+        }
+        assert_eq!(platform.discovery.calls.borrow()[0], "/catalog/members");
+    });
+}
+
+#[test]
+fn a_new_configuration_moves_discovery_and_a_torn_one_changes_nothing() {
+    local(async {
+        let one = Worker::start("w-1", "combined", |_, _| served()).await;
+        let two = Worker::start("w-2", "combined", |_, _| served()).await;
+        let platform = Platform::start(&[&one]).await;
+        platform.discovery.say(list(900, &[&one]).to_string());
+        sleep(ms(30)).await;
+        let text = platform.config.to_string();
+        let wrong = text.replace("\"discovery\"", "\"discover\"");
+        for torn in [&text[..text.len() / 2], "", wrong.as_str()] {
+            std::fs::write(&platform.file, torn).unwrap();
+            platform.signals.send(Signal::Reload).await.unwrap();
+            sleep(ms(30)).await;
+            assert!(body(&platform.ask("a1").await).1, "{torn:.40}");
+        }
+        // The other address counts from the beginning: its lower version is the newer word.
+        let moved = Discovery::start(list(3, &[&two]).to_string()).await;
+        let mut config = platform.config.clone();
+        config["discovery"] = moved.address.to_string().into();
+        std::fs::write(&platform.file, config.to_string()).unwrap();
+        platform.signals.send(Signal::Reload).await.unwrap();
+        while moved.calls.borrow().len() < 2 {
+            sleep(ms(2)).await;
+        }
+        assert_eq!(moved.calls.borrow()[0], "/catalog/members");
+        let before = one.asked().len();
+        assert!(body(&platform.ask("a2").await).1);
+        assert_eq!((one.asked().len(), two.asked().len()), (before, 1));
+        // The old address says nothing to anybody any more.
+        let calls = platform.discovery.calls.borrow().len();
+        platform.discovery.say(list(901, &[&one]).to_string());
+        sleep(ms(50)).await;
+        assert!(platform.discovery.calls.borrow().len() <= calls + 1);
+        assert!(body(&platform.ask("a3").await).1);
+        assert_eq!(two.asked().len(), 2);
+    });
+}
+
+#[test]
+fn after_sigterm_what_comes_is_answered_and_streams_run_to_their_end() {
+    local(async {
+        let worker = Worker::start("w-1", "combined", |_, _| {
+            let mut steps = vec![Step::Say(format!("{HEAD}{}", chunk(FIRST)))];
+            steps.extend((0..10).flat_map(|_| [Step::Wait(150), Step::Say(chunk(FIRST))]));
+            steps.extend([Step::Say(chunk(LAST)), Step::Say("0\r\n\r\n".into())]);
+            steps
+        })
+        .await;
+        let mut platform = Platform::start(&[&worker]).await;
+        let mut resting = TcpStream::connect(platform.clients).await.unwrap();
+        resting.write_all(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap();
+        resting.read_exact(&mut [0; 64]).await.unwrap();
+        let mut open = TcpStream::connect(platform.clients).await.unwrap();
+        open.write_all(completion("a1", "", "{}").as_bytes()).await.unwrap();
+        open.read_exact(&mut [0; 64]).await.unwrap();
+        let began = Instant::now();
+        platform.signals.send(Signal::Stop).await.unwrap();
+        sleep(ms(200)).await;
+        worker.now(|_, _| served());
+        assert!(body(&platform.ask("a2").await).1, "who comes late is answered");
+        let mut answer = Vec::new();
+        open.read_to_end(&mut answer).await.unwrap();
+        assert!(String::from_utf8(answer).unwrap().ends_with("\r\n0\r\n\r\n"), "the stream ran to its end");
+        assert!(began.elapsed() > ms(1000));
+        (&mut platform.router).await.unwrap().unwrap();
+        assert!(began.elapsed() < ms(4000), "{:?}", began.elapsed());
+        // What rested was closed, with nothing said.
+        let mut rest = Vec::new();
+        resting.read_to_end(&mut rest).await.unwrap();
+        assert!(!String::from_utf8(rest).unwrap().contains("HTTP/1.1 5"));
+    });
+}
+
+#[test]
+fn what_is_unanswered_late_after_sigterm_gets_its_final_answer() {
+    local(async {
+        let worker = Worker::start("w-1", "combined", |_, _| vec![Step::Hang]).await;
+        let platform = Platform::with(&[&worker], |config| {
+            config["settings"]["services"][0]["slo_s"] = 19.0.into();
+        })
+        .await;
+        let mut open = TcpStream::connect(platform.clients).await.unwrap();
+        open.write_all(completion("a1", "", "{}").as_bytes()).await.unwrap();
+        while worker.asked().is_empty() {
+            sleep(ms(2)).await;
+        }
+        let began = Instant::now();
+        platform.signals.send(Signal::Stop).await.unwrap();
+        let mut answer = Vec::new();
+        open.read_to_end(&mut answer).await.unwrap();
+        // It may have run, and is idempotent or not: nothing is promised.
+        assert!(answer.starts_with(b"HTTP/1.1 502 "), "{}", String::from_utf8_lossy(&answer));
+        assert!(began.elapsed() < ms(3700), "{:?}", began.elapsed());
+        platform.router.await.unwrap().unwrap();
+    });
+}
+
+#[test]
+fn a_configuration_that_can_not_be_is_named_by_its_field() {
+    local(async {
+        for (field, wrong, said) in [
+            ("discovery", json!("nowhere"), "discovery"),
+            ("listen", json!(7), "listen"),
+            ("limits", json!({ "memory_mb": 64 }), "limits: missing field `sockets`"),
+            ("limits", json!({ "memory_mb": 64, "sockets": 3 }), "limits.sockets"),
+            ("limits", json!({ "memory_mb": -1, "sockets": 300 }), "limits.memory_mb"),
+            ("settings", json!({}), "settings: missing field"),
+            ("known", json!({ "seq": 1, "hosts": [{ "health": "ready" }] }), "known.hosts[0]"),
+        ] {
+            let mut config = json!({
+                "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "1",
+                "limits": { "cores": 1.0, "memory_mb": 64, "sockets": 256 }, "settings": settings()
+            });
+            config[field] = wrong;
+            let dir = tempfile::tempdir().unwrap();
+            let file = dir.path().join("config.json");
+            std::fs::write(&file, config.to_string()).unwrap();
+            let (_signals, taken) = tokio::sync::mpsc::channel(1);
+            let cause = paddleproxy_gateway::serve(&file, taken, |_| {}).await.unwrap_err();
+            let cause = format!("{cause:#}");
+            assert!(cause.contains(said) && cause.lines().count() == 1, "{field}: {cause}");
+        }
+    });
+}
+
+/// Connections to workers, descriptors and what the router counts as open all come back to where they were.
+#[test]
+fn nothing_grows_with_clients_and_workers_that_come_and_go() {
+    fn descriptors() -> usize {
+        std::fs::read_dir("/proc/self/fd").unwrap().count()
+    }
+    local(async {
+        let one = Worker::start("w-1", "combined", |_, _| served()).await;
+        let platform = Platform::start(&[&one]).await;
+        let mut at = Vec::new();
+        for round in 0..6 {
+            for step in 0..150 {
+                let request = completion(&format!("r{round}-{step}"), "Connection: close\r\n", "{}")
+                    .replace("7f3a9c21e0b4d655", &format!("{round:x}{step:x}"));
+                assert!(body(&raw(platform.clients, request.as_bytes()).await).1);
+                // A worker with a name that was never there before, and the last one gone.
+                let seq = 10 + round * 150 + step;
+                let mut listed = list(seq, &[&one]);
+                listed["hosts"][0]["host"] = format!("w-{seq}").into();
+                platform.discovery.say(listed.to_string());
+            }
+            sleep(ms(60)).await;
+            at.push(descriptors());
+        }
+        assert!(at[5] <= at[1] + 4, "descriptors by round: {at:?}");
+    });
+}
--- a/crates/platform/src/head.rs
+++ b/crates/platform/src/head.rs
@@ -171,10 +171,14 @@
 /// What is no head, or longer than [`HEAD_BYTES`], interim answers included.
 pub fn answer(bytes: &mut bytes::BytesMut) -> Result<Option<AnswerHead>, &'static str> {
     let mut from = 0;
+    // A line that can't be read, a report with noise in it for one, spoils no answer whose status and framing can be.
+    let mut lenient = httparse::ParserConfig::default();
+    lenient.ignore_invalid_headers_in_responses(true);
     loop {
         let mut fields = [httparse::EMPTY_HEADER; HEAD_FIELDS];
         let mut head = httparse::Response::new(&mut fields);
-        let length = match head.parse(&bytes[from..bytes.len().min(HEAD_BYTES)]) {
+        let text = &bytes[from..bytes.len().min(HEAD_BYTES)];
+        let length = match lenient.parse_response(&mut head, text) {
             Ok(httparse::Status::Complete(length)) => length,
             Ok(httparse::Status::Partial) if bytes.len() < HEAD_BYTES => return Ok(None),
             Ok(httparse::Status::Partial) => return Err("the head of the answer does not end"),
@@ -266,7 +270,7 @@
         assert_eq!((head.status, head.declined, head.framing), (503, true, Framing::Length(0)));
         assert_eq!(head.load.unwrap().queue, Some(2.0));
         assert_eq!(&bytes[..], b"rest");
-        let mut bad = bytes::BytesMut::from(&b"HTTP/1.1 200 OK\r\nSrv-Load: \x80 what\r\n\r\n"[..]);
+        let mut bad = bytes::BytesMut::from(&b"HTTP/1.1 200 OK\r\nSrv-Load: \x80 \x01\x7f what\r\n\r\n"[..]);
         assert_eq!(
             answer(&mut bad).unwrap().unwrap().load,
             None,
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -288,7 +288,7 @@
             }
             Told::Settings { decisions } => self.handle(Input::Settings(decisions)),
             Told::ListFailed => self.handle(Input::Listed { kind: ListKind::Failed, rows: [].into() }),
-            Told::Stop => self.handle(Input::Stop),
+            Told::Stop => self.handle(Input::Stop { streams: true }),
             Told::Ask { status } => {
                 let _ = status.send(Status {
                     counts: self.book.counts(),
--- a/crates/routing/src/ledger.rs
+++ b/crates/routing/src/ledger.rs
@@ -71,8 +71,10 @@
     Recovered(Vec<Kept>),
     /// Other settings from now on; open completions keep the rows that they began under.
     Settings(Box<Settings>),
-    /// The router stops and its time for that is over: everything still open ends now.
-    Stop,
+    /// The router stops and its time for that is over: everything still open ends now, streams that run too or not.
+    Stop {
+        streams: bool,
+    },
 }
 
 /// What a timer was set for.
@@ -344,9 +346,18 @@
             Input::Left { completion } => self.left(completion, effects),
             Input::Reported { worker, load } => self.events.push_back(Event::Reported { worker, load }),
             Input::Listed { kind, rows } => {
+                if matches!(kind, ListKind::Whole | ListKind::Saved) {
+                    self.roles.clear();
+                }
                 for row in rows.iter() {
-                    if let Some(kind) = self.settings.kinds.get(row.kind.0) {
-                        self.roles.insert(row.worker.clone(), kind.role);
+                    match self.settings.kinds.get(row.kind.0) {
+                        Some(kind) if row.readiness != Readiness::Gone => {
+                            self.roles.insert(row.worker.clone(), kind.role);
+                        }
+                        // Nothing is sent to who is gone, and names never come back for ever.
+                        _ => {
+                            self.roles.remove(&row.worker);
+                        }
                     }
                 }
                 self.events.push_back(Event::Listed { kind, rows });
@@ -362,7 +373,7 @@
                 self.settings = (*settings).clone();
                 self.events.push_back(Event::Settings(settings));
             }
-            Input::Stop => self.stop(effects),
+            Input::Stop { streams } => self.stop(streams, effects),
             Input::Due(Due::Decisions(timer)) => self.events.push_back(Event::TimerFired(timer)),
             Input::Due(Due::Overdue(completion)) => {
                 // Guards against decisions that miss the client timeout. Harm: none that the miss has not done.
@@ -481,7 +492,7 @@
     }
 
     /// Each completion is answered by what is known of it: one that surely never ran may be tried at another router.
-    fn stop(&mut self, effects: &mut Vec<Effect>) {
+    fn stop(&mut self, streams: bool, effects: &mut Vec<Effect>) {
         for (completion, entry) in &mut self.open {
             let completion = *completion;
             if entry.owed {
@@ -496,7 +507,10 @@
                 self.events.push_back(Event::Expired { completion });
             }
             for (row, _) in entry.dispatches.iter().enumerate().filter(|(_, dispatch)| dispatch.out) {
-                effects.push(Effect::Stop { completion, seq: Seq(row as u32) });
+                let seq = Seq(row as u32);
+                if streams || entry.stream != Some(seq) {
+                    effects.push(Effect::Stop { completion, seq });
+                }
             }
             self.touched.insert(completion);
         }
