Call back from idle workers; write in home's cell what was read elsewhere

Excluded: silence (other reads were answered meanwhile), lost reports, descriptors. Change: home's cell is the last one offered; what is out for half a latency target at a worker that has just said it is idle is called back.

--- a/src/control.rs
+++ b/src/control.rs
@@ -34,6 +34,10 @@
 const FORGIVEN: f64 = 0.8;
 /// Latency targets that a dispatch may take before another worker is tried.
 const PATIENCE: f64 = 2.0;
+/// Share of the latency target after which a dispatch counts as lost at a worker that says it is idle, and the
+/// share of its slots in use below which it is.
+const HUNG: f64 = 0.5;
+const IDLE_SHARE: f64 = 0.5;
 /// Share of the way to full capacity that time alone is trusted to bring; some workers warm by work.
 const WARMING: f64 = 0.5;
 /// What a worker said of its load halves in this share of the time in which a cold one falls over, and it is
@@ -125,8 +129,10 @@
     waiting: Averaged,
     held: Averaged,
     streams: f64,
-    /// What it last said of its load, as a share of the bound, and whether a probe is out.
+    /// What it last said of its load, as a share of the bound, whether that was little and nothing waited, and
+    /// whether a probe is out.
     said: Stamped,
+    idle: bool,
     probed: bool,
     /// What the table held of this worker before then is void.
     forgot_ms: f64,
@@ -222,8 +228,11 @@
             Event::Arrived(facts) => self.arrived(facts, actions),
             Event::Began { completion, seq, .. } => self.began(*completion, *seq, actions),
             Event::Ended { completion, seq, over, outcome, kept_tokens, .. } => {
+                let at = self.completions.get(completion).and_then(|c| c.dispatches.get(seq.0 as usize));
+                let at = at.map(|d| d.worker.clone());
                 self.ended(*completion, *seq, *over, *outcome, *kept_tokens);
                 self.reconcile(*completion, actions);
+                at.into_iter().for_each(|worker| self.call_back(&worker, actions));
             }
             Event::Expired { completion } => {
                 self.completions.get_mut(completion).into_iter().for_each(|c| c.over = true);
@@ -252,6 +261,7 @@
                     self.reconcile(id, actions);
                 }
                 self.judge(worker, if *answered { 0.0 } else { 0.6 }, false);
+                self.call_back(worker, actions);
             }
             Event::TimerFired(Timer::Subscribe) => actions.push(Action::Subscribe),
             Event::Recovered(kept) => kept.iter().for_each(|kept| self.recover(kept)),
@@ -285,6 +295,7 @@
                 held: Averaged::default(),
                 streams: 0.0,
                 said: Stamped { value: 0.0, at_ms: f64::NEG_INFINITY },
+                idle: false,
                 probed: false,
                 forgot_ms: 0.0,
             });
@@ -333,7 +344,32 @@
         let tokens = load.waiting_kilotokens.map(|thousands| thousands * 1e3).or(queued).unwrap_or(0.0);
         let held = load.memory_share.filter(|_| w.role != Role::Reader).unwrap_or(0.0) * memory;
         let said = Stamped { value: self.strain(w, tokens, held), at_ms: self.now_ms };
-        self.workers.entry(id.clone()).and_modify(|w| w.said = said);
+        let idle = load.queue == Some(0.0) && load.slots_share.is_some_and(|share| share < IDLE_SHARE);
+        self.workers.entry(id.clone()).and_modify(|w| (w.said, w.idle) = (said, idle));
+    }
+
+    /// Guards against a worker that has lost what we sent, or never ends it, and serves others: it has just said
+    /// that it is idle while a dispatch of ours is out there. Harm: a report that is late calls back what runs.
+    fn call_back(&mut self, id: &WorkerId, actions: &mut Vec<Action>) {
+        let now_ms = self.now_ms;
+        let fresh_ms = now_ms - self.settings.resolution_ms;
+        if !self.workers.get(id).is_some_and(|w| w.idle && w.said.at_ms >= fresh_ms) {
+            return;
+        }
+        let mut hung = Vec::new();
+        for (completion, c) in self.completions.iter_mut().filter(|(_, c)| !c.over && c.answer.is_none()) {
+            let late_ms = now_ms - HUNG * c.target_ms;
+            let lost = |d: &&mut Dispatch| d.worker == *id && d.phase == Phase::Out && d.sent_ms < late_ms;
+            if let Some(d) = c.dispatches.iter_mut().find(lost) {
+                d.wanted = false;
+                c.avoid.push(id.clone());
+                hung.push(*completion);
+            }
+        }
+        for completion in hung {
+            self.judge(id, 0.4, false);
+            self.reconcile(completion, actions);
+        }
     }
 
     /// Tokens that wait there to be read or fetched, or those held where it writes, as a share of what makes
@@ -549,7 +585,8 @@
         let home_cell = home.as_ref().and_then(|home| self.cell(home));
         let mut readers = self.workers.values().filter(|w| w.role == Role::Reader);
         let has_reader = readers.any(|w| Some(w.listing.cell) == home_cell);
-        let cells = [home_cell.filter(|_| !has_reader), self.cell(at)];
+        // Last: guards against refusing what home's cell could write, read elsewhere. Harm: its state moves far.
+        let cells = [home_cell.filter(|_| !has_reader), self.cell(at), home_cell];
         let home = home.filter(|home| !c.avoid.contains(home) && !self.strained(c, home, false));
         cells.into_iter().flatten().find_map(|cell| {
             let home = home.as_ref().filter(|home| self.cell(home) == Some(cell));
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -246,3 +246,22 @@
     play.arrive(1, 5, 6000.0).pass(1000.0).arrive(2, 6, 6000.0).arrive_as(2, 3, 7, 6000.0);
     assert_snapshot!(play.trace());
 }
+
+/// A worker that says it is idle does not work at what was sent to it long ago; at a busy one it may still run.
+#[test]
+fn what_is_out_at_an_idle_worker_is_called_back() {
+    let mut play = fleet(&["m0a", "m1a"]);
+    play.arrive(1, 5, 1000.0).pass(400.0).probed_idle("m1a", 0.0).pass(200.0).probed_idle("m1a", 0.9);
+    play.probed_idle("m1a", 0.1).ended(1, 0, Cancelled, 0.0).began(1, 1).pass(900.0).probed_idle("m0a", 0.0);
+    assert_snapshot!(play.trace());
+}
+
+/// The readers of home's cell are gone, and elsewhere readers are free while their writers are not.
+#[test]
+fn what_is_read_elsewhere_is_written_at_home_rather_than_refused() {
+    let mut play = asking(&["m0a", "w0a", "r1a", "w1a"]);
+    play.list(Changes, vec![row("r0a")]).silent("r0a").silent("r0a").silent("r0a").silent("r0a");
+    play.probed("r1a", 0.0).probed("w1a", 30.0).probed("m0a", 0.0).probed("w0a", 0.0);
+    play.arrive(1, 5, 6000.0).pass(100.0).probed("w1a", 30.0).probed("m0a", 0.0).ended(1, 0, Read, 0.0);
+    assert_snapshot!(play.trace());
+}
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -158,6 +158,14 @@
         self.play(&format!("probed {name}"), event)
     }
 
+    /// The answer to a probe: nothing waits, and so much of its slots is in use.
+    pub fn probed_idle(&mut self, name: &str, share: f64) -> &mut Self {
+        let load = LoadReport { queue: Some(0.0), slots_share: Some(share), ..LoadReport::default() };
+        self.play(&format!("{name} uses {share}"), Event::Reported { worker: worker(name), load });
+        let event = Event::Probed { worker: worker(name), answered: true, took_ms: 2.0 };
+        self.play(&format!("probed {name}"), event)
+    }
+
     pub fn silent(&mut self, name: &str) -> &mut Self {
         let event = Event::Probed { worker: worker(name), answered: false, took_ms: 250.0 };
         self.play(&format!("no answer from {name}"), event)
