--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -58,7 +58,7 @@
     /// What discovery says.
     Listed(List),
     Settings(Box<Provision>),
-    /// What has no answer yet is answered now; streams that run go on.
+    /// The router ends: what has no answer yet is answered now; streams that run go on.
     LastAnswers,
     /// Open work, and figures for the log.
     Tell(oneshot::Sender<(usize, String)>),
