Connections rest for less at a worker that broke one after a rest

Excluded: our idle time (18 s against the settings' 30 s), answers followed by more. Responsible: Pool::kept, which knew one idle time for all workers. Change: half the rest at which one broke, for as long as the settings' idle time.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -141,12 +141,12 @@
                     break;
                 }
                 // No worker begins a request that has not come whole.
-                if !connection.used {
+                if connection.rested_ms.is_none() {
                     return Err(SocketEnd::NeverWritten);
                 }
                 connection = pool.connect(address).await?;
             }
-            let head = connection.head().await?;
+            let head = pool.head(&mut connection).await?;
             Ok((connection, head))
         };
         let (connection, head) = tokio::select! {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -35,6 +35,8 @@
 
 pub struct Pool {
     idle: RefCell<BTreeMap<SocketAddr, Vec<Idle>>>,
+    /// Workers that broke a connection when it was used again: for how long theirs may rest, and since when.
+    short: RefCell<BTreeMap<SocketAddr, (f64, Instant)>>,
     /// Connections that stand or are being made.
     held: Rc<Cell<usize>>,
     most: usize,
@@ -56,8 +58,8 @@
 pub struct Connection {
     stream: TcpStream,
     pub address: SocketAddr,
-    /// It has carried a request before.
-    pub used: bool,
+    /// How long it had rested, in ms, if it has carried a request before.
+    pub rested_ms: Option<f64>,
     pub bytes: BytesMut,
     slot: Slot,
 }
@@ -152,6 +154,7 @@
     pub fn new(most: usize, connect_ms: f64, idle_ms: f64) -> Self {
         Pool {
             idle: RefCell::default(),
+            short: RefCell::default(),
             held: Rc::default(),
             most,
             connect_ms: Cell::new(connect_ms),
@@ -177,10 +180,11 @@
 
     /// A kept connection on which nothing has come since.
     fn kept(&self, address: SocketAddr) -> Option<Connection> {
+        let may_rest_ms = self.may_rest_ms(address);
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&address)?;
         let now = Instant::now();
-        let oldest = now.checked_sub(duration(self.idle_ms.get() * WORKER_IDLE));
+        let oldest = now.checked_sub(duration(may_rest_ms));
         let rested = now.checked_sub(duration(REST_MS));
         let mut row = kept.len();
         while row > 0 {
@@ -190,13 +194,35 @@
             }
             let idle = kept.remove(row);
             if idle.silent() && oldest.is_none_or(|oldest| idle.since >= oldest) {
-                let Idle { stream, slot, .. } = idle;
-                return Some(Connection { stream, address, used: true, bytes: BytesMut::new(), slot });
+                let Idle { stream, since, slot } = idle;
+                let rested_ms = Some(since.elapsed().as_secs_f64() * 1e3);
+                return Some(Connection { stream, address, rested_ms, bytes: BytesMut::new(), slot });
             }
         }
         None
     }
 
+    /// For how long a connection to a worker may rest and be used again, in ms.
+    fn may_rest_ms(&self, address: SocketAddr) -> f64 {
+        let usual_ms = self.idle_ms.get() * WORKER_IDLE;
+        self.short.borrow().get(&address).map_or(usual_ms, |(short_ms, _)| short_ms.min(usual_ms))
+    }
+
+    /// Reads the head of an answer, and learns where a connection that had rested breaks under its request. Guards
+    /// against workers that close what rests sooner than the settings say: each such break may have run, and counts
+    /// against the worker. Harm: a worker that breaks connections for another cause gets more new ones.
+    ///
+    /// # Errors
+    /// How the socket ended.
+    pub async fn head(&self, connection: &mut Connection) -> Result<AnswerHead, SocketEnd> {
+        let head = connection.head().await;
+        if let (Err(SocketEnd::BrokeBeforeAnswer), Some(rested_ms)) = (&head, connection.rested_ms) {
+            let short_ms = (self.may_rest_ms(connection.address) / 2.0).min(rested_ms / 2.0).max(REST_MS);
+            self.short.borrow_mut().insert(connection.address, (short_ms, Instant::now()));
+        }
+        head
+    }
+
     /// A kept connection, or a new one.
     ///
     /// # Errors
@@ -223,7 +249,7 @@
             Err(_) => Err(SocketEnd::ConnectTimedOut),
             Ok(Ok(stream)) => {
                 let _ = stream.set_nodelay(true);
-                Ok(Connection { stream, address, used: false, bytes: BytesMut::new(), slot })
+                Ok(Connection { stream, address, rested_ms: None, bytes: BytesMut::new(), slot })
             }
             Ok(Err(cause)) => Err(match cause.kind() {
                 ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => SocketEnd::ConnectRefused,
@@ -259,6 +285,8 @@
 
     /// Closes what has been idle for too long, and what workers closed; called now and then.
     pub fn sweep(&self) {
+        let lasts = duration(self.idle_ms.get());
+        self.short.borrow_mut().retain(|_, (_, since)| since.elapsed() < lasts);
         let oldest = Instant::now().checked_sub(duration(self.idle_ms.get() * WORKER_IDLE));
         self.idle.borrow_mut().retain(|_, kept| {
             kept.retain(|idle| idle.silent() && oldest.is_none_or(|oldest| idle.since >= oldest));
@@ -284,7 +312,7 @@
                 connection = self.connect(address).await?;
                 connection.write(&[request.as_bytes()]).await.map_err(|_| SocketEnd::NeverWritten)?;
             }
-            let head = connection.head().await?;
+            let head = self.head(&mut connection).await?;
             let body = connection.body(head.framing).await?;
             if !head.close && head.framing != Framing::Close {
                 self.keep(connection);
--- a/crates/gateway/tests/workers.rs
+++ b/crates/gateway/tests/workers.rs
@@ -276,3 +276,28 @@
         assert!(began.elapsed() < ms(1000), "{:?}", began.elapsed());
     });
 }
+
+/// A worker that closes what has rested sooner than the settings say costs one break, not one each time.
+#[test]
+fn connections_rest_for_less_where_one_broke_after_a_rest() {
+    local(async {
+        let used = std::rc::Rc::new(std::cell::RefCell::new(std::collections::BTreeSet::new()));
+        let worker = Worker::start("w-1", "combined", move |seen, _| {
+            if used.borrow_mut().insert(seen.connection) {
+                say(good())
+            } else {
+                vec![Step::Close]
+            }
+        })
+        .await;
+        let platform = Platform::start(&[&worker]).await;
+        let mut statuses = Vec::new();
+        for id in ["a1", "a2", "a3", "a4"] {
+            let answer = platform.ask(id).await;
+            statuses.push(answer[9..12].to_owned());
+            sleep(ms(100)).await;
+        }
+        assert_eq!(statuses, ["200", "429", "200", "200"]);
+        assert_eq!(worker.connections.get(), 3);
+    });
+}
