--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -50,12 +50,7 @@
     /// # Errors
     /// The path to the field that is missing or wrong, and what is wrong with it.
     pub fn parse(text: &[u8], zero_ms: f64) -> Result<Config, String> {
-        let mut json = serde_json::Deserializer::from_slice(text);
-        let wire: Wire = serde_path_to_error::deserialize(&mut json).map_err(|cause| {
-            let path = cause.path().to_string();
-            format!("configuration: {path}: {}", cause.into_inner())
-        })?;
-        json.end().map_err(|cause| format!("configuration: after its end: {cause}"))?;
+        let wire: Wire = crate::json("configuration", text)?;
         let wrong = |field: &str, what: &str| Err(format!("configuration: {field}: {what}"));
         if !(wire.limits.memory_mb.is_finite() && wire.limits.memory_mb >= 1.0) {
             return wrong("limits.memory_mb", "not a size in MB of 1 or more");
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -24,3 +24,15 @@
 pub const HEAD_BYTES: usize = 16 * 1024;
 /// The most fields of a head.
 pub const HEAD_FIELDS: usize = 64;
+
+/// Reads one JSON text whole; an error names the path to the field.
+fn json<T: serde::de::DeserializeOwned>(what: &str, text: &[u8]) -> Result<T, String> {
+    let mut json = serde_json::Deserializer::from_slice(text);
+    let read = serde_path_to_error::deserialize(&mut json).map_err(|cause| {
+        let path = cause.path().to_string();
+        let path = if path == "." { String::new() } else { format!("{path}: ") };
+        format!("{what}: {path}{}", cause.into_inner())
+    })?;
+    json.end().map_err(|cause| format!("{what}: after its end: {cause}"))?;
+    Ok(read)
+}
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -59,12 +59,7 @@
     /// # Errors
     /// What is no list, with the path to the field.
     pub fn parse(text: &[u8], provision: &Provision, zero_ms: f64) -> Result<List, String> {
-        let mut json = serde_json::Deserializer::from_slice(text);
-        let hosts: Hosts = serde_path_to_error::deserialize(&mut json).map_err(|cause| {
-            let path = cause.path().to_string();
-            format!("list: {path}: {}", cause.into_inner())
-        })?;
-        json.end().map_err(|cause| format!("list: after its end: {cause}"))?;
+        let hosts: Hosts = crate::json("list", text)?;
         Ok(hosts.list(provision, zero_ms))
     }
 }
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -125,12 +125,7 @@
 /// # Errors
 /// The path to the field that is missing or wrong, and what is wrong with it.
 pub fn parse(text: &str) -> Result<Provision, String> {
-    let mut json = serde_json::Deserializer::from_str(text);
-    let conf: Conf = serde_path_to_error::deserialize(&mut json).map_err(|cause| {
-        let path = cause.path().to_string();
-        let path = if path == "." { String::new() } else { format!("{path}: ") };
-        format!("settings: {path}{}", cause.inner())
-    })?;
+    let conf: Conf = crate::json("settings", text.as_bytes())?;
     provision(conf)
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -34,8 +34,8 @@
 const FORGIVEN: f64 = 0.8;
 /// Latency targets that a dispatch may take before another worker is tried.
 const PATIENCE: f64 = 2.0;
-/// Share of the latency target after which a dispatch counts as lost at a worker that says it is idle, and the
-/// share of its slots in use below which it is.
+/// Share of the latency target after which a dispatch counts as lost at a worker that says it is idle, and
+/// the share of its slots in use below which it is.
 const HUNG: f64 = 0.5;
 const IDLE_SHARE: f64 = 0.5;
 /// Share of the way to full capacity that time alone is trusted to bring; some workers warm by work.
@@ -129,8 +129,8 @@
     waiting: Averaged,
     held: Averaged,
     streams: f64,
-    /// What it last said of its load, as a share of the bound, whether that was little and nothing waited, and
-    /// whether a probe is out.
+    /// What it last said of its load, as a share of the bound, whether that was little and nothing waited,
+    /// and whether a probe is out.
     said: Stamped,
     idle: bool,
     probed: bool,
@@ -348,8 +348,8 @@
         self.workers.entry(id.clone()).and_modify(|w| (w.said, w.idle) = (said, idle));
     }
 
-    /// Guards against a worker that has lost what we sent, or never ends it, and serves others: it has just said
-    /// that it is idle while a dispatch of ours is out there. Harm: a report that is late calls back what runs.
+    /// Guards against a worker that has lost what we sent, or never ends it, and serves others: it has just
+    /// said that it is idle while a dispatch of ours is out there. Harm: a late report calls back what runs.
     fn call_back(&mut self, id: &WorkerId, actions: &mut Vec<Action>) {
         let now_ms = self.now_ms;
         let fresh_ms = now_ms - self.settings.resolution_ms;
@@ -585,7 +585,7 @@
         let home_cell = home.as_ref().and_then(|home| self.cell(home));
         let mut readers = self.workers.values().filter(|w| w.role == Role::Reader);
         let has_reader = readers.any(|w| Some(w.listing.cell) == home_cell);
-        // Last: guards against refusing what home's cell could write, read elsewhere. Harm: its state moves far.
+        // Last: guards against refusing what home's cell could write, read elsewhere. Harm: far moves.
         let cells = [home_cell.filter(|_| !has_reader), self.cell(at), home_cell];
         let home = home.filter(|home| !c.avoid.contains(home) && !self.strained(c, home, false));
         cells.into_iter().flatten().find_map(|cell| {
