Read once more: one reader of heads and bodies, one reader's clock, one dial

Change: read_head and read_body of pool.rs serve both, AnswerHead::stays, Core::dial, Rc settings, wait_while and config in the tests. No bound, pattern or assertion is loosened.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -32,7 +32,7 @@
 /// What a connection is doing, in the order in which descriptors that run short are taken back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Doing {
-    /// No whole request has ever come on it.
+    /// No whole request has ever come on it, or it is about to close.
     Nothing,
     /// Between two requests.
     Resting,
@@ -380,8 +380,7 @@
         let _open = OpenId { gate: gate.clone(), id: id.clone() };
         gate.next.set(completion.0.wrapping_add(1));
         let (duty, mut reply) = Duty::new(gate.dropped.clone());
-        let ask =
-            Rc::new(Ask { id: id.to_string(), method: head.method, target: head.target, body, _held: held });
+        let ask = Rc::new(Ask { id, method: head.method, target: head.target, body, _held: held });
         if gate.core.send(Told::Arrived { arrival, ask, duty }).await.is_err() {
             return Ok(Err(Fault::new(503, "the router stops")));
         }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -57,7 +57,7 @@
     },
     /// What discovery says.
     Listed(List),
-    Settings(Box<Provision>),
+    Settings(Rc<Provision>),
     /// The router ends: what has no answer yet is answered now; streams that run go on.
     LastAnswers,
     /// Open work, and figures for the log.
@@ -68,7 +68,7 @@
 
 pub struct Core {
     book: Book,
-    provision: Provision,
+    provision: Rc<Provision>,
     pool: Rc<Pool>,
     owed: BTreeMap<CompletionId, Duty<Reply>>,
     asks: BTreeMap<CompletionId, Rc<Ask>>,
@@ -84,7 +84,7 @@
 
 impl Core {
     pub fn new(
-        provision: Provision,
+        provision: Rc<Provision>,
         clock: Clock,
         seed: u64,
         pool: Rc<Pool>,
@@ -125,7 +125,7 @@
             Told::Arrived { arrival, ask, duty } => {
                 debug!(
                     completion = arrival.completion.0,
-                    id = ask.id,
+                    id = %ask.id,
                     prompt = arrival.prompt_tokens,
                     "arrived"
                 );
@@ -161,7 +161,7 @@
                 self.listed(list, kind);
             }
             Told::Settings(provision) => {
-                self.provision = *provision;
+                self.provision = provision;
                 self.handle(Input::Settings(Box::new(self.provision.settings.clone())));
             }
             Told::LastAnswers => self.handle(Input::Stop { streams: false }),
@@ -188,8 +188,7 @@
             );
         }
         if kind != ListKind::Changes {
-            let named = |worker: &WorkerId| list.rows.iter().any(|row| row.listing.worker == *worker);
-            self.dials.retain(|worker, _| named(worker));
+            self.dials.clear();
         }
         for row in &list.rows {
             let worker = row.listing.worker.clone();
@@ -274,8 +273,7 @@
             Effect::Hold { worker, completion, seq, .. } => self.hold(worker, completion, seq),
             Effect::Probe { worker } => self.probe(worker),
             Effect::CloseIdle { worker } => {
-                let dial = self.dials.get(&worker).copied().flatten();
-                dial.into_iter().for_each(|address| self.pool.close_idle(address));
+                self.dial(&worker).into_iter().for_each(|address| self.pool.close_idle(address));
             }
             // A discovery task with that many words waiting is about to ask anyway.
             Effect::Subscribe | Effect::FetchList => drop(self.lists.try_send(AskList::Whole)),
@@ -285,6 +283,10 @@
         }
     }
 
+    fn dial(&self, worker: &WorkerId) -> Option<SocketAddr> {
+        self.dials.get(worker).copied().flatten()
+    }
+
     fn send(&mut self, sending: Sending) {
         let (completion, seq) = (sending.completion, sending.seq);
         let Some(ask) = self.asks.get(&completion).cloned() else { return };
@@ -292,7 +294,7 @@
         self.words.insert((completion, seq), sender);
         debug!(completion = completion.0, seq = seq.0, worker = %sending.worker.0, stage = ?sending.stage, "dispatch");
         let dispatch = Dispatch {
-            address: self.dials.get(&sending.worker).copied().flatten(),
+            address: self.dial(&sending.worker),
             sending,
             ask,
             words,
@@ -310,7 +312,7 @@
     fn release(&self, worker: &WorkerId, completion: CompletionId) {
         let Some(ask) = self.asks.get(&completion) else { return };
         let path = room(&ask.id);
-        let named = self.dials.get(worker).copied().flatten();
+        let named = self.dial(worker);
         let others = self.dials.values().copied().flatten().filter(|address| Some(*address) != named);
         let to: Vec<_> = named.into_iter().chain(others).take(RELEASES).collect();
         let (pool, pin_ms) = (self.pool.clone(), self.provision.settings.pin_limit_ms);
@@ -337,7 +339,7 @@
 
     fn hold(&self, worker: WorkerId, completion: CompletionId, seq: Seq) {
         let Some(ask) = self.asks.get(&completion).cloned() else { return };
-        let Some(address) = self.dials.get(&worker).copied().flatten() else { return };
+        let Some(address) = self.dial(&worker) else { return };
         let (pool, core) = (self.pool.clone(), self.own.clone());
         let within_ms = self.provision.settings.pin_limit_ms;
         tokio::task::spawn_local(async move {
@@ -354,7 +356,7 @@
     }
 
     fn probe(&self, worker: WorkerId) {
-        let address = self.dials.get(&worker).copied().flatten();
+        let address = self.dial(&worker);
         let path = if self.provision.reports { "/_load" } else { "/ping" };
         let (pool, core) = (self.pool.clone(), self.own.clone());
         tokio::task::spawn_local(async move {
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -5,9 +5,9 @@
 use std::rc::Rc;
 
 use bytes::BytesMut;
-use paddleproxy_platform::head::{self, Framing};
-use paddleproxy_platform::{Chunks, List, Provision, BODY_BYTES};
+use paddleproxy_platform::{List, Provision, BODY_BYTES};
 use paddleproxy_router::clock::duration;
+use paddleproxy_routing::SocketEnd;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -16,7 +16,7 @@
 
 use crate::core::{ToCore, Told};
 use crate::limits::{ASK_AGAIN_MS, WATCH_MS, WATCH_SLACK_MS};
-use crate::pool::read;
+use crate::pool::{read_body, read_head};
 
 /// What the decisions want of discovery.
 pub enum Ask {
@@ -40,39 +40,11 @@
 ) -> Result<(u16, BytesMut, bool), String> {
     let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
     stream.write_all(request.as_bytes()).await.map_err(|cause| cause.to_string())?;
-    let (mut bytes, mut body) = (BytesMut::new(), BytesMut::new());
-    let mut chunks = Chunks::new(LIST_BYTES);
-    let mut head = None;
-    loop {
-        if head.is_none() {
-            head = head::answer(&mut bytes)?;
-        }
-        if let Some(head) = &head {
-            match head.framing {
-                Framing::Length(length) if length > LIST_BYTES => {
-                    return Err("a list that is too long".into())
-                }
-                Framing::Length(length) if bytes.len() >= length => {
-                    return Ok((head.status, bytes.split_to(length), !head.close && bytes.is_empty()));
-                }
-                Framing::Chunked
-                    if chunks.take(&mut bytes, &mut body).map_err(|cause| cause.to_string())? =>
-                {
-                    return Ok((head.status, body, !head.close && bytes.is_empty()));
-                }
-                _ => {}
-            }
-        }
-        if bytes.len() + body.len() > LIST_BYTES {
-            return Err("a list that is too long".into());
-        }
-        match (read(stream, &mut bytes).await, &head) {
-            (Ok(0), Some(head)) if head.framing == Framing::Close => return Ok((head.status, bytes, false)),
-            (Ok(0), _) => return Err("the answer was cut".into()),
-            (Ok(_), _) => {}
-            (Err(cause), _) => return Err(cause.to_string()),
-        }
-    }
+    let mut bytes = BytesMut::new();
+    let said = |end: SocketEnd| format!("{end:?}");
+    let head = read_head(stream, &mut bytes).await.map_err(said)?;
+    let body = read_body(stream, &mut bytes, head.framing, LIST_BYTES).await.map_err(said)?;
+    Ok((head.status, body, head.stays() && bytes.is_empty()))
 }
 
 /// Between an answer without news and the next watch, in ms: well within the time in which a watch goes on.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -21,7 +21,7 @@
 
 /// What a client asked for, as workers are given it: unchanged.
 pub struct Ask {
-    pub id: String,
+    pub id: Rc<str>,
     pub method: String,
     pub target: String,
     pub body: Bytes,
@@ -157,7 +157,7 @@
         };
         self.load = head.load;
         if let Some(end) = refusal(head.status, head.declined) {
-            let rest = (!head.close && head.framing != Framing::Close).then_some((connection, head.framing));
+            let rest = head.stays().then_some((connection, head.framing));
             return Ok((end, rest));
         }
         match (head.status, self.sending.stage) {
@@ -180,7 +180,7 @@
             () = sleep_until(until) => return Err(SocketEnd::TimedOut),
         };
         self.kept_tokens = paddleproxy_platform::events::read_kept(&body).unwrap_or(0.0);
-        if !head.close && head.framing != Framing::Close {
+        if head.stays() {
             self.pool.keep(connection);
         }
         Ok((SocketEnd::ReadDone, None))
@@ -229,7 +229,7 @@
                 if let Some((pieces, _)) = stream {
                     let _ = pieces.send(Piece::End).await;
                 }
-                if !head.close {
+                if head.stays() {
                     self.pool.keep(connection);
                 }
                 return Ok((SocketEnd::AnswerDone, None));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -93,11 +93,11 @@
     let pool = Rc::new(Pool::new(shares.workers, provision.connect_ms, provision.idle_ms));
     let (core, told) = mpsc::channel(CORE_QUEUE);
     let (lists, asked) = mpsc::channel(2);
+    let provision = Rc::new(provision);
     let mut state = Core::new(provision.clone(), clock, seed, pool.clone(), core.clone(), lists);
     let connect_ms = provision.connect_ms;
     state.listed(known, ListKind::Saved);
     tokio::task::spawn_local(state.run(told));
-    let provision = Rc::new(provision);
     let source = Source { address: discovery, provision: provision.clone(), zero_ms };
     let (sources, source_words) = watch::channel(source);
     let (life, lives) = watch::channel(Life::Starting);
@@ -127,7 +127,7 @@
                 pool.change(config.provision.connect_ms, config.provision.idle_ms);
                 let provision = Rc::new(config.provision);
                 *gate.provision.borrow_mut() = provision.clone();
-                let _ = core.send(Told::Settings(Box::new((*provision).clone()))).await;
+                let _ = core.send(Told::Settings(provision.clone())).await;
                 sources.send_replace(Source { address: config.discovery, provision, zero_ms });
             }
             Err(cause) => {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -87,21 +87,8 @@
         read(&self.stream, &mut self.bytes).await.map(|read| read > 0).map_err(|_| ())
     }
 
-    /// Reads the head of an answer.
-    ///
-    /// # Errors
-    /// How the socket ended.
-    pub async fn head(&mut self) -> Result<AnswerHead, SocketEnd> {
-        loop {
-            match head::answer(&mut self.bytes) {
-                Ok(Some(head)) => return Ok(head),
-                Ok(None) => {}
-                Err(why) => return Err(SocketEnd::Nonsense(why.into())),
-            }
-            if !matches!(self.read().await, Ok(true)) {
-                return Err(SocketEnd::BrokeBeforeAnswer);
-            }
-        }
+    async fn head(&mut self) -> Result<AnswerHead, SocketEnd> {
+        read_head(&self.stream, &mut self.bytes).await
     }
 
     /// Reads a small body to its end.
@@ -109,31 +96,58 @@
     /// # Errors
     /// How the socket ended.
     pub async fn body(&mut self, framing: Framing) -> Result<BytesMut, SocketEnd> {
-        let mut body = BytesMut::new();
-        let mut chunks = Chunks::new(BODY_BYTES);
-        loop {
-            match framing {
-                Framing::Length(length) if length > BODY_BYTES => {
-                    return Err(SocketEnd::Nonsense("the answer is too long".into()))
-                }
-                Framing::Length(length) if self.bytes.len() >= length => {
-                    return Ok(self.bytes.split_to(length))
-                }
-                Framing::Chunked => match chunks.take(&mut self.bytes, &mut body) {
-                    Ok(true) => return Ok(body),
-                    Ok(false) => {}
-                    Err(why) => return Err(SocketEnd::Nonsense(why.to_string())),
-                },
-                _ => {}
-            }
-            if self.bytes.len() + body.len() > BODY_BYTES {
-                return Err(SocketEnd::Nonsense("the answer is too long".into()));
-            }
-            match self.read().await {
-                Ok(true) => {}
-                Ok(false) if framing == Framing::Close => return Ok(self.bytes.split()),
-                _ => return Err(SocketEnd::BrokeWithinAnswer),
-            }
+        read_body(&self.stream, &mut self.bytes, framing, BODY_BYTES).await
+    }
+}
+
+/// Reads the head of an answer.
+///
+/// # Errors
+/// How the socket ended.
+pub async fn read_head(stream: &TcpStream, bytes: &mut BytesMut) -> Result<AnswerHead, SocketEnd> {
+    loop {
+        match head::answer(bytes) {
+            Ok(Some(head)) => return Ok(head),
+            Ok(None) => {}
+            Err(why) => return Err(SocketEnd::Nonsense(why.into())),
+        }
+        if !read(stream, bytes).await.is_ok_and(|read| read > 0) {
+            return Err(SocketEnd::BrokeBeforeAnswer);
+        }
+    }
+}
+
+/// Reads a body of at most so many bytes to its end.
+///
+/// # Errors
+/// How the socket ended.
+pub async fn read_body(
+    stream: &TcpStream,
+    bytes: &mut BytesMut,
+    framing: Framing,
+    most: usize,
+) -> Result<BytesMut, SocketEnd> {
+    let mut body = BytesMut::new();
+    let mut chunks = Chunks::new(most);
+    let long = || Err(SocketEnd::Nonsense("the answer is too long".into()));
+    loop {
+        match framing {
+            Framing::Length(length) if length > most => return long(),
+            Framing::Length(length) if bytes.len() >= length => return Ok(bytes.split_to(length)),
+            Framing::Chunked => match chunks.take(bytes, &mut body) {
+                Ok(true) => return Ok(body),
+                Ok(false) => {}
+                Err(why) => return Err(SocketEnd::Nonsense(why.to_string())),
+            },
+            _ => {}
+        }
+        if bytes.len() + body.len() > most {
+            return long();
+        }
+        match read(stream, bytes).await {
+            Ok(0) if framing == Framing::Close => return Ok(bytes.split()),
+            Ok(read) if read > 0 => {}
+            _ => return Err(SocketEnd::BrokeWithinAnswer),
         }
     }
 }
@@ -314,7 +328,7 @@
             }
             let head = self.head(&mut connection).await?;
             let body = connection.body(head.framing).await?;
-            if !head.close && head.framing != Framing::Close {
+            if head.stays() {
                 self.keep(connection);
             }
             Ok((head, body))
--- a/crates/gateway/tests/clients.rs
+++ b/crates/gateway/tests/clients.rs
@@ -7,7 +7,7 @@
 use common::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{timeout, Instant};
 
 async fn worker() -> Rc<Worker> {
     Worker::start("w-1", "combined", |_, _| vec![Step::Say(good())]).await
@@ -118,9 +118,7 @@
         let platform = Platform::start(&[&worker]).await;
         let mut first = TcpStream::connect(platform.clients).await.unwrap();
         first.write_all(completion("a1", "Connection: close\r\n", "{}").as_bytes()).await.unwrap();
-        while worker.asked().is_empty() {
-            sleep(ms(2)).await;
-        }
+        wait_while(|| worker.asked().is_empty()).await;
         let second = platform.ask("a1").await;
         assert!(second.starts_with("HTTP/1.1 400 "), "{second}");
         let mut answer = Vec::new();
@@ -198,9 +196,7 @@
             client.write_all(completion(id, "", &large).as_bytes()).await.unwrap();
             open.push(client);
         }
-        while worker.asked().len() < 2 {
-            sleep(ms(2)).await;
-        }
+        wait_while(|| worker.asked().len() < 2).await;
         let answer = raw(platform.clients, completion("a3", "", &large).as_bytes()).await;
         assert!(answer.starts_with("HTTP/1.1 503 "), "{:.200}", answer);
         drop(open);
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -23,6 +23,12 @@
     tokio::task::LocalSet::new().block_on(&runtime, bounded);
 }
 
+pub async fn wait_while(holds: impl Fn() -> bool) {
+    while holds() {
+        sleep(ms(2)).await;
+    }
+}
+
 pub fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -298,6 +304,13 @@
     })
 }
 
+pub fn config(discovery: &str) -> Value {
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
+        "limits": { "cores": 1.0, "memory_mb": 64, "sockets": 256 }, "settings": settings()
+    })
+}
+
 pub struct Platform {
     pub clients: SocketAddr,
     pub discovery: Discovery,
@@ -315,11 +328,8 @@
 
     pub async fn with(workers: &[&Worker], change: impl Fn(&mut Value)) -> Platform {
         let discovery = Discovery::start(list(1, workers).to_string()).await;
-        let mut config = json!({
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.address.to_string(),
-            "seed": "8c1f30d27a5be964", "limits": { "cores": 1.0, "memory_mb": 64, "sockets": 256 },
-            "known": list(1, workers), "settings": settings()
-        });
+        let mut config = config(&discovery.address.to_string());
+        config["known"] = list(1, workers);
         change(&mut config);
         let dir = tempfile::tempdir().unwrap();
         let file = dir.path().join("config.json");
--- a/crates/gateway/tests/life.rs
+++ b/crates/gateway/tests/life.rs
@@ -23,9 +23,8 @@
         let other = if home.name == one.name { &two } else { &one };
         let change = json!({ "seq": 2, "whole": false, "hosts": [host(home, "draining")] });
         platform.discovery.say(change.to_string());
-        while platform.discovery.calls.borrow().last().is_none_or(|call| !call.contains("from=2")) {
-            sleep(ms(2)).await;
-        }
+        wait_while(|| platform.discovery.calls.borrow().last().is_none_or(|call| !call.contains("from=2")))
+            .await;
         assert!(body(&platform.ask("a2").await).1);
         assert_eq!((home.asked().len(), other.asked().len()), (1, 1));
         // An older version, what is no list, half an answer, silence: none of them changes anything.
@@ -104,9 +103,7 @@
         config["discovery"] = moved.address.to_string().into();
         std::fs::write(&platform.file, config.to_string()).unwrap();
         platform.signals.send(Signal::Reload).await.unwrap();
-        while moved.calls.borrow().len() < 2 {
-            sleep(ms(2)).await;
-        }
+        wait_while(|| moved.calls.borrow().len() < 2).await;
         assert_eq!(moved.calls.borrow()[0], "/catalog/members");
         let before = one.asked().len();
         assert!(body(&platform.ask("a2").await).1);
@@ -166,9 +163,7 @@
         .await;
         let mut open = TcpStream::connect(platform.clients).await.unwrap();
         open.write_all(completion("a1", "", "{}").as_bytes()).await.unwrap();
-        while worker.asked().is_empty() {
-            sleep(ms(2)).await;
-        }
+        wait_while(|| worker.asked().is_empty()).await;
         let began = Instant::now();
         platform.signals.send(Signal::Stop).await.unwrap();
         let mut answer = Vec::new();
@@ -192,10 +187,7 @@
             ("settings", json!({}), "settings: missing field"),
             ("known", json!({ "seq": 1, "hosts": [{ "health": "ready" }] }), "known.hosts[0]"),
         ] {
-            let mut config = json!({
-                "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "1",
-                "limits": { "cores": 1.0, "memory_mb": 64, "sockets": 256 }, "settings": settings()
-            });
+            let mut config = config("127.0.0.1:9");
             config[field] = wrong;
             let dir = tempfile::tempdir().unwrap();
             let file = dir.path().join("config.json");
--- a/crates/gateway/tests/workers.rs
+++ b/crates/gateway/tests/workers.rs
@@ -107,7 +107,8 @@
 #[test]
 fn who_can_not_be_reached_is_passed_by_and_nobody_left_is_rate_limited_at_once() {
     local(async {
-        let gone = TcpListenerGone::address().await;
+        // An address on which nobody listens.
+        let gone = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
         let worker = Worker::start("w-1", "combined", |_, _| say(good())).await;
         let platform = Platform::with(&[&worker], |config| {
             config["known"]["hosts"][0]["dial"] = gone.to_string().into();
@@ -129,15 +130,6 @@
     });
 }
 
-struct TcpListenerGone;
-
-impl TcpListenerGone {
-    /// An address on which nobody listens.
-    async fn address() -> std::net::SocketAddr {
-        tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
-    }
-}
-
 /// What ends a stream that has begun: the client's connection ends, without the last chunk.
 #[test]
 fn a_stream_that_is_spoilt_later_breaks_off() {
@@ -239,14 +231,10 @@
                 .await;
         let mut client = TcpStream::connect(platform.clients).await.unwrap();
         client.write_all(completion("a1", "", "{}").as_bytes()).await.unwrap();
-        while worker.asked().is_empty() {
-            sleep(ms(2)).await;
-        }
+        wait_while(|| worker.asked().is_empty()).await;
         drop(client);
         let began = Instant::now();
-        while worker.closed.get() == 0 {
-            sleep(ms(2)).await;
-        }
+        wait_while(|| worker.closed.get() == 0).await;
         assert!(began.elapsed() < ms(5000), "{:?}", began.elapsed());
         // Its id is free again.
         worker.now(|_, _| say(good()));
@@ -270,9 +258,7 @@
         client.read_exact(&mut [0; 200]).await.unwrap();
         drop(client);
         let began = Instant::now();
-        while worker.closed.get() == 0 {
-            sleep(ms(2)).await;
-        }
+        wait_while(|| worker.closed.get() == 0).await;
         assert!(began.elapsed() < ms(3000), "{:?}", began.elapsed());
     });
 }
--- a/crates/platform/src/head.rs
+++ b/crates/platform/src/head.rs
@@ -164,6 +164,13 @@
     pub load: Option<LoadReport>,
 }
 
+impl AnswerHead {
+    /// Whether its connection can serve again once the body has been read.
+    pub fn stays(&self) -> bool {
+        !self.close && self.framing != Framing::Close
+    }
+}
+
 /// Takes the head of an answer off the front of `bytes`, with any interim answers before it; None while it has not
 /// all come.
 ///
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -129,7 +129,6 @@
 
 pub struct Core {
     settings: Rc<RouterSettings>,
-    clock: Clock,
     boot: u64,
     book: Book,
     membership: Membership,
@@ -166,7 +165,6 @@
         Core {
             book: Book::new(clock, Ledger::new(decisions.clone(), settings.front.answer_slack_ms, seed)),
             membership: Membership::new(settings.names.zones.clone(), kinds, settings.membership),
-            clock,
             boot,
             engines,
             owed: BTreeMap::new(),
@@ -187,7 +185,7 @@
     pub fn recover(&mut self, saved: Option<Saved>, left: &Left) -> Known {
         let mut rows: std::sync::Arc<[Listing]> = [].into();
         if let Some(saved) = saved {
-            match self.membership.recover(self.clock.now_ms(), wall_ms(), &saved) {
+            match self.membership.recover(self.book.clock.now_ms(), wall_ms(), &saved) {
                 Ok(Heard::Listed { rows: recovered, .. }) => rows = recovered,
                 Ok(_) => {}
                 Err(cause) => warn!(%cause, "saved list refused; starting without one"),
@@ -208,7 +206,7 @@
                 biased;
                 due = self.book.due() => self.handle(Input::Due(due)),
                 _ = sleep_until(wakes.unwrap_or_else(Instant::now)), if wakes.is_some() => {
-                    let heard = self.membership.tick(self.clock.now_ms());
+                    let heard = self.membership.tick(self.book.clock.now_ms());
                     self.heard(heard);
                 }
                 next = told.recv() => match next {
@@ -260,30 +258,30 @@
             Told::List { source, list, fingerprint, next } => {
                 let _ = next.send(self.hear(source, &list, fingerprint));
             }
-            Told::ListSpoke { source } => self.membership.spoke(self.clock.now_ms(), source),
+            Told::ListSpoke { source } => self.membership.spoke(self.book.clock.now_ms(), source),
             Told::ListUnreadable { source, why } => {
                 warn!(source = source.name(), why, "list refused");
                 self.membership.unreadable(source, &why);
             }
             Told::Say { server, word, done } => {
-                let heard = self.membership.say(self.clock.now_ms(), &server, word);
+                let heard = self.membership.say(self.book.clock.now_ms(), &server, word);
                 let known = heard.is_some();
                 info!(server, ?word, known, "an operator's word");
                 heard.into_iter().for_each(|heard| self.heard(heard));
                 let _ = done.send(known.then(|| self.membership.revision()));
             }
             Told::Accept { done } => {
-                let heard = self.membership.accept(self.clock.now_ms());
+                let heard = self.membership.accept(self.book.clock.now_ms());
                 let held = heard.is_some();
                 heard.into_iter().for_each(|heard| self.heard(heard));
                 let _ = done.send(held.then(|| self.membership.revision()));
             }
             Told::Members { status } => {
                 let cold_ms = self.settings.decisions.cold_ms;
-                let _ = status.send(self.membership.status(self.clock.now_ms(), cold_ms));
+                let _ = status.send(self.membership.status(self.book.clock.now_ms(), cold_ms));
             }
             Told::There { worker, there } => {
-                let heard = self.membership.observe(self.clock.now_ms(), &worker, there);
+                let heard = self.membership.observe(self.book.clock.now_ms(), &worker, there);
                 self.heard(heard);
             }
             Told::Settings { decisions } => self.handle(Input::Settings(decisions)),
@@ -305,7 +303,7 @@
 
     fn hear(&mut self, source: SourceId, list: &wire::ServerList, fingerprint: Option<u64>) -> Known {
         let held = self.membership.held().is_some();
-        match self.membership.hear_text(self.clock.now_ms(), source, list, fingerprint) {
+        match self.membership.hear_text(self.book.clock.now_ms(), source, list, fingerprint) {
             Ok(Heard::AskWhole) => return None,
             Ok(heard) => self.heard(heard),
             Err(cause) => warn!(%cause, source = source.name(), version = list.version, "list refused"),
@@ -318,7 +316,7 @@
 
     /// What the list came to is told to the decisions, kept for the next start, and asked after.
     fn heard(&mut self, heard: Heard) {
-        let now_ms = self.clock.now_ms();
+        let now_ms = self.book.clock.now_ms();
         if let Heard::Listed { kind, rows } = heard {
             info!(revision = self.membership.revision(), ?kind, rows = rows.len(), "list taken");
             self.handle(Input::Listed { kind, rows });
@@ -346,7 +344,7 @@
             _ => return,
         };
         if let Some(worker) = self.book.worker(completion, seq).cloned() {
-            let heard = self.membership.observe(self.clock.now_ms(), &worker, there);
+            let heard = self.membership.observe(self.book.clock.now_ms(), &worker, there);
             if matches!(heard, Heard::Listed { .. }) {
                 self.heard(heard);
             }
@@ -456,7 +454,7 @@
             ask,
             words,
             engines: self.engines.clone(),
-            clock: self.clock,
+            clock: self.book.clock,
             core: self.own.clone(),
         };
         tokio::task::spawn_local(dispatch.run());
