--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -15,10 +15,10 @@
 use tokio::sync::{mpsc, watch, Notify};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
-use crate::core::{ToCore, Told};
-use crate::dispatch::{Ask, Held, Piece, Reply};
 use crate::limits::{Shares, AHEAD_BYTES, CLIENT_IDLE, LINGER_MS, REQUEST_MS, SLOW_CLIENT_MS};
 use crate::pool::read;
+use crate::words::{Ask, Held, Piece, Reply};
+use crate::words::{ToCore, Told};
 
 /// Where a router is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -13,58 +13,14 @@
 use paddleproxy_router::clock::{duration, Clock};
 use paddleproxy_router::duty::Duty;
 use paddleproxy_routing::{Effect, Input, Ledger, Sending, SocketEnd};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tracing::{debug, info, warn};
 
 use crate::discovery::Ask as AskList;
-use crate::dispatch::{pieces, Ask, Dispatch, End, Reply, Word};
+use crate::dispatch::{pieces, Dispatch};
 use crate::pool::Pool;
-
-/// What the core is told.
-pub enum Told {
-    Arrived {
-        arrival: Arrival,
-        ask: Rc<Ask>,
-        duty: Duty<Reply>,
-    },
-    Began {
-        completion: CompletionId,
-        seq: Seq,
-        took_ms: f64,
-    },
-    Ended {
-        completion: CompletionId,
-        seq: Seq,
-        took_ms: f64,
-        end: End,
-    },
-    Left {
-        completion: CompletionId,
-    },
-    Probed {
-        worker: WorkerId,
-        load: Option<LoadReport>,
-        answered: bool,
-        took_ms: f64,
-    },
-    HoldAnswered {
-        completion: CompletionId,
-        seq: Seq,
-        worker: WorkerId,
-        ask: Rc<Ask>,
-        held: bool,
-    },
-    /// What discovery says.
-    Listed(List),
-    Settings(Rc<Provision>),
-    /// The router ends: what has no answer yet is answered now; streams that run go on.
-    LastAnswers,
-    /// Open work, and figures for the log.
-    Tell(oneshot::Sender<(usize, String)>),
-}
-
-pub type ToCore = mpsc::Sender<Told>;
+use crate::words::{Ask, End, Reply, ToCore, Told, Word};
 
 pub struct Core {
     book: Book,
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -14,9 +14,9 @@
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
-use crate::core::{ToCore, Told};
 use crate::limits::{ASK_AGAIN_MS, WATCH_MS, WATCH_SLACK_MS};
 use crate::pool::{read_body, read_head};
+use crate::words::{ToCore, Told};
 
 /// What the decisions want of discovery.
 pub enum Ask {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,96 +1,20 @@
 //! One dispatch: a task that sends a completion to a worker and tells the core how it ended.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bytes::Bytes;
 use paddleproxy::interface::LoadReport;
 use paddleproxy_platform::head::{AnswerHead, Framing};
 use paddleproxy_platform::request::refusal;
 use paddleproxy_platform::{Chunks, Events, BODY_BYTES};
 use paddleproxy_router::clock::{duration, Clock};
-use paddleproxy_router::duty::Answers;
 use paddleproxy_routing::{Pace, Sending, SocketEnd, Stage};
 use tokio::sync::mpsc;
 use tokio::time::{sleep_until, timeout, Instant};
 
-use crate::core::{ToCore, Told};
 use crate::limits::{DRAIN_MS, PIECES, SILENT_MS};
 use crate::pool::{Connection, Pool};
-
-/// What a client asked for, as workers are given it: unchanged.
-pub struct Ask {
-    pub id: Rc<str>,
-    pub method: String,
-    pub target: String,
-    pub body: Bytes,
-    /// Gives the bytes back to the total when it ends.
-    pub _held: Held,
-}
-
-/// Bytes of open bodies.
-pub struct Held {
-    total: Rc<Cell<usize>>,
-    bytes: usize,
-}
-
-impl Held {
-    /// None where the total would pass the bound.
-    pub fn take(total: &Rc<Cell<usize>>, bytes: usize, most: usize) -> Option<Held> {
-        let sum = total.get().checked_add(bytes).filter(|sum| *sum <= most)?;
-        total.set(sum);
-        Some(Held { total: total.clone(), bytes })
-    }
-}
-
-impl Held {
-    /// Gives back what turned out not to be needed.
-    pub fn shrink(&mut self, bytes: usize) {
-        let less = self.bytes.saturating_sub(bytes);
-        self.total.set(self.total.get() - less);
-        self.bytes -= less;
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.total.set(self.total.get() - self.bytes);
-    }
-}
-
-/// A piece of a streamed answer for its client.
-pub enum Piece {
-    Events(Bytes),
-    /// The answer is whole. Without it the client's connection breaks off.
-    End,
-}
-
-/// What a client's connection is handed.
-pub enum Reply {
-    RateLimited { retry_after_ms: f64 },
-    Aborted,
-    Stream(mpsc::Receiver<Piece>),
-}
-
-impl Answers for Reply {
-    fn lost() -> Self {
-        Reply::Aborted
-    }
-}
-
-/// What the core tells a dispatch that is out.
-pub enum Word {
-    Grant(mpsc::Sender<Piece>),
-    Stop,
-}
-
-/// How it ended, with what it brought.
-pub struct End {
-    pub end: SocketEnd,
-    pub kept_tokens: f64,
-    pub load: Option<LoadReport>,
-}
+use crate::words::{Ask, End, Piece, ToCore, Told, Word};
 
 pub struct Dispatch {
     pub sending: Sending,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod dispatch;
 mod limits;
 mod pool;
+mod words;
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -24,10 +25,11 @@
 use tracing::{info, warn};
 
 use crate::clients::{Gate, Life};
-use crate::core::{Core, Told};
+use crate::core::Core;
 use crate::discovery::Source;
 use crate::limits::{last_answers_ms, Shares, CORE_QUEUE, LAST_CALL_MS};
 use crate::pool::Pool;
+use crate::words::Told;
 
 /// How often idle connections are looked through, in ms.
 const SWEEP_MS: f64 = 1000.0;
@@ -163,7 +165,7 @@
     Ok(())
 }
 
-async fn figures(core: &crate::core::ToCore) -> (usize, String) {
+async fn figures(core: &crate::words::ToCore) -> (usize, String) {
     let (to, from) = oneshot::channel();
     let _ = core.send(Told::Tell(to)).await;
     from.await.unwrap_or_default()
--- /dev/null
+++ b/crates/gateway/src/words.rs
@@ -0,0 +1,130 @@
+//! The words between the tasks and the core: what the core is told, and what a client's connection and a dispatch are
+//! handed. Tasks and core import these, not each other.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use paddleproxy::interface::*;
+use paddleproxy_platform::{List, Provision};
+use paddleproxy_router::duty::{Answers, Duty};
+use paddleproxy_routing::SocketEnd;
+use tokio::sync::{mpsc, oneshot};
+
+/// What the core is told.
+pub enum Told {
+    Arrived {
+        arrival: Arrival,
+        ask: Rc<Ask>,
+        duty: Duty<Reply>,
+    },
+    Began {
+        completion: CompletionId,
+        seq: Seq,
+        took_ms: f64,
+    },
+    Ended {
+        completion: CompletionId,
+        seq: Seq,
+        took_ms: f64,
+        end: End,
+    },
+    Left {
+        completion: CompletionId,
+    },
+    Probed {
+        worker: WorkerId,
+        load: Option<LoadReport>,
+        answered: bool,
+        took_ms: f64,
+    },
+    HoldAnswered {
+        completion: CompletionId,
+        seq: Seq,
+        worker: WorkerId,
+        ask: Rc<Ask>,
+        held: bool,
+    },
+    /// What discovery says.
+    Listed(List),
+    Settings(Rc<Provision>),
+    /// The router ends: what has no answer yet is answered now; streams that run go on.
+    LastAnswers,
+    /// Open work, and figures for the log.
+    Tell(oneshot::Sender<(usize, String)>),
+}
+
+pub type ToCore = mpsc::Sender<Told>;
+
+/// What a client asked for, as workers are given it: unchanged.
+pub struct Ask {
+    pub id: Rc<str>,
+    pub method: String,
+    pub target: String,
+    pub body: Bytes,
+    /// Gives the bytes back to the total when it ends.
+    pub _held: Held,
+}
+
+/// Bytes of open bodies.
+pub struct Held {
+    total: Rc<Cell<usize>>,
+    bytes: usize,
+}
+
+impl Held {
+    /// None where the total would pass the bound.
+    pub fn take(total: &Rc<Cell<usize>>, bytes: usize, most: usize) -> Option<Held> {
+        let sum = total.get().checked_add(bytes).filter(|sum| *sum <= most)?;
+        total.set(sum);
+        Some(Held { total: total.clone(), bytes })
+    }
+}
+
+impl Held {
+    /// Gives back what turned out not to be needed.
+    pub fn shrink(&mut self, bytes: usize) {
+        let less = self.bytes.saturating_sub(bytes);
+        self.total.set(self.total.get() - less);
+        self.bytes -= less;
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.total.set(self.total.get() - self.bytes);
+    }
+}
+
+/// A piece of a streamed answer for its client.
+pub enum Piece {
+    Events(Bytes),
+    /// The answer is whole. Without it the client's connection breaks off.
+    End,
+}
+
+/// What a client's connection is handed.
+pub enum Reply {
+    RateLimited { retry_after_ms: f64 },
+    Aborted,
+    Stream(mpsc::Receiver<Piece>),
+}
+
+impl Answers for Reply {
+    fn lost() -> Self {
+        Reply::Aborted
+    }
+}
+
+/// What the core tells a dispatch that is out.
+pub enum Word {
+    Grant(mpsc::Sender<Piece>),
+    Stop,
+}
+
+/// How it ended, with what it brought.
+pub struct End {
+    pub end: SocketEnd,
+    pub kept_tokens: f64,
+    pub load: Option<LoadReport>,
+}
--- /dev/null
+++ b/crates/peers/src/view/sharing.rs
@@ -0,0 +1,106 @@
+//! The page: asked after, proposed, gone by; what may be used.
+
+use super::*;
+
+impl Peers {
+    pub(super) fn renew(&mut self) {
+        let ask = self.keeping.ask(self.now_ms);
+        self.keeping.confirm_own(self.now_ms, ask);
+        let Some(page) = self.keeping.page() else { return };
+        let word = Word::Renew { number: page.number, mark: page.mark(), sent: ask };
+        for place in keepers(self.rules.places).filter(|place| *place != self.rules.own).collect::<Vec<_>>() {
+            let Some(to) = self.members.get(&place).filter(|m| m.state.here()).map(|m| m.about.address)
+            else {
+                continue;
+            };
+            self.send(to, vec![word.clone()], false);
+        }
+    }
+
+    pub(super) fn choose(&mut self, page: Page) {
+        if self.keeping.chosen(self.now_ms, &page, self.life) {
+            self.actions.push(Action::Paged { number: page.number });
+            let word = Word::Chosen { page };
+            if size(&word) < DATAGRAM / 2 {
+                self.rumours.add(word);
+            }
+        }
+    }
+
+    /// What this router wants goes to all; the lowest that is here and hears enough puts another page to the keepers.
+    pub(super) fn need(&mut self, needs: Needs) {
+        let bytes = postcard::to_stdvec(&needs.iter().map(|need| *need as f32).collect::<Vec<_>>())
+            .unwrap_or_default();
+        if self.needs != needs || self.row_version == 0 {
+            self.row(bytes);
+        }
+        self.needs = needs;
+        self.think();
+    }
+
+    pub(super) fn think(&mut self) {
+        let now_ms = self.now_ms;
+        let lowest = self.members.values().find(|m| m.state.here()).is_none_or(|m| m.place > self.rules.own);
+        let every_ms = PAGES * self.rules.lease_ms * (1.0 + 0.2 * self.rng.f64());
+        let due = now_ms >= self.proposed_ms + every_ms && !self.keeping.offering(now_ms);
+        if !self.joined || self.leaving || !lowest || !due || self.stand().mind != Mind::Whole {
+            return;
+        }
+        let mut roster: BTreeMap<Place, (Life, Needs)> = BTreeMap::new();
+        roster.insert(self.rules.own, (self.life, self.needs.clone()));
+        for member in self.members.values().filter(|m| m.state.here()) {
+            let said = member.row.as_ref().and_then(|row| postcard::from_bytes::<Vec<f32>>(&row.bytes).ok());
+            let needs = said.unwrap_or_default().into_iter().map(f64::from).filter(|need| need.is_finite());
+            roster.insert(member.place, (member.life, needs.collect()));
+        }
+        let number = self.keeping.next_number();
+        let (things, pieces) = (self.rules.things, self.rules.pieces);
+        let page = split(number, &roster, self.keeping.page(), things, pieces);
+        if self.keeping.page().is_some_and(|now| !differs(now, &page))
+            && self.keeping.lease_until_ms() > now_ms
+        {
+            return;
+        }
+        self.proposed_ms = now_ms;
+        self.keeping.offer(now_ms, page.clone());
+        if let Some(page) = self.keeping.decided() {
+            self.choose(page);
+            return;
+        }
+        for place in keepers(self.rules.places).filter(|place| *place != self.rules.own).collect::<Vec<_>>() {
+            if let Some(to) = member_address(&self.members, place) {
+                self.send_large(to, Word::Propose { page: page.clone() });
+            }
+        }
+    }
+
+    /// What may be used now.
+    pub fn granted(&self, now_ms: f64) -> Granted {
+        let usable = if self.displaced { None } else { self.keeping.usable(now_ms, self.life) };
+        let until_ms = if usable.is_some() { self.keeping.lease_until_ms() } else { f64::INFINITY };
+        self.part(usable.as_deref(), until_ms)
+    }
+
+    /// What is left once no lease holds.
+    pub fn floor(&self) -> Granted {
+        self.part(None, f64::INFINITY)
+    }
+
+    pub(super) fn part(&self, usable: Option<&[u16]>, until_ms: f64) -> Granted {
+        let (places, floor) = (self.rules.places.max(1), self.rules.floor);
+        let share = |thing: usize| {
+            let part = usable.and_then(|parts| parts.get(thing)).copied().unwrap_or(0);
+            match thing {
+                0 => f64::from(part) / self.rules.pieces.max(1) as f64,
+                _ if self.displaced => 0.0,
+                _ => floor / places as f64 + (1.0 - floor) * f64::from(part) / f64::from(WHOLE),
+            }
+        };
+        // Those of the roster last agreed run as far as anyone knows, heard or not.
+        let seated =
+            self.keeping.page().and_then(|page| Some((page.seats.len(), page.rank(self.rules.own)?)));
+        let (routers, rank) = seated.unwrap_or((places, usize::from(self.rules.own.0)));
+        let shares = (0..self.rules.things).map(share).collect();
+        Granted { routers, rank, shares, until_ms, page: self.keeping.number() }
+    }
+}
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -198,6 +198,7 @@
         cold_ms: conf.invariants.cold_s * 1e3,
         // There a weight is a number for comparing, by size or load, that may change with each list.
         weights_act: false,
+        fresh_part: None,
     };
     Ok(Provision {
         settings,
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -15,8 +15,9 @@
 use tokio::sync::oneshot;
 
 use crate::clock::duration;
-use crate::core::{Status, Told};
 use crate::front::Front;
+use crate::peers::{self, ToFellows};
+use crate::words::{Status, Told};
 
 pub async fn listen(listener: TcpListener, front: Rc<Front>) {
     loop {
@@ -51,10 +52,16 @@
     let (code, text) = match (request.uri().path(), status) {
         ("/healthz", Some(status)) if !stopping && status.servers > 0 => (StatusCode::OK, "ok\n".to_owned()),
         ("/healthz", _) => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
-        ("/metrics", Some(status)) => (StatusCode::OK, metrics(&front, &status)),
+        ("/metrics", Some(status)) => {
+            let mut text = metrics(&front, &status);
+            if let Some(fellows) = &front.fellows {
+                text.push_str(&view(fellows).await.map(|view| fellows_metrics(&view)).unwrap_or_default());
+            }
+            (StatusCode::OK, text)
+        }
         _ => (
             StatusCode::NOT_FOUND,
-            "known are /healthz, /metrics, /status, /workers/WORD and /list/accept\n".to_owned(),
+            "known are /healthz, /metrics, /status, /peers, /workers/WORD and /list/accept\n".to_owned(),
         ),
     };
     let mut response = Response::new(Full::new(Bytes::from(text)));
@@ -83,11 +90,32 @@
         let (refused, why) = front.settings_refused.borrow().clone();
         let settings =
             json!({ "taken": front.settings_taken.get(), "refused": refused, "last_refused": why });
+        let stands = match &front.fellows {
+            Some(fellows) => view(fellows).await.map(|view| {
+                json!({
+                    "mind": view["mind"], "why": view["why"], "same": view["same"], "of": view["of"],
+                    "differ": view["differ"], "page": view["page"]["number"], "shares": view["shares"],
+                })
+            }),
+            None => None,
+        };
         return json(
             StatusCode::OK,
-            json!({ "schema": "paddleproxy.status.v1", "list": list, "settings": settings }),
+            json!({ "schema": "paddleproxy.status.v1", "list": list, "settings": settings, "peers": stands }),
         );
     }
+    if path == "/peers" {
+        let Some(fellows) = &front.fellows else {
+            return json(
+                StatusCode::NOT_FOUND,
+                json!({ "error": "this router has no 'peers' in its settings" }),
+            );
+        };
+        return match view(fellows).await {
+            Some(view) => json(StatusCode::OK, view),
+            None => gone(),
+        };
+    }
     let word = match path.strip_prefix("/workers/") {
         Some("drain") => Some(ListSays::Drain),
         Some("undrain") => Some(ListSays::Undrain),
@@ -118,6 +146,32 @@
     }
 }
 
+async fn view(fellows: &ToFellows) -> Option<serde_json::Value> {
+    let (sender, receiver) = oneshot::channel();
+    fellows.send(peers::Ask::View(sender)).await.ok()?;
+    receiver.await.ok()
+}
+
+/// Lines on fellows, from the view that operators see.
+fn fellows_metrics(view: &serde_json::Value) -> String {
+    let members = view["members"].as_array().map_or(&[][..], Vec::as_slice);
+    let of = |state: &str| members.iter().filter(|row| row["state"] == state).count();
+    let mut text = String::new();
+    for state in ["alive", "suspect", "failed", "left"] {
+        text.push_str(&format!("paddleproxy_peers{{state=\"{state}\"}} {}\n", of(state)));
+    }
+    let mind = view["mind"].as_str().unwrap_or_default();
+    text.push_str(&format!("paddleproxy_peers_mind{{mind=\"{mind}\"}} 1\n"));
+    for name in ["hears", "roster", "same", "of", "health"] {
+        text.push_str(&format!("paddleproxy_peers_{name} {}\n", view[name]));
+    }
+    text.push_str(&format!("paddleproxy_peers_page {}\n", view["page"]["number"]));
+    for (name, value) in view["counts"].as_object().into_iter().flatten() {
+        text.push_str(&format!("paddleproxy_peers_{name}_total {value}\n"));
+    }
+    text
+}
+
 /// Counts what the process allocates; costs a little on each allocation.
 #[cfg(feature = "allocations")]
 #[global_allocator]
@@ -134,7 +188,7 @@
 
 fn metrics(front: &Front, status: &Status) -> String {
     let counts = &status.counts;
-    let rows: [(&str, u64); 26] = [
+    let rows: [(&str, u64); 27] = [
         ("completions_arrived_total", counts.arrived),
         ("completions_finished_total", counts.finished),
         ("completions_rate_limited_total", counts.rate_limited),
@@ -154,6 +208,7 @@
         ("completions_open", status.open as u64),
         ("connections_open", front.connections.get() as u64),
         ("servers_listed", status.servers as u64),
+        ("routers_reckoned", status.reckoned.0 as u64),
         ("list_version", status.version.unwrap_or(0)),
         ("list_revision", status.revision),
         ("lists_held_total", status.held_total),
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -9,123 +9,24 @@
 use paddleproxy::interface::*;
 use paddleproxy_engine as wire;
 use paddleproxy_engine::Load;
-use paddleproxy_membership::{Heard, Membership, Saved, SourceId, Status as ListStatus, Word as ListSays};
+use paddleproxy_membership::{Heard, Membership, Saved, SourceId};
 use paddleproxy_messages::{Answer, ApiError, ErrorKind};
-use paddleproxy_routing::{Counts, Effect, Facts, Input, Ledger, Sending, SocketEnd};
+use paddleproxy_peers::Granted;
+use paddleproxy_routing::{Effect, Input, Ledger, Sending, SocketEnd};
 use paddleproxy_settings::router::RouterSettings;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, Instant};
 use tracing::{debug, info, warn};
 
 use crate::answer::Owed;
 use crate::book::Book;
 use crate::clock::{duration, wall_ms, Clock};
-use crate::dispatch::{request_id, Ask, Dispatch, End, Word};
+use crate::dispatch::{request_id, Dispatch};
 use crate::engines::Engines;
 use crate::list::ListWord;
+use crate::peers;
 use crate::state::{Left, State};
-
-/// What the core is told.
-pub enum Told {
-    Arrived {
-        completion: CompletionId,
-        facts: Facts,
-        received_ms: f64,
-        ask: Rc<Ask>,
-        owed: Owed,
-    },
-    Began {
-        completion: CompletionId,
-        seq: Seq,
-        took_ms: f64,
-    },
-    Ended {
-        completion: CompletionId,
-        seq: Seq,
-        took_ms: f64,
-        end: End,
-    },
-    Left {
-        completion: CompletionId,
-    },
-    Reported {
-        worker: WorkerId,
-        load: Load,
-    },
-    Probed {
-        worker: WorkerId,
-        load: Option<Load>,
-        answered: bool,
-        took_ms: f64,
-    },
-    HoldAnswered {
-        completion: CompletionId,
-        seq: Seq,
-        worker: WorkerId,
-        held: bool,
-    },
-    /// A version of a source; the one to ask on from goes back, none for the whole.
-    List {
-        source: SourceId,
-        list: wire::ServerList,
-        fingerprint: Option<u64>,
-        next: oneshot::Sender<Known>,
-    },
-    ListFailed,
-    /// A source is there and has nothing new.
-    ListSpoke {
-        source: SourceId,
-    },
-    /// A version that could not even be read.
-    ListUnreadable {
-        source: SourceId,
-        why: String,
-    },
-    /// An operator's word on a server; the revision that results goes back, none where there is no such server.
-    Say {
-        server: String,
-        word: ListSays,
-        done: oneshot::Sender<Option<u64>>,
-    },
-    /// An operator takes a held version.
-    Accept {
-        done: oneshot::Sender<Option<u64>>,
-    },
-    Members {
-        status: oneshot::Sender<ListStatus>,
-    },
-    /// A server was asked whether it is there.
-    There {
-        worker: WorkerId,
-        there: bool,
-    },
-    /// Other settings for the decisions from now on.
-    Settings {
-        decisions: Box<Settings>,
-    },
-    /// All completions still open end now.
-    Stop,
-    Ask {
-        status: oneshot::Sender<Status>,
-    },
-}
-
-/// Epoch and version of the list to ask on from; None for the whole.
-pub type Known = Option<(u64, u64)>;
-
-pub type ToCore = mpsc::Sender<Told>;
-
-/// Figures for the admin port.
-pub struct Status {
-    pub counts: Counts,
-    pub open: usize,
-    pub servers: usize,
-    pub version: Option<u64>,
-    pub revision: u64,
-    /// Versions of the list that were held, and refused.
-    pub held_total: u64,
-    pub refused: u64,
-}
+use crate::words::{Ask, End, Known, Status, ToCore, Told, Word};
 
 pub struct Core {
     settings: Rc<RouterSettings>,
@@ -144,6 +45,11 @@
     state: Rc<State>,
     /// When the list changes by itself.
     wakes: Option<Instant>,
+    /// The decisions' settings without what fellows agreed, that, and what is left once it lapses, and when it does.
+    base: Settings,
+    shared: Option<Granted>,
+    floor: Option<Granted>,
+    lapses: Option<Instant>,
 }
 
 impl Core {
@@ -176,10 +82,20 @@
             saves,
             state,
             wakes: None,
+            base: settings.decisions.clone(),
+            shared: None,
+            floor: None,
+            lapses: None,
             settings,
         }
     }
 
+    /// Before any fellow was heard: what is left to a router without a lease.
+    pub fn begin_with(&mut self, floor: Granted) {
+        (self.shared, self.floor) = (Some(floor.clone()), Some(floor));
+        self.resettle();
+    }
+
     /// Takes in the list of an earlier run, if there is one; the version to ask on from. The decisions always get a
     /// saved list, if an empty one: with it they begin, and subscribe where that is theirs to do.
     pub fn recover(&mut self, saved: Option<Saved>, left: &Left) -> Known {
@@ -204,7 +120,11 @@
             let wakes = self.wakes;
             tokio::select! {
                 biased;
-                due = self.book.due() => self.handle(Input::Due(due)),
+                _ = sleep_until(self.lapses.unwrap_or_else(Instant::now)), if self.lapses.is_some() => self.lapse(),
+                due = self.book.due() => {
+                    self.lapse();
+                    self.handle(Input::Due(due));
+                }
                 _ = sleep_until(wakes.unwrap_or_else(Instant::now)), if wakes.is_some() => {
                     let heard = self.membership.tick(self.book.clock.now_ms());
                     self.heard(heard);
@@ -217,7 +137,27 @@
         }
     }
 
+    /// What was lent is over by the own clock, whatever waits to be handled: a process that was stopped finds it so
+    /// before it sends anything.
+    fn lapse(&mut self) {
+        if self.lapses.is_some_and(|at| Instant::now() >= at) {
+            self.lapses = None;
+            self.shared = self.floor.clone();
+            self.resettle();
+        }
+    }
+
+    /// The decisions' settings with what fellows agreed laid over them.
+    fn resettle(&mut self) {
+        let decisions = match &self.shared {
+            Some(granted) => peers::overlaid(&self.base, granted),
+            None => self.base.clone(),
+        };
+        self.handle(Input::Settings(Box::new(decisions)));
+    }
+
     fn take(&mut self, told: Told) {
+        self.lapse();
         match told {
             Told::Arrived { completion, facts, received_ms, ask, owed } => {
                 let arrival = facts.arrival(completion, received_ms);
@@ -284,7 +224,16 @@
                 let heard = self.membership.observe(self.book.clock.now_ms(), &worker, there);
                 self.heard(heard);
             }
-            Told::Settings { decisions } => self.handle(Input::Settings(decisions)),
+            Told::Settings { decisions } => {
+                self.base = *decisions;
+                self.resettle();
+            }
+            Told::Shared { granted, floor } => {
+                self.lapses = peers::lapses(self.book.clock, &granted);
+                (self.shared, self.floor) = (Some(granted), Some(floor));
+                self.resettle();
+                self.lapse();
+            }
             Told::ListFailed => self.handle(Input::Listed { kind: ListKind::Failed, rows: [].into() }),
             Told::Stop => self.handle(Input::Stop { streams: true }),
             Told::Ask { status } => {
@@ -296,6 +245,9 @@
                     revision: self.membership.revision(),
                     held_total: self.membership.held_total(),
                     refused: self.membership.refused_total(),
+                    reckoned: self.shared.as_ref().map_or((self.base.routers, None), |granted| {
+                        (granted.routers, granted.shares.first().copied())
+                    }),
                 });
             }
         }
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -17,41 +17,8 @@
 
 use crate::answer::{Left, Stream};
 use crate::clock::{duration, Clock};
-use crate::core::{ToCore, Told};
 use crate::engines::{load, request, Connection, Engines};
-
-/// What a client asked for, as the servers need it.
-pub struct Ask {
-    pub model: String,
-    pub prompt: String,
-    pub max_tokens: u32,
-    pub stop: Vec<String>,
-    /// What the prompt is taken to hold until its server says so.
-    pub prompt_tokens: u64,
-    pub streamed: bool,
-    pub client_id: Option<String>,
-    pub effect_key: Option<String>,
-}
-
-/// What the core tells a dispatch that is out.
-pub enum Word {
-    Grant(Stream),
-    Stop,
-}
-
-/// How it ended, with what it brought.
-pub struct End {
-    pub end: SocketEnd,
-    pub kept_tokens: f64,
-    pub state: Option<StateReference>,
-    pub whole: Option<Answer>,
-}
-
-impl From<SocketEnd> for End {
-    fn from(end: SocketEnd) -> Self {
-        End { end, kept_tokens: 0.0, state: None, whole: None }
-    }
-}
+use crate::words::{Ask, End, ToCore, Told, Word};
 
 pub struct Dispatch {
     pub sending: Sending,
--- a/crates/router/src/files.rs
+++ b/crates/router/src/files.rs
@@ -15,8 +15,8 @@
 use tracing::{info, warn};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::core::{ToCore, Told};
 use crate::front::Front;
+use crate::words::{ToCore, Told};
 use crate::Watched;
 
 /// How often a file is looked at whatever the system tells of it, and how long it must stay the same to count as
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -27,11 +27,12 @@
 
 use crate::answer::{Keyed, Owed, Pieces, Reply};
 use crate::clock::{duration, wall_ms, Clock};
-use crate::core::{ToCore, Told};
-use crate::dispatch::Ask;
 use crate::duty::{Dropped, Duty};
+use crate::peers::ToFellows;
 use crate::polite::Polite;
 use crate::state::{Left, State};
+use crate::words::Ask;
+use crate::words::{ToCore, Told};
 
 /// What all connections of clients share.
 pub struct Front {
@@ -56,6 +57,8 @@
     pub refused_by_key: Cell<u64>,
     /// Changes of the settings that were taken, and those that were not, with the last reason.
     pub settings_taken: Cell<u64>,
+    /// Where fellows are known; none without them.
+    pub fellows: Option<ToFellows>,
     pub settings_refused: RefCell<(u64, Option<String>)>,
 }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,8 +12,10 @@
 mod files;
 mod front;
 mod list;
+mod peers;
 mod polite;
 mod state;
+mod words;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -30,15 +32,18 @@
 
 use crate::clock::wall_ms;
 use crate::clock::{duration, Clock};
-use crate::core::{Core, Told};
+use crate::core::Core;
 use crate::engines::Engines;
 use crate::front::Front;
+use crate::words::Told;
 
 /// Where a running router listens.
 #[derive(Clone, Copy, Debug)]
 pub struct Listening {
     pub clients: SocketAddr,
     pub admin: Option<SocketAddr>,
+    /// For fellows.
+    pub peers: Option<SocketAddr>,
 }
 
 /// The document of a router's settings, read again when it changes.
@@ -78,7 +83,12 @@
         Some(address) => Some(bind(address).await?),
         None => None,
     };
+    let fellows = match &settings.peers {
+        Some(row) => Some((peers::bind(row).await?, row.clone())),
+        None => None,
+    };
     let listening = Listening {
+        peers: fellows.as_ref().map(|(bound, _)| bound.address),
         clients: clients.local_addr()?,
         admin: admin.as_ref().map(TcpListener::local_addr).transpose()?,
     };
@@ -97,6 +107,17 @@
     let mut state = Core::new(settings.clone(), clock, boot, seed, own.0, own.1, list, saves, store.clone());
     let after = state.recover(list::saved(&dir), &left);
     let admission = Rc::new(RefCell::new(Admission::new(Bounds::of(&settings))));
+    let (to_fellows, asks) = mpsc::channel(8);
+    let fellows = match fellows {
+        Some((bound, row)) => {
+            let (rules, floor) = peers::first(&settings, &row);
+            admission.borrow_mut().share(&floor.shares[1..], &floor.shares[1..], f64::INFINITY);
+            state.begin_with(floor);
+            let (settings, core, admission) = (settings.clone(), core.clone(), admission.clone());
+            Some(peers::Fellows { bound, rules, settings, peers: row, seed, clock, core, admission })
+        }
+        None => None,
+    };
     let (workloads, keys_ms) = (settings.decisions.workloads.clone(), settings.front.keys_ms);
     let front = Rc::new(Front {
         settings: settings.front.clone(),
@@ -121,6 +142,7 @@
         refused_by_key: Cell::new(0),
         settings_taken: Cell::new(0),
         settings_refused: RefCell::default(),
+        fellows: fellows.is_some().then(|| to_fellows.clone()),
     });
     front.recover(&left);
     let swept = store.clone();
@@ -131,6 +153,9 @@
         }
     });
     tokio::task::spawn_local(state.run(told));
+    if let Some(fellows) = fellows {
+        tokio::task::spawn_local(peers::run(fellows, asks));
+    }
     tokio::task::spawn_local(list::save(dir, lists));
     tokio::task::spawn_local(list::follow(settings.clone(), engines, core.clone(), list_words, after));
     if let Some(path) = settings.servers_file.clone() {
@@ -152,6 +177,9 @@
         }
     }
     info!(open = admission.borrow().open(), "stopping");
+    if let Some(fellows) = &front.fellows {
+        peers::leave(fellows).await;
+    }
     admission.borrow_mut().stop();
     closing.send_replace(true);
     let _ = accepting.await;
--- a/crates/router/src/list.rs
+++ b/crates/router/src/list.rs
@@ -13,9 +13,9 @@
 use tracing::{debug, warn};
 
 use crate::clock::duration;
-use crate::core::{Known, ToCore, Told};
 use crate::engines::Engines;
 use crate::files::write_whole;
+use crate::words::{Known, ToCore, Told};
 
 /// What the decisions want of the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/crates/router/src/peers.rs
@@ -0,0 +1,465 @@
+//! The sockets of a router's fellows: datagrams and calls on one port, timers, and the file that remembers its life. What
+//! is said and believed is decided in `paddleproxy-peers`.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use paddleproxy::interface::Settings;
+use paddleproxy_peers::{words, About, Action, Event, Granted, Life, Peers, Place, Rules};
+use paddleproxy_routing::Admission;
+use paddleproxy_settings::peers::PeerSettings;
+use paddleproxy_settings::router::RouterSettings;
+use serde_json::{json, Value};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep_until, timeout, Instant};
+use tracing::{info, warn};
+
+use crate::clock::{duration, Clock};
+use crate::files::write_whole;
+use crate::words::{ToCore, Told};
+
+/// Calls that may be open at once; further ones are closed, and their callers come again.
+const CALLS: usize = 8;
+/// Letters in one call, and the bytes of all of them.
+const LETTERS: usize = 256;
+const CALL_BYTES: usize = 4 << 20;
+/// Time in which a call has to be over, as probes, and the least, in ms.
+const CALL_PROBES: f64 = 10.0;
+const CALL_LEAST_MS: f64 = 500.0;
+/// Bad bytes are told of at most this often, in ms.
+const WRONG_EVERY_MS: f64 = 10_000.0;
+/// Weight of the newest count in what a router wants.
+const NEWEST: f64 = 0.3;
+const LIFE: &str = "life";
+
+/// Questions to the task that knows the fellows.
+pub enum Ask {
+    View(oneshot::Sender<Value>),
+    /// Say goodbye; answered once that is sent.
+    Leave(oneshot::Sender<()>),
+}
+
+pub type ToFellows = mpsc::Sender<Ask>;
+
+enum Inside {
+    Called { letters: Vec<Vec<u8>>, reply: oneshot::Sender<Vec<Vec<u8>>> },
+    Answered { to: SocketAddr, letters: Option<Vec<Vec<u8>>> },
+}
+
+/// Sockets of a router's fellows, bound but not yet used.
+pub struct Bound {
+    datagrams: UdpSocket,
+    calls: TcpListener,
+    pub address: SocketAddr,
+}
+
+/// Binds datagrams and calls to one port.
+///
+/// # Errors
+/// An address that is taken; with port 0, sixteen tries without a port that is free for both.
+pub async fn bind(settings: &PeerSettings) -> Result<Bound> {
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        let calls = TcpListener::bind(settings.listen);
+        let calls = calls.await.with_context(|| format!("fellows' calls on {}", settings.listen))?;
+        let address = calls.local_addr()?;
+        match UdpSocket::bind(address).await {
+            Ok(datagrams) => return Ok(Bound { datagrams, calls, address }),
+            Err(_) if settings.listen.port() == 0 && tries < 16 => {}
+            Err(cause) => return Err(cause).with_context(|| format!("fellows' datagrams on {address}")),
+        }
+    }
+}
+
+/// What is shared out before any fellow was heard.
+pub fn first(settings: &RouterSettings, peers: &PeerSettings) -> (Rules, Granted) {
+    let decisions = &settings.decisions;
+    let places = decisions.routers;
+    let things = 1 + decisions.customers.len().min(paddleproxy_peers::page::THINGS_MAX - 1);
+    let rules = Rules {
+        deployment: peers.deployment.clone(),
+        places,
+        own: Place(decisions.own_number as u16),
+        probe_ms: peers.probe_ms,
+        lease_ms: peers.lease_ms,
+        floor: peers.floor,
+        remember_ms: peers.remember_ms,
+        things,
+        pieces: paddleproxy::control::at_once(decisions, places),
+    };
+    let about = about(settings, peers, peers.listen);
+    let alone = Peers::new(0.0, rules.clone(), about, Vec::new(), Life(1), 0);
+    (rules, alone.floor())
+}
+
+fn about(settings: &RouterSettings, peers: &PeerSettings, address: SocketAddr) -> About {
+    About {
+        name: peers.name.clone(),
+        address: peers.advertise.unwrap_or(address),
+        zone: settings.decisions.zone.map_or(0, |zone| zone.0 as u8),
+        region: peers.region.clone(),
+        format: words::FORMAT,
+    }
+}
+
+/// The decisions' settings as fellows agreed: how many reckon, the own place among them, the part of fresh servers.
+pub fn overlaid(base: &Settings, granted: &Granted) -> Settings {
+    Settings {
+        routers: granted.routers.max(1),
+        own_number: granted.rank.min(granted.routers.max(1) - 1),
+        fresh_part: Some(granted.shares.first().copied().unwrap_or(0.0)),
+        ..base.clone()
+    }
+}
+
+/// All that the task needs.
+pub struct Fellows {
+    pub bound: Bound,
+    pub rules: Rules,
+    pub settings: Rc<RouterSettings>,
+    pub peers: PeerSettings,
+    pub seed: u64,
+    pub clock: Clock,
+    pub core: ToCore,
+    pub admission: Rc<RefCell<Admission>>,
+}
+
+struct Task {
+    peers: Peers,
+    datagrams: Rc<UdpSocket>,
+    own_ip: SocketAddr,
+    call_ms: f64,
+    clock: Clock,
+    core: ToCore,
+    admission: Rc<RefCell<Admission>>,
+    inside: mpsc::Sender<Inside>,
+    life_file: PathBuf,
+    zones: Vec<String>,
+    said: Option<Granted>,
+    wrong_ms: f64,
+    wrong_told: u64,
+    asked: (f64, Vec<u64>),
+    needs: Vec<f64>,
+    outgoing: Rc<std::cell::Cell<usize>>,
+}
+
+/// Runs as long as the router does.
+pub async fn run(fellows: Fellows, mut asks: mpsc::Receiver<Ask>) {
+    let Fellows { bound, rules, settings, peers, seed, clock, core, admission } = fellows;
+    let life_file = settings.state_dir.join(LIFE);
+    let life = next_life(&life_file);
+    let about = about(&settings, &peers, bound.address);
+    info!(name = about.name, address = %about.address, life = life.0, "looking for fellows");
+    let (inside, mut within) = mpsc::channel(4 * CALLS);
+    let datagrams = Rc::new(bound.datagrams);
+    let need_ms = rules.lease_ms / 3.0;
+    let mut task = Task {
+        call_ms: (CALL_PROBES * rules.probe_ms).max(CALL_LEAST_MS),
+        peers: Peers::new(clock.now_ms(), rules, about, peers.seeds.clone(), life, seed),
+        datagrams: datagrams.clone(),
+        own_ip: bound.address,
+        clock,
+        core,
+        admission,
+        inside: inside.clone(),
+        life_file,
+        zones: settings.names.zones.clone(),
+        said: None,
+        wrong_ms: f64::NEG_INFINITY,
+        wrong_told: 0,
+        asked: (clock.now_ms(), Vec::new()),
+        needs: Vec::new(),
+        outgoing: Rc::default(),
+    };
+    let open = Rc::new(std::cell::Cell::new(0usize));
+    let mut need = tokio::time::interval(duration(need_ms));
+    need.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut bytes = vec![0; 2048];
+    loop {
+        let next_ms = task.peers.next_ms();
+        let due = task.clock.at(next_ms.min(task.clock.now_ms() + 60_000.0));
+        tokio::select! {
+            biased;
+            _ = sleep_until(due) => task.tell(Event::Tick).await,
+            asked = asks.recv() => match asked {
+                Some(Ask::View(answer)) => drop(answer.send(task.view())),
+                Some(Ask::Leave(done)) => {
+                    task.tell(Event::Leave).await;
+                    let _ = done.send(());
+                }
+                None => return,
+            },
+            _ = need.tick() => {
+                let needs = task.measured();
+                task.tell(Event::Need(needs)).await;
+            }
+            Some(inside) = within.recv() => match inside {
+                Inside::Called { letters, reply } => task.called(letters, reply).await,
+                Inside::Answered { to, letters: Some(letters) } => {
+                    task.tell(Event::Answered { to, letters: &letters }).await;
+                }
+                Inside::Answered { to, letters: None } => task.tell(Event::CallFailed { to }).await,
+            },
+            got = datagrams.recv_from(&mut bytes) => match got {
+                Ok((count, from)) => {
+                    let bytes = bytes[..count].to_vec();
+                    task.tell(Event::Datagram { from, bytes: &bytes }).await;
+                }
+                // A fellow's closed port is told as an error of this socket; it is no end of it.
+                Err(_) => tokio::task::yield_now().await,
+            },
+            taken = bound.calls.accept() => match taken {
+                Ok((stream, _)) if open.get() < CALLS => {
+                    open.set(open.get() + 1);
+                    let (open, inside, within) = (open.clone(), inside.clone(), duration(task.call_ms));
+                    tokio::task::spawn_local(async move {
+                        let _ = timeout(within, answer(stream, inside)).await;
+                        open.set(open.get() - 1);
+                    });
+                }
+                Ok(_) => {}
+                Err(_) => tokio::time::sleep(duration(10.0)).await,
+            },
+        }
+    }
+}
+
+impl Task {
+    async fn tell(&mut self, event: Event<'_>) {
+        let actions = self.peers.handle(self.clock.now_ms(), event);
+        self.act(actions).await;
+    }
+
+    async fn called(&mut self, letters: Vec<Vec<u8>>, reply: oneshot::Sender<Vec<Vec<u8>>>) {
+        let mut actions = self.peers.handle(self.clock.now_ms(), Event::Called { letters: &letters });
+        let row = actions.iter().position(|action| matches!(action, Action::Reply { .. }));
+        if let Some(Action::Reply { letters }) = row.map(|row| actions.remove(row)) {
+            let _ = reply.send(letters);
+        }
+        self.act(actions).await;
+    }
+
+    async fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                // A datagram that finds no room is lost, as it may be anywhere on its way.
+                Action::Send { to, bytes } => drop(self.datagrams.try_send_to(&bytes, to)),
+                Action::Call { to, letters } => self.call(to, letters),
+                Action::Changed { place, change } => {
+                    let (from, to) = (change.from.map(|state| state.name()), change.to.name());
+                    info!(place = place.0, life = change.life.0, from, to, by = change.by.0, "fellow");
+                }
+                Action::Lived { life } => {
+                    info!(life = life.0, "a higher life than fellows remember");
+                    keep_life(&self.life_file, life);
+                }
+                Action::Displaced { by } => {
+                    tracing::error!(%by, "another process runs under this router's place; this one has no part in \
+                        the common view any more and uses nothing that is shared out");
+                }
+                Action::Paged { number } => info!(number, "page"),
+                Action::Reply { .. } => {}
+            }
+        }
+        self.share().await;
+        let wrong: u64 = self.peers.counts.wrong.values().sum();
+        let now_ms = self.clock.now_ms();
+        if wrong > self.wrong_told && now_ms >= self.wrong_ms + WRONG_EVERY_MS {
+            (self.wrong_told, self.wrong_ms) = (wrong, now_ms);
+            warn!(wrong, kinds = ?self.peers.counts.wrong, "bytes that are no letters of fellows were dropped");
+        }
+    }
+
+    /// Tells the core and the gates what may be used, where that changed.
+    async fn share(&mut self) {
+        let granted = self.peers.granted(self.clock.now_ms());
+        if self.said.as_ref() == Some(&granted) {
+            return;
+        }
+        let floor = self.peers.floor();
+        let until_ms = granted.until_ms;
+        self.admission.borrow_mut().share(&granted.shares[1..], &floor.shares[1..], until_ms);
+        let told = Told::Shared { granted: granted.clone(), floor };
+        if self.core.send(told).await.is_ok() {
+            self.said = Some(granted);
+        }
+    }
+
+    /// What this router wants: completions a second in all, and of each customer.
+    fn measured(&mut self) -> Vec<f64> {
+        let now_ms = self.clock.now_ms();
+        let counts = self.admission.borrow().asked();
+        let (before_ms, before) = std::mem::replace(&mut self.asked, (now_ms, counts.clone()));
+        let over_s = ((now_ms - before_ms) / 1e3).max(1e-3);
+        let new =
+            |row: usize| counts[row].saturating_sub(before.get(row).copied().unwrap_or(0)) as f64 / over_s;
+        let things = self.peers.rules().things;
+        let customers = (0..things - 1).map(|row| if row + 1 < counts.len() { new(row + 1) } else { 0.0 });
+        let now: Vec<f64> = std::iter::once((0..counts.len()).map(new).sum()).chain(customers).collect();
+        self.needs.resize(things, 0.0);
+        // Rounded, so that what hardly changed is not told anew.
+        let blend = |(old, new): (&f64, f64)| ((old + NEWEST * (new - old)) * 16.0).round() / 16.0;
+        self.needs = self.needs.iter().zip(now).map(blend).collect();
+        self.needs.clone()
+    }
+
+    fn call(&mut self, to: SocketAddr, letters: Vec<Vec<u8>>) {
+        let inside = self.inside.clone();
+        if self.outgoing.get() >= CALLS {
+            return;
+        }
+        let (own, within) = (SocketAddr::new(self.own_ip.ip(), 0), duration(self.call_ms));
+        let outgoing = self.outgoing.clone();
+        outgoing.set(outgoing.get() + 1);
+        tokio::task::spawn_local(async move {
+            let letters = timeout(within, call(own, to, &letters)).await.ok().and_then(Result::ok);
+            outgoing.set(outgoing.get() - 1);
+            let _ = inside.send(Inside::Answered { to, letters }).await;
+        });
+    }
+
+    /// All that operators may ask for.
+    fn view(&self) -> Value {
+        let (peers, now_ms) = (&self.peers, self.clock.now_ms());
+        let stand = peers.stand();
+        let places = |list: &[Place]| list.iter().map(|place| place.0).collect::<Vec<_>>();
+        let digest = peers.digest();
+        let zone = |zone: u8| self.zones.get(usize::from(zone)).cloned().unwrap_or_default();
+        let rows: Vec<Value> = peers
+            .members()
+            .map(|m| {
+                let history = m.history.iter().map(|c| {
+                    json!({
+                        "ago_ms": now_ms - c.at_ms, "life": c.life.0, "incarnation": c.incarnation,
+                        "from": c.from.map(|state| state.name()), "to": c.to.name(), "by": c.by.0,
+                    })
+                });
+                json!({
+                    "place": m.place.0, "name": m.about.name, "state": m.state.name(), "life": m.life.0,
+                    "incarnation": m.incarnation, "zone": zone(m.about.zone), "region": m.about.region,
+                    "address": m.about.address, "format": m.about.format, "for_ms": now_ms - m.since_ms,
+                    "heard_ms": m.heard_ms.map(|at| now_ms - at), "same_view": m.digest == digest,
+                    "page": m.page, "places": m.places,
+                    "deaf_to": stand.deaf_to.contains(&m.place), "unheard_by": stand.unheard_by.contains(&m.place),
+                    "doubted_by": m.doubt.iter().flat_map(|doubt| &doubt.by).map(|place| place.0).collect::<Vec<_>>(),
+                    "history": history.collect::<Vec<_>>(),
+                })
+            })
+            .collect();
+        let granted = peers.granted(now_ms);
+        let keeping = peers.keeping();
+        let seats = keeping.page().map(|page| {
+            let rows = page.seats.iter().map(|seat| json!([seat.place.0, seat.life.0, seat.parts]));
+            rows.collect::<Vec<_>>()
+        });
+        let counts = &peers.counts;
+        json!({
+            "schema": "paddleproxy.peers.v1",
+            "place": peers.rules().own.0, "name": peers.about().name, "life": peers.life().0,
+            "incarnation": peers.incarnation(), "zone": zone(peers.about().zone), "region": peers.about().region,
+            "address": peers.about().address, "places": peers.rules().places, "clock_ms": now_ms,
+            "mind": stand.mind.name(), "why": stand.why, "roster": stand.roster, "hears": stand.hears,
+            "same": stand.same, "of": stand.of, "differ": places(&stand.differ),
+            "deaf_to": places(&stand.deaf_to), "unheard_by": places(&stand.unheard_by),
+            "digest": digest, "health": peers.health(), "rumours": peers.waiting_rumours(),
+            "page": {
+                "number": keeping.number(), "seats": seats, "keeper": keeping.is_keeper(), "kept": keeping.kept_number(),
+                "silent_ms": (keeping.silent_until_ms() - now_ms).max(0.0),
+            },
+            "shares": {
+                "routers": granted.routers, "rank": granted.rank, "of": granted.shares,
+                "for_ms": granted.until_ms.is_finite().then_some(granted.until_ms - now_ms),
+            },
+            "counts": {
+                "sent": counts.sent, "sent_bytes": counts.sent_bytes, "heard": counts.heard,
+                "heard_bytes": counts.heard_bytes, "calls": counts.calls, "call_bytes": counts.call_bytes,
+                "probes": counts.probes, "unanswered": counts.unanswered, "suspected": counts.suspected,
+                "failed": counts.failed, "refuted": counts.refuted, "late_ticks": counts.late_ticks,
+                "wrong": counts.wrong.values().sum::<u64>(),
+            },
+            "members": rows,
+        })
+    }
+}
+
+/// Which start this is: one more than the file says, which is written before anybody hears of it.
+fn next_life(file: &Path) -> Life {
+    let last = std::fs::read_to_string(file).ok().and_then(|text| text.trim().parse::<u64>().ok());
+    let life = Life(last.unwrap_or(0).saturating_add(1));
+    keep_life(file, life);
+    life
+}
+
+fn keep_life(file: &Path, life: Life) {
+    if let Err(cause) = write_whole(file, format!("{}\n", life.0).as_bytes()) {
+        warn!(%cause, file = %file.display(), "the router's life is not kept; its fellows will tell it");
+    }
+}
+
+/// Takes a call: its letters to the machine, the answer back.
+async fn answer(mut stream: TcpStream, inside: mpsc::Sender<Inside>) -> Result<()> {
+    let letters = read(&mut stream).await?;
+    let (reply, answer) = oneshot::channel();
+    inside.send(Inside::Called { letters, reply }).await.ok().context("the router stops")?;
+    write(&mut stream, &answer.await?).await
+}
+
+async fn call(own: SocketAddr, to: SocketAddr, letters: &[Vec<u8>]) -> Result<Vec<Vec<u8>>> {
+    let socket = TcpSocket::new_v4()?;
+    // From the address that fellows know, so that who watches a link knows whose it is.
+    socket.bind(own)?;
+    let mut stream = socket.connect(to).await?;
+    write(&mut stream, letters).await?;
+    read(&mut stream).await
+}
+
+/// Letters on a stream: each after its length in four bytes, least first; a length of 0 ends them.
+async fn read(stream: &mut TcpStream) -> Result<Vec<Vec<u8>>> {
+    let (mut letters, mut left) = (Vec::new(), CALL_BYTES);
+    loop {
+        let length = stream.read_u32_le().await? as usize;
+        if length == 0 {
+            return Ok(letters);
+        }
+        anyhow::ensure!(
+            length <= left && length <= 4 * words::PAGE && letters.len() < LETTERS,
+            "a call too long"
+        );
+        left -= length;
+        let mut letter = vec![0; length];
+        stream.read_exact(&mut letter).await?;
+        letters.push(letter);
+    }
+}
+
+async fn write(stream: &mut TcpStream, letters: &[Vec<u8>]) -> Result<()> {
+    let mut bytes = Vec::new();
+    for letter in letters {
+        bytes.extend((letter.len() as u32).to_le_bytes());
+        bytes.extend(letter);
+    }
+    bytes.extend([0; 4]);
+    stream.write_all(&bytes).await?;
+    stream.flush().await?;
+    Ok(())
+}
+
+/// Tells the fellows that this router goes, and waits until that is on its way; not for long.
+pub async fn leave(fellows: &ToFellows) {
+    let (done, said) = oneshot::channel();
+    if fellows.send(Ask::Leave(done)).await.is_ok() {
+        let _ = timeout(Duration::from_millis(200), said).await;
+    }
+}
+
+/// When what is granted lapses on the router's own clock; none where it does not.
+pub fn lapses(clock: Clock, granted: &Granted) -> Option<Instant> {
+    granted.until_ms.is_finite().then(|| clock.at(granted.until_ms))
+}
--- a/crates/routing/src/admission/bucket.rs
+++ b/crates/routing/src/admission/bucket.rs
@@ -15,6 +15,19 @@
         Bucket { per_ms, most, level: most, at_ms: f64::NEG_INFINITY }
     }
 
+    /// Another rate from now on, with what the burst holds of it; what is in keeps its share of that, so that a part
+    /// that moves from one router to another does not come twice.
+    pub fn resize(&mut self, per_s: f64, burst_ms: f64) {
+        let new = Bucket::new(per_s, burst_ms);
+        let level = if self.level > 0.0 { self.level.min(new.most) } else { self.level };
+        *self = Bucket { level, at_ms: self.at_ms, ..new };
+    }
+
+    /// Nothing is in: one that holds a part of what others hold too must not start with a burst of its own.
+    pub fn empty(&mut self) {
+        self.level = 0.0;
+    }
+
     /// Draws an amount. One that is larger than the whole bucket needs it full, and leaves a debt.
     ///
     /// # Errors
--- a/crates/routing/src/admission/mod.rs
+++ b/crates/routing/src/admission/mod.rs
@@ -105,7 +105,12 @@
 /// Lives as long as one customer is known; those without a key share one.
 struct Row {
     quota: f64,
+    /// As the settings give them, and the own part of that.
+    whole: CustomerLimits,
     limits: CustomerLimits,
+    /// Whether it ever held a part only.
+    parted: bool,
+    asked: u64,
     open: usize,
     asked_ms: f64,
     requests: Option<Bucket>,
@@ -122,6 +127,14 @@
     /// How long a place is held of late, in ms.
     held_ms: f64,
     turned_away: [u64; Reason::ALL.len()],
+    shared: Option<Shared>,
+}
+
+/// Parts of the customers' limits, in their order.
+struct Shared {
+    parts: Vec<f64>,
+    floor: Vec<f64>,
+    until_ms: f64,
 }
 
 impl Admission {
@@ -136,12 +149,57 @@
                 .push(Admission::new(Bounds { customers: Vec::new(), ..self.bounds.clone() }).rows.remove(0));
         }
         for (new, old) in self.rows.iter_mut().zip(before) {
-            let same = (new.quota, new.limits) == (old.quota, old.limits);
-            (new.open, new.asked_ms) = (old.open, old.asked_ms);
-            if same {
-                (new.requests, new.tokens) = (old.requests, old.tokens);
+            (new.open, new.asked_ms, new.asked) = (old.open, old.asked_ms, old.asked);
+            if (new.quota, new.whole) == (old.quota, old.whole) {
+                (new.limits, new.requests, new.tokens) = (old.limits, old.requests, old.tokens);
+                new.parted = old.parted;
             }
         }
+        self.shared.take().into_iter().for_each(|shared| self.apply(shared));
+    }
+
+    /// From now until `until_ms` this router has these parts of the customers' limits, and then those of `floor`:
+    /// limits are for all routers together. Without a word of that they hold for each router by itself.
+    pub fn share(&mut self, parts: &[f64], floor: &[f64], until_ms: f64) {
+        self.apply(Shared { parts: parts.to_vec(), floor: floor.to_vec(), until_ms });
+    }
+
+    fn lapse(&mut self, now_ms: f64) {
+        if let Some(shared) = self.shared.as_mut().filter(|shared| now_ms >= shared.until_ms) {
+            shared.until_ms = f64::INFINITY;
+            shared.parts.clone_from(&shared.floor);
+            self.shared.take().into_iter().for_each(|shared| self.apply(shared));
+        }
+    }
+
+    fn apply(&mut self, shared: Shared) {
+        for (row, part) in self.rows.iter_mut().skip(1).zip(&shared.parts) {
+            let whole = row.whole;
+            row.limits = CustomerLimits {
+                // Parts of a place are none: rounded up, routers together would hold more than the whole.
+                open: whole.open.map(|open| (open as f64 * part) as usize),
+                requests_per_s: whole.requests_per_s.map(|rate| rate * part),
+                tokens_per_s: whole.tokens_per_s.map(|rate| rate * part),
+                ..whole
+            };
+            let limits = row.limits;
+            let resize = |bucket: &mut Option<Bucket>, per_s: Option<f64>| {
+                if let (Some(bucket), Some(per_s)) = (bucket.as_mut(), per_s) {
+                    bucket.resize(per_s, limits.burst_ms);
+                }
+            };
+            resize(&mut row.requests, limits.requests_per_s);
+            resize(&mut row.tokens, limits.tokens_per_s);
+            if !std::mem::replace(&mut row.parted, true) {
+                row.requests.iter_mut().chain(&mut row.tokens).for_each(Bucket::empty);
+            }
+        }
+        self.shared = Some(shared);
+    }
+
+    /// Requests that each customer has made so far, taken or not; first those without a key.
+    pub fn asked(&self) -> Vec<u64> {
+        self.rows.iter().map(|row| row.asked).collect()
     }
 
     pub fn new(bounds: Bounds) -> Self {
@@ -149,7 +207,10 @@
             let bucket = |per_s: f64| Bucket::new(per_s, limits.burst_ms);
             Row {
                 quota,
+                whole: limits,
                 limits,
+                parted: false,
+                asked: 0,
                 open: 0,
                 asked_ms: f64::NEG_INFINITY,
                 requests: limits.requests_per_s.map(bucket),
@@ -167,6 +228,7 @@
             stopping: false,
             held_ms: AWAY_MS.0,
             turned_away: [0; Reason::ALL.len()],
+            shared: None,
         }
     }
 
@@ -181,6 +243,8 @@
     pub fn enter(&mut self, now_ms: f64, customer: Option<CustomerId>) -> Result<Place, TurnedAway> {
         let row = self.row(customer);
         self.rows[row].asked_ms = now_ms;
+        self.rows[row].asked += 1;
+        self.lapse(now_ms);
         if self.stopping {
             return Err(self.away(Reason::Stopping, AWAY_MS.0));
         }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod day;
 pub mod experiment;
 pub mod fleet;
+pub mod peers;
 pub mod reader;
 pub mod router;
 pub mod servers;
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -6,6 +6,7 @@
 use paddleproxy::interface as house;
 use paddleproxy_messages::EVENTS;
 
+use crate::peers::{self, PeerSettings};
 use crate::reader::{Block, Count, Local, Millis, Problems, Share, Source};
 
 /// What one router is told at its start.
@@ -33,6 +34,8 @@
     pub workload_rows: Vec<usize>,
     /// Whether what servers say of their load is heard.
     pub reports: bool,
+    /// How it finds and watches its fellows; it knows of none where absent.
+    pub peers: Option<PeerSettings>,
 }
 
 /// A switch of `rules`.
@@ -242,6 +245,7 @@
         cold_share: limits.need::<Share>("cold-share").0,
         cold_ms: limits.need::<Millis>("cold").0,
         weights_act: limits.maybe("weights").unwrap_or(true),
+        fresh_part: None,
     };
     let reports = limits.maybe("reports").unwrap_or(true);
     let roles: Vec<_> = decisions.kinds.iter().map(|kind| kind.role).collect();
@@ -275,6 +279,10 @@
     }
     let answer_slack_ms = limits.need::<Millis>("answer-slack").0;
     limits.done();
+    let peers = top.block("peers").map(|block| finish(block, |block| peers::read(block, &decisions)));
+    if peers.is_some() && zone.is_none() {
+        top.problem_of("peers", "'peers' needs 'zone': fellows ask where a router stands");
+    }
     let rules = top.need_block("requests").map(|block| finish(block, requests));
     let front = top.need_block("front").map(|block| finish(block, |block| front(block, answer_slack_ms)));
     let engines = top.need_block("engines").map(|block| finish(block, engines));
@@ -299,6 +307,7 @@
         log: top.maybe("log"),
         workload_rows,
         reports,
+        peers,
     })
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -209,6 +209,11 @@
     mixed ^ (mixed >> 31)
 }
 
+/// Routers that may send to a worker that just started at the same time, of so many.
+pub fn at_once(s: &Settings, routers: usize) -> usize {
+    (s.cold_share * FALL_SHARE * s.fall_multiple / 4.0 * routers as f64).max(1.0) as usize
+}
+
 impl Control {
     pub fn new(settings: Settings, seed: u64) -> Self {
         Control {
@@ -728,6 +733,10 @@
         let mean = sent.iter().sum::<f64>() / sent.len().max(1) as f64;
         let allowed = share * FALL_SHARE * s.fall_multiple;
         let budget = mean * allowed * routers as f64;
+        // Where routers agreed who holds which part, no clock decides: those with none send nothing.
+        if let Some(part) = s.fresh_part {
+            return part > 0.0 && w.sent.at(self.now_ms, s.fall_ms) + 1.0 <= (budget * part).max(1.0);
+        }
         let at_once = (allowed / 4.0 * routers as f64).max(1.0).floor();
         (turn * at_once as usize + s.own_number) % routers < at_once as usize
             && w.sent.at(self.now_ms, s.fall_ms) + 1.0 <= (budget / at_once).max(1.0)
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -104,6 +104,8 @@
     pub cold_ms: f64,
     /// Whether a worker's weight sets its share of homes; else it says nothing here.
     pub weights_act: bool,
+    /// The own part of what all routers together may send to fresh workers, as they agreed; absent: by turns.
+    pub fresh_part: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -69,6 +69,7 @@
         cold_share: 0.3,
         cold_ms: 12_000.0,
         weights_act: false,
+        fresh_part: None,
     }
 }
 
