Rig: faults between router processes by relays and signals, judged from one record

Need: what routers do together when links and processes fail has to be proven on processes. The stage, the words to the cores and the judge of fellows have files of their own.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
 //! The program `paddleproxy`.
 
+mod fellows;
 mod operators;
 mod run;
 mod stores;
@@ -63,6 +64,16 @@
     Accept,
 }
 
+#[derive(Clone, Copy, ValueEnum, PartialEq, Eq)]
+pub enum PeersWord {
+    /// How each stands and what it holds of the others, side by side; what differs is marked.
+    List,
+    /// Prints what changes.
+    Watch,
+    /// By what words and when each router came to what it thinks of one.
+    Explain,
+}
+
 #[derive(Subcommand)]
 enum Command {
     /// Runs one router until it is told to stop.
@@ -96,6 +107,21 @@
         #[arg(long, value_enum, default_value_t = Format::Text)]
         format: Format,
     },
+    /// What routers know of each other.
+    Peers {
+        #[arg(value_enum)]
+        what: PeersWord,
+        /// The fellow by its name or place; for `explain`.
+        name: Option<String>,
+        /// Admin addresses of routers.
+        #[arg(long = "router", required = true)]
+        routers: Vec<std::net::SocketAddr>,
+        /// How long `watch` goes on, in seconds.
+        #[arg(long = "for", default_value_t = 3600.0)]
+        for_s: f64,
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
     /// Looks at a router's store, or mends it. `check`, `dump` and `stats` change nothing.
     Store {
         #[arg(value_enum)]
@@ -232,6 +258,9 @@
         Command::Platform { config } => run::platform(config),
         Command::Store { what, dir, format } => stores::run(what, &dir, format == Format::Json),
         Command::Status { routers, format } => operators::status(&routers, format == Format::Json),
+        Command::Peers { what, name, routers, for_s, format } => {
+            fellows::run(what, name.as_deref(), &routers, for_s, format == Format::Json)
+        }
         Command::Workers { what, name, routers, format } => {
             operators::workers(what, name.as_deref(), &routers, format == Format::Json)
         }
--- a/crates/cli/src/operators.rs
+++ b/crates/cli/src/operators.rs
@@ -19,7 +19,7 @@
 const WITHIN: Duration = Duration::from_secs(5);
 
 /// One short question to an admin port.
-fn ask(router: SocketAddr, method: Method, path: &str) -> Result<Value> {
+pub fn ask(router: SocketAddr, method: Method, path: &str) -> Result<Value> {
     ensure!(router.ip().is_loopback(), "{router} is not on the loopback range");
     on_one_thread(async move {
         let answer = timeout(WITHIN, exchange(router, method, path)).await;
@@ -118,6 +118,16 @@
         if let [why, since] = list["held"].as_array().map_or(&[][..], Vec::as_slice) {
             text += &format!("  held for {}: {}\n", seconds(since), word(why));
         }
+        let stands = &status["peers"];
+        if let Some(mind) = stands["mind"].as_str() {
+            text += &format!(
+                "  fellows: {mind}, {}; same view as {} of {}, page {}\n",
+                word(&stands["why"]),
+                stands["same"],
+                stands["of"],
+                stands["page"]
+            );
+        }
         let settings = &status["settings"];
         text +=
             &format!("  settings: {} changes taken, {} refused\n", settings["taken"], settings["refused"]);
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -45,7 +45,7 @@
     on_one_thread(async move {
         let stop = stopped()?;
         let ready = |at: paddleproxy_router::Listening| {
-            say(&json!({ "listening": at.clients, "admin": at.admin }));
+            say(&json!({ "listening": at.clients, "admin": at.admin, "peers": at.peers }));
         };
         if let Some(wanted) = &settings.log {
             log(wanted).map_err(|why| anyhow::anyhow!("'log': {why}"))?;
--- a/crates/day/src/audit.rs
+++ b/crates/day/src/audit.rs
@@ -9,6 +9,8 @@
 use paddleproxy_settings::day::DaySettings;
 use serde::{Deserialize, Serialize};
 
+use crate::fellows::{self, FellowsFacts};
+
 /// The figures by which a day is judged.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Facts {
@@ -26,6 +28,9 @@
     /// Names of the routers' shapes by their numbers; empty where all have one.
     #[serde(default)]
     pub shapes: Vec<String>,
+    /// Where routers know each other.
+    #[serde(default)]
+    pub fellows: Option<FellowsFacts>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -79,6 +84,20 @@
                 .filter(|_| !day.shapes.is_empty())
                 .map(|router| day.shape_of(router).to_owned())
                 .collect(),
+            fellows: day.router.peers.as_ref().map(|peers| FellowsFacts {
+                routers: day.routers,
+                heals_ms: 5000.0,
+                blamed_ms: 5000.0 + peers.lease_ms,
+                limits: day
+                    .router
+                    .names
+                    .customers
+                    .iter()
+                    .filter_map(|row| {
+                        Some((row.name.clone(), row.limits.requests_per_s?, row.limits.burst_ms))
+                    })
+                    .collect(),
+            }),
         }
     }
 
@@ -96,7 +115,7 @@
 }
 
 impl Rule {
-    fn new(name: &'static str) -> Self {
+    pub(crate) fn new(name: &'static str) -> Self {
         Rule { name, ..Rule::default() }
     }
 
@@ -114,13 +133,15 @@
 pub fn rules(facts: &Facts, lines: &[Line]) -> Vec<Rule> {
     let mut lines = lines.to_vec();
     lines.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
-    vec![
+    let mut rules = vec![
         answers(facts, &lines),
         effects(facts, &lines),
         drains(facts, &lines),
         cold_servers(facts, &lines),
         pins(facts, &lines),
-    ]
+    ];
+    rules.extend(facts.fellows.iter().flat_map(|facts| fellows::rules(facts, &lines)));
+    rules
 }
 
 /// When each router was down: from its end to its next start.
@@ -176,6 +197,7 @@
         }
     }
     let downs = downs(lines);
+    let spans = fellows::spans(lines);
     for ((op, attempt), asked) in &tries {
         let never_taken = matches!(asked.broke, Some((_, false)));
         let until_ms = asked.broke.map_or(f64::INFINITY, |(at, _)| at + 50.0);
@@ -192,7 +214,11 @@
         if asked.more {
             broken("something came after the final answer".into());
         }
-        let late_ms = asked.head_ms.unwrap_or(f64::INFINITY) - asked.deadline_ms;
+        // A process that is stopped answers once it runs again, and then at once.
+        let until_ms = asked.head_ms.unwrap_or(f64::INFINITY);
+        let stops = spans.iter().filter(|span| span.stopped(asked.router, asked.asked_ms, until_ms));
+        let due_ms = stops.map(|span| span.to_ms).fold(asked.deadline_ms, f64::max);
+        let late_ms = until_ms - due_ms;
         if late_ms > facts.answer_slack_ms && !unanswered {
             broken(format!("answered {late_ms:.0} ms after the client timeout"));
         }
@@ -374,7 +400,7 @@
 fn pins(facts: &Facts, lines: &[Line]) -> Rule {
     let mut rule = Rule::new("nothing left pinned");
     let end_ms = lines.last().map_or(0.0, |line| line.at_ms);
-    let downs = downs(lines);
+    let (downs, stops) = (downs(lines), fellows::spans(lines));
     let mut out: BTreeMap<&str, Vec<(f64, f64)>> = BTreeMap::new();
     let mut open: BTreeMap<&str, f64> = BTreeMap::new();
     let mut sent: BTreeMap<&str, f64> = BTreeMap::new();
@@ -416,7 +442,12 @@
     for (request, server, from_ms, to_ms) in states {
         // Killed while its read was out or its state waited: nobody is left to let go of it.
         let sent_ms = sent.get(request).map_or(from_ms, |sent| sent.min(from_ms));
-        if router_of(request).is_some_and(|router| down_within(&downs, router, sent_ms, to_ms)) {
+        let router = router_of(request);
+        if router.is_some_and(|router| down_within(&downs, router, sent_ms, to_ms)) {
+            continue;
+        }
+        // Stopped meanwhile: it could not.
+        if router.is_some_and(|router| stops.iter().any(|span| span.stopped(router, sent_ms, to_ms))) {
             continue;
         }
         rule.cases += 1;
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -3,9 +3,13 @@
 
 pub mod audit;
 pub mod client;
+pub mod fellows;
 mod load;
+mod mesh;
 pub mod play;
 pub mod report;
+mod rig;
+mod stage;
 mod troubles;
 
 /// Memory that a process holds, in MiB, where the system tells it; by its id, or "self".
--- a/crates/day/src/load.rs
+++ b/crates/day/src/load.rs
@@ -9,10 +9,12 @@
 use paddleproxy_emulator::troubles::Ramp;
 use paddleproxy_fleet::record::{Record, What};
 use paddleproxy_settings::day::{ClientLoad, DaySettings};
+use paddleproxy_settings::rig::Carries;
 use serde_json::json;
 use tokio::time::{sleep, sleep_until};
 
 use crate::client::{ask, Asking, Seen};
+use crate::mesh::{End, Mesh};
 
 /// What troubles make of the clients.
 #[derive(Default)]
@@ -32,6 +34,7 @@
     /// Where each router was last known to listen.
     pub routers: Rc<RefCell<Vec<SocketAddr>>>,
     pub open: Cell<usize>,
+    mesh: Option<Rc<Mesh>>,
     next_op: Cell<u64>,
 }
 
@@ -53,8 +56,9 @@
         record: Record,
         mood: Rc<Mood>,
         routers: Rc<RefCell<Vec<SocketAddr>>>,
+        mesh: Option<Rc<Mesh>>,
     ) -> Self {
-        Clients { day, record, mood, routers, open: Cell::new(0), next_op: Cell::new(0) }
+        Clients { day, record, mood, routers, open: Cell::new(0), mesh, next_op: Cell::new(0) }
     }
 
     /// Begins sessions of one load until the day's length is over.
@@ -162,6 +166,11 @@
             let seeing = |seen: Seen| outcome.see(&self.record, &op, attempt, seen);
             // A stream that has begun may take long; nothing here takes a minute.
             let until = self.record.at(now_ms + load.client_timeout_ms + 60_000.0);
+            // A link that is cut takes no connection; one that is up when it is made stays so.
+            let cut = self.mesh.as_ref().is_some_and(|mesh| {
+                mesh.weather(&End::Clients, &End::Router(router), Carries::Clients).cut.is_some()
+            });
+            let address = if cut { SocketAddr::from(([127, 0, 0, 1], 1)) } else { address };
             let asked = ask(address, &asking, until, seeing);
             match leaves_after {
                 None => asked.await,
--- /dev/null
+++ b/crates/day/src/rig.rs
@@ -0,0 +1,193 @@
+//! Brings about faults between processes, and asks routers what they say of their fellows.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Bytes;
+use hyper::Request;
+use hyper_util::rt::TokioIo;
+use paddleproxy_fleet::record::What as Line;
+use paddleproxy_settings::day::Trouble;
+use paddleproxy_settings::rig::{Fault, State};
+use rustix::process::Signal;
+use serde_json::Value;
+use tokio::net::{TcpStream, UdpSocket};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
+
+use crate::stage::Stage;
+
+/// How often each router is asked, and how long an answer may take, in ms.
+const ASKS_MS: f64 = 150.0;
+const WITHIN_MS: f64 = 400.0;
+
+fn duration(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms.max(0.0) / 1e3)
+}
+
+/// One fault, from its beginning to its end.
+pub async fn befall(stage: &Rc<Stage>, trouble: &Trouble, fault: &Fault) {
+    let Some(mesh) = stage.mesh.clone() else { return };
+    let routers = match fault {
+        Fault::Link { from, to, carries, .. } => mesh.touched(from, to, *carries),
+        fault => fault.routers().to_vec(),
+    };
+    let note = |begins| {
+        let (name, routers) = (fault.name().to_owned(), routers.clone());
+        stage.record.add(Line::Fault { name, routers, begins });
+    };
+    note(true);
+    let ends = Instant::now() + duration(trouble.for_ms);
+    match fault {
+        Fault::Link { from, to, both, carries, weather } => {
+            let id = mesh.begin(from, to, *both, *carries, *weather);
+            sleep_until(ends).await;
+            mesh.end(id);
+        }
+        Fault::Killed { routers, state } => {
+            for router in routers {
+                stage.kill_router(*router).await;
+            }
+            sleep_until(ends).await;
+            for router in routers {
+                stage.with_state(*router, *state);
+                stage.start_router(*router).await;
+            }
+        }
+        Fault::Paused { routers } => {
+            routers.iter().for_each(|router| stage.signal(*router, Signal::STOP));
+            sleep_until(ends).await;
+            routers.iter().for_each(|router| stage.signal(*router, Signal::CONT));
+        }
+        Fault::Starved { routers, runs_ms, of_ms } => {
+            while Instant::now() < ends {
+                routers.iter().for_each(|router| stage.signal(*router, Signal::STOP));
+                sleep(duration(of_ms - runs_ms)).await;
+                routers.iter().for_each(|router| stage.signal(*router, Signal::CONT));
+                sleep(duration(*runs_ms)).await;
+            }
+        }
+        Fault::Restarted { routers, every_ms, places } => {
+            for router in routers {
+                let next = Instant::now() + duration(*every_ms);
+                if places.is_some() {
+                    stage.places.borrow_mut()[*router] = *places;
+                }
+                stage.stop_router(*router).await;
+                stage.start_router(*router).await;
+                sleep_until(next).await;
+            }
+            sleep_until(ends).await;
+        }
+        Fault::Namesake { router } => {
+            let extra = stage.start_namesake(*router).await;
+            sleep_until(ends).await;
+            drop(extra);
+        }
+        Fault::Noise { routers, per_s } => noise(stage, routers, *per_s, ends).await,
+    }
+    note(false);
+}
+
+/// Bytes of random length and content, in bursts of a hundredth of a second.
+async fn noise(stage: &Rc<Stage>, routers: &[usize], per_s: f64, ends: Instant) {
+    let Ok(socket) = UdpSocket::bind("127.0.0.1:0").await else { return };
+    let mut rng = fastrand::Rng::with_seed(stage.day.seed);
+    let each = (per_s / 100.0).ceil() as usize;
+    while Instant::now() < ends {
+        for router in routers {
+            let Some(to) = stage.mesh.as_ref().and_then(|mesh| mesh.real(*router)) else { continue };
+            for _ in 0..each {
+                let mut bytes = vec![0; rng.usize(..1400)];
+                rng.fill(&mut bytes);
+                // Some begin as a letter does.
+                if let Some(first) = bytes.first_mut().filter(|_| rng.bool()) {
+                    *first = 0xb7;
+                }
+                let _ = socket.try_send_to(&bytes, to);
+            }
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Asks one router what it says of its fellows as long as `on` holds.
+pub async fn ask(stage: Rc<Stage>, router: usize, on: Rc<Cell<bool>>) {
+    while on.get() {
+        let next = Instant::now() + duration(ASKS_MS);
+        let asked_ms = stage.record.now_ms();
+        let at = stage.admin(router);
+        if let Some(at) = at {
+            if let Ok(Some(view)) = timeout(duration(WITHIN_MS), view(at)).await {
+                if let Some(line) = said(router, asked_ms, &view) {
+                    stage.record.add(line);
+                }
+            }
+        }
+        sleep_until(next).await;
+    }
+}
+
+pub async fn view(at: SocketAddr) -> Option<Value> {
+    let stream = TcpStream::connect(at).await.ok()?;
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::task::spawn_local(async move { drop(connection.await) });
+    let request = Request::get("/peers").header("host", at.to_string()).body(Empty::<Bytes>::new()).ok()?;
+    let body = sender.send_request(request).await.ok()?.into_body().collect().await.ok()?.to_bytes();
+    serde_json::from_slice(&body).ok()
+}
+
+fn said(router: usize, asked_ms: f64, view: &Value) -> Option<Line> {
+    let members = view["members"].as_array()?;
+    let place = |row: &Value| Some(row["place"].as_u64()? as usize);
+    let here = |row: &&Value| row["state"] == "alive" || row["state"] == "suspect";
+    let places = |name: &str| {
+        let rows = view[name].as_array().into_iter().flatten();
+        rows.filter_map(|place| Some(place.as_u64()? as usize)).collect()
+    };
+    Some(Line::Fellows {
+        router,
+        asked_ms,
+        life: view["life"].as_u64()?,
+        mind: view["mind"].as_str()?.to_owned(),
+        shares: view["shares"]["of"].as_array()?.iter().filter_map(Value::as_f64).collect(),
+        page: view["page"]["number"].as_u64()?,
+        digest: view["digest"].as_u64()? as u32,
+        alive: members.iter().filter(here).filter_map(place).collect(),
+        failed: members
+            .iter()
+            .filter(|row| row["state"] == "failed")
+            .filter_map(|row| Some((place(row)?, row["life"].as_u64()?)))
+            .collect(),
+        deaf_to: places("deaf_to"),
+        unheard_by: places("unheard_by"),
+    })
+}
+
+impl Stage {
+    pub fn signal(&self, router: usize, signal: Signal) {
+        let children = self.children.borrow();
+        let id = children[router].as_ref().and_then(|child| child.id());
+        if let Some(pid) = id.and_then(|id| rustix::process::Pid::from_raw(id as i32)) {
+            let _ = rustix::process::kill_process(pid, signal);
+        }
+    }
+
+    /// What a router that is down finds in its state directory.
+    fn with_state(&self, router: usize, state: State) {
+        let own = self.state_dir(router);
+        let replaced = match state {
+            State::Own => Ok(()),
+            State::Empty => std::fs::remove_dir_all(&own),
+            State::Others => {
+                let other = self.state_dir((router + 1) % self.day.routers);
+                std::fs::copy(other.join("life"), own.join("life")).map(drop)
+            }
+        };
+        if let Err(cause) = replaced {
+            self.fail(format!("state of router {router}: {cause}"));
+        }
+    }
+}
--- a/crates/day/src/troubles.rs
+++ b/crates/day/src/troubles.rs
@@ -9,7 +9,8 @@
 use paddleproxy_settings::day::{Dead, Trouble, What};
 use tokio::time::{sleep, sleep_until};
 
-use crate::play::Stage;
+use crate::rig;
+use crate::stage::Stage;
 
 fn wait(ms: f64) -> tokio::time::Sleep {
     sleep(Duration::from_secs_f64(ms.max(0.0) / 1e3))
@@ -24,6 +25,11 @@
     };
     let note = |begins| stage.record.add(Line::Trouble { name: name.to_owned(), begins });
     note(true);
+    if let What::Rig(fault) = &trouble.what {
+        rig::befall(&stage, &trouble, fault).await;
+        note(false);
+        return;
+    }
     begin(&stage, &trouble).await;
     wait(trouble.for_ms).await;
     end(&stage, &trouble).await;
@@ -94,6 +100,7 @@
         What::LongPrompts { share, factor } => stage.mood.long.set(Some((*share, *factor))),
         What::HotBeginning { share, tokens } => stage.mood.hot.set(Some((*share, *tokens))),
         What::GiveUp { share } => stage.mood.gives_up.set(*share),
+        What::Rig(_) => {}
     }
 }
 
@@ -135,5 +142,6 @@
         What::LongPrompts { .. } => stage.mood.long.set(None),
         What::HotBeginning { .. } => stage.mood.hot.set(None),
         What::GiveUp { .. } => stage.mood.gives_up.set(0.0),
+        What::Rig(_) => {}
     }
 }
--- a/crates/day/tests/judge.rs
+++ b/crates/day/tests/judge.rs
@@ -29,6 +29,7 @@
             workload("notice", "non-idempotent", "all"),
         ],
         shapes: Vec::new(),
+        fellows: None,
     }
 }
 
--- a/crates/emulator/src/record.rs
+++ b/crates/emulator/src/record.rs
@@ -80,6 +80,27 @@
         name: String,
         begins: bool,
     },
+    /// A fault between processes begins or ends, and which routers it may make others think gone.
+    Fault {
+        name: String,
+        routers: Vec<usize>,
+        begins: bool,
+    },
+    /// What a router said of its fellows, asked at that time and heard at the line's.
+    Fellows {
+        router: usize,
+        asked_ms: f64,
+        life: u64,
+        mind: String,
+        /// Of each thing shared out, and for how long without another word; none: its floor.
+        shares: Vec<f64>,
+        page: u64,
+        digest: u32,
+        alive: Vec<usize>,
+        failed: Vec<(usize, u64)>,
+        deaf_to: Vec<usize>,
+        unheard_by: Vec<usize>,
+    },
     /// A client's request left whole; it waits until the deadline.
     Asked {
         op: String,
--- a/crates/emulator/src/troubles.rs
+++ b/crates/emulator/src/troubles.rs
@@ -137,6 +137,8 @@
             Befalls::LongPrompts { share, factor } => self.mood.long = Some((*share, *factor)),
             Befalls::HotBeginning { share, tokens } => self.mood.hot = Some((*share, *tokens as f64)),
             Befalls::GiveUp { share } => self.mood.gives_up = *share,
+            // Links and processes of routers are played on real ones.
+            Befalls::Rig(_) => {}
         }
     }
 
@@ -210,6 +212,7 @@
             Befalls::LongPrompts { .. } => self.mood.long = None,
             Befalls::HotBeginning { .. } => self.mood.hot = None,
             Befalls::GiveUp { .. } => self.mood.gives_up = 0.0,
+            Befalls::Rig(_) => {}
         }
     }
 
--- a/crates/fleet/src/list.rs
+++ b/crates/fleet/src/list.rs
@@ -28,6 +28,8 @@
     /// Version n is the change of row n - 1.
     changes: RefCell<Vec<Change>>,
     shown: Cell<usize>,
+    /// Where a router reaches a server, by its number and the server's own address, if not there.
+    pub ways: RefCell<BTreeMap<(usize, String), String>>,
 }
 
 /// Another one for each start: the time of it.
@@ -48,6 +50,7 @@
             down: Cell::new(false),
             changes: RefCell::default(),
             shown: Cell::new(0),
+            ways: RefCell::default(),
         })
     }
 
@@ -90,8 +93,13 @@
         }
         let servers: Vec<_> =
             newest.into_values().filter(|entry| after.is_some() || entry.readiness != "gone").collect();
+        let ways = self.ways.borrow();
+        let way = |entry: ServerEntry| match ways.get(&(router, entry.address.clone())) {
+            Some(address) => ServerEntry { address: address.clone(), ..entry },
+            None => entry,
+        };
         let servers: Vec<ServerEntry> =
-            servers.into_iter().filter(|entry| !left_out(&entry.name, self.lies.get())).collect();
+            servers.into_iter().filter(|entry| !left_out(&entry.name, self.lies.get())).map(way).collect();
         for entry in &servers {
             let (server, readiness) = (entry.name.clone(), entry.readiness.clone());
             self.record.add(What::Told { router, server, readiness, cold: entry.age_ms.is_some() });
--- a/crates/peers/src/view/calling.rs
+++ b/crates/peers/src/view/calling.rs
@@ -31,9 +31,10 @@
     }
 
     /// All that is known, in pages.
-    pub(super) fn whole_view(&self, asks: bool) -> Vec<Vec<u8>> {
+    pub(super) fn whole_view(&mut self, asks: bool) -> Vec<Vec<u8>> {
         let mut words: Vec<Word> = Vec::new();
         if self.joined || !asks {
+            self.told_of = true;
             words.push(Word::Rumour(self.own_rumour(State::Alive, true)));
         }
         words.extend(self.members.values().map(|m| Word::Rumour(m.rumour(self.rules.own, true))));
--- a/crates/peers/src/view/hearing.rs
+++ b/crates/peers/src/view/hearing.rs
@@ -205,7 +205,7 @@
     /// Only the router itself refutes, by a higher incarnation; one that was remembered from before, by a higher life.
     pub(super) fn heard_of_us(&mut self, rumour: &Rumour) {
         // Before anyone let this life in, one that is remembered as high was another's; and nobody comes back who left.
-        let before = !self.joined || rumour.state == State::Left && !self.leaving;
+        let before = !self.joined && !self.told_of || rumour.state == State::Left && !self.leaving;
         if rumour.life > self.life || before && rumour.life == self.life {
             let elsewhere =
                 rumour.about.as_ref().map(|about| about.address).filter(|at| *at != self.about.address);
--- a/crates/peers/src/view/mod.rs
+++ b/crates/peers/src/view/mod.rs
@@ -158,6 +158,8 @@
     life: Life,
     incarnation: u32,
     joined: bool,
+    /// Somebody was told that this life runs.
+    told_of: bool,
     displaced: bool,
     leaving: bool,
     members: BTreeMap<Place, Member>,
@@ -204,6 +206,7 @@
             life: life.max(Life(1)),
             incarnation: 0,
             joined: false,
+            told_of: false,
             displaced: false,
             leaving: false,
             members: BTreeMap::new(),
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -6,6 +6,7 @@
 
 use crate::fleet::{fleet, FleetSettings};
 use crate::reader::{Block, Count, Millis, Problems, Share, Source};
+use crate::rig::{self, Fault};
 use crate::router::{router, RouterSettings, Switch, SWITCHES};
 use crate::{text_of, Error};
 
@@ -182,6 +183,8 @@
     GiveUp {
         share: f64,
     },
+    /// Between or to processes; played on real ones alone.
+    Rig(Fault),
 }
 
 impl What {
@@ -209,6 +212,7 @@
             What::LongPrompts { .. } => "long-prompts",
             What::HotBeginning { .. } => "hot-beginning",
             What::GiveUp { .. } => "give-up",
+            What::Rig(fault) => fault.name(),
         }
     }
 }
@@ -247,6 +251,10 @@
     pub admin: Option<&'a str>,
     pub state_dir: &'a str,
     pub seed: u64,
+    /// Where it listens for fellows, where they reach it, and whom it asks first; none where the day has no fellows.
+    pub peers: Option<(String, Option<String>, Vec<String>)>,
+    /// Places in its settings, if not the day's routers.
+    pub places: Option<usize>,
 }
 
 impl DaySettings {
@@ -272,7 +280,7 @@
     pub fn router_document(&self, own: &Own) -> String {
         let mut document = self.router_nodes.clone();
         set(&mut document, "number", own.number as i128);
-        set(&mut document, "routers", self.routers as i128);
+        set(&mut document, "routers", own.places.unwrap_or(self.routers) as i128);
         set(&mut document, "zone", own.zone);
         set(&mut document, "listen", own.listen);
         set(&mut document, "state-dir", own.state_dir);
@@ -289,6 +297,18 @@
         for (name, _, on) in self.shape(own.number).map_or(&[][..], |shape| &shape.switches) {
             within("rules", name, (*on).into());
         }
+        if let Some((listen, advertise, seeds)) = &own.peers {
+            within("peers", "listen", listen.as_str().into());
+            if let Some(advertise) = advertise {
+                within("peers", "advertise", advertise.as_str().into());
+            }
+            if let Some(block) = document.get_mut("peers").and_then(|block| block.children_mut().as_mut()) {
+                block.nodes_mut().retain(|node| node.name().value() != "seeds");
+                let mut node = KdlNode::new("seeds");
+                seeds.iter().for_each(|seed| node.push(KdlEntry::new(seed.as_str())));
+                block.nodes_mut().push(node);
+            }
+        }
         document.autoformat();
         document.to_string()
     }
@@ -424,6 +444,10 @@
                 ));
                 continue;
             }
+            What::Rig(fault) => {
+                rig_agrees(top, day, fault);
+                continue;
+            }
             _ => continue,
         };
         for server in servers {
@@ -437,6 +461,31 @@
     }
 }
 
+/// A fault between processes needs fellows that know each other, and ends that are there.
+fn rig_agrees(top: &Block, day: &DaySettings, fault: &Fault) {
+    let name = fault.name();
+    if day.router.peers.is_none() {
+        top.problem(format!("trouble '{name}' needs 'peers' in the routers' settings"));
+    }
+    if let Some(router) = fault.routers().iter().find(|router| **router >= day.routers) {
+        top.problem(format!("trouble '{name}' names router {router}, which is not there"));
+    }
+    if let Fault::Link { from, to, .. } = fault {
+        for who in from.iter().chain(to) {
+            let zone = |zone: &String| day.router.names.zones.contains(zone);
+            let there = match who {
+                rig::Who::Router(router) => *router < day.routers,
+                rig::Who::Zone(of) | rig::Who::RoutersOf(of) | rig::Who::WorkersOf(of) => zone(of),
+                rig::Who::Server(server) => day.fleet.servers.iter().any(|row| row.name == *server),
+                _ => true,
+            };
+            if !there {
+                top.problem(format!("trouble 'link' names {who:?}, which is not there"));
+            }
+        }
+    }
+}
+
 fn client_load(block: Block) -> ClientLoad {
     let load = ClientLoad {
         model: block.need("model"),
@@ -516,6 +565,7 @@
             What::HotBeginning { share: share(), tokens: block.need_property::<Count>("tokens").0 as usize }
         }
         "give-up" => What::GiveUp { share: share() },
+        other if rig::KINDS.contains(&other) => What::Rig(rig::read(&block, other)?),
         other => {
             block.problem(format!("trouble \"{other}\" is not known; known are {KNOWN}"));
             return None;
@@ -528,4 +578,5 @@
 
 const KNOWN: &str =
     "dead, silent, slow, ageing, erring, answer-lost, pausing, flush, drain, links, zone-lost, \
-    list-behind, list-down, list-lies, router-killed, router-stopped, burst, ramp, long-prompts, hot-beginning, give-up";
+    list-behind, list-down, list-lies, router-killed, router-stopped, burst, ramp, long-prompts, hot-beginning, give-up, \
+    link, routers-killed, routers-paused, routers-starved, routers-restarted, namesake, noise";
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod peers;
 pub mod reader;
+pub mod rig;
 pub mod router;
 pub mod servers;
 
--- a/crates/settings/tests/documents.rs
+++ b/crates/settings/tests/documents.rs
@@ -122,7 +122,17 @@
     };
     for (number, on) in [(0, true), (1, false)] {
         let (zone, list, listen) = ("north", "127.0.0.1:9", "127.0.0.1:0");
-        let own = Own { number, zone, list, listen, admin: None, state_dir: "s", seed: 1 };
+        let own = Own {
+            number,
+            zone,
+            list,
+            listen,
+            admin: None,
+            state_dir: "s",
+            seed: 1,
+            peers: None,
+            places: None,
+        };
         let read = router::parse("r.kdl", &all.router_document(&own)).unwrap();
         assert_eq!((shape(&all.router_of(number)), shape(&read)), ([on; 5], [on; 5]));
     }
