A starting router asks for whole views by a word of its own

Change: a word Exchange asks for the view; the lab says who holds what of whom where no one view comes about.

--- a/crates/peerlab/src/faults.rs
+++ b/crates/peerlab/src/faults.rs
@@ -92,7 +92,8 @@
             }
         }
         if !net.play_until(self.heals_ms, 50.0, Net::one_view) {
-            let what = format!("no one view {:.0} ms after everything was healed", self.heals_ms);
+            let why = net.differences();
+            let what = format!("no one view {:.0} ms after everything was healed: {why:?}", self.heals_ms);
             net.broken.push(Broken { at_ms: net.now_ms, what });
         }
         (net.broken.clone(), net)
--- a/crates/peerlab/src/net.rs
+++ b/crates/peerlab/src/net.rs
@@ -495,6 +495,31 @@
         up.iter().all(whole) && digests.len() <= 1
     }
 
+    /// Who of the running routers holds what of whom, where that is not so.
+    pub fn differences(&self) -> Vec<String> {
+        let mut told = Vec::new();
+        for node in (0..self.nodes.len()).filter(|node| self.running(*node) && !self.nodes[*node].stopped) {
+            let Some(peers) = self.peers(node) else { continue };
+            for of in (0..self.nodes.len()).filter(|of| *of != node) {
+                let truth = self.peers(of).map(|peers| (peers.life(), peers.incarnation()));
+                let held = peers.members().find(|m| usize::from(m.place.0) == of);
+                let same = match (truth, held) {
+                    (Some((life, _)), Some(m)) => m.state.here() && m.life == life,
+                    (None, held) => held.is_none_or(|m| !m.state.here()),
+                    (Some(_), None) => false,
+                };
+                if !same {
+                    let held = held.map(|m| (m.state, m.life, m.incarnation));
+                    told.push(format!(
+                        "{node} ({:?}) holds {of} as {held:?}, it is {truth:?}",
+                        peers.stand().mind
+                    ));
+                }
+            }
+        }
+        told
+    }
+
     /// How many running routers hold one for failed or gone.
     pub fn know_down(&self, node: usize) -> usize {
         let here = |peers: &Peers| peers.members().any(|m| usize::from(m.place.0) == node && !m.state.here());
--- a/crates/peers/src/view/calling.rs
+++ b/crates/peers/src/view/calling.rs
@@ -33,6 +33,7 @@
     /// All that is known, in pages.
     pub(super) fn whole_view(&mut self, asks: bool) -> Vec<Vec<u8>> {
         let mut words: Vec<Word> = Vec::new();
+        words.extend(asks.then_some(Word::Exchange));
         if self.joined || !asks {
             self.told_of = true;
             words.push(Word::Rumour(self.own_rumour(State::Alive, true)));
@@ -71,10 +72,10 @@
                         let kept = self.keeping.kept_number();
                         reply.push(self.letter(vec![Word::Taken { number: page.number, yes, kept }]));
                     }
-                    _ => whole |= !matches!(word, Word::Chosen { .. }),
+                    Word::Exchange => whole = true,
+                    _ => {}
                 }
             }
-            whole |= letter.words.is_empty();
             self.paged(letter);
         }
         if whole {
--- a/crates/peers/src/view/hearing.rs
+++ b/crates/peers/src/view/hearing.rs
@@ -158,6 +158,8 @@
                 }
             }
             Word::Chosen { page } => self.choose(page),
+            // Whole views go over calls alone.
+            Word::Exchange => {}
         }
     }
 
--- a/crates/peers/src/words.rs
+++ b/crates/peers/src/words.rs
@@ -99,6 +99,8 @@
         yes: bool,
         kept: u64,
     },
+    /// Send me all that you know; what I know comes with it.
+    Exchange,
     /// Send me the page that you keep or go by.
     Want {
         above: u64,
