--- a/crates/membership/src/reload.rs
+++ b/crates/membership/src/reload.rs
@@ -52,6 +52,7 @@
     keep("admin", stands.admin == new.admin, RESTART);
     keep("state-dir", stands.state_dir == new.state_dir, RESTART);
     keep("seed", stands.seed == new.seed, RESTART);
+    keep("peers", stands.peers == new.peers, RESTART);
     keep("servers-file", stands.servers_file == new.servers_file, RESTART);
     keep("list", same(&stands.list, &new.list) && old.must_subscribe == next.must_subscribe, RESTART);
     keep("kind", same(&stands.names.kinds, &new.names.kinds) && same(&old.kinds, &next.kinds), RESTART);
--- a/crates/peerlab/src/lib.rs
+++ b/crates/peerlab/src/lib.rs
@@ -3,6 +3,7 @@
 //! instant is checked at every step; what it costs and how long it takes is measured beside baselines.
 
 pub mod baselines;
+pub mod enumerate;
 pub mod faults;
 pub mod measure;
 pub mod net;
--- a/crates/peerlab/tests/invariants.rs
+++ b/crates/peerlab/tests/invariants.rs
@@ -74,3 +74,21 @@
     assert!(net.play_until(6000.0, 20.0, |net| net.know_down(5) == 7));
     assert!(net.broken.is_empty(), "{:?}", net.broken);
 }
+
+/// `DEPTH` and `STATES` go further; the first figures here take some seconds.
+#[test]
+fn every_order_of_what_befalls_three_routers_keeps_the_whole() {
+    let number = |name: &str, otherwise: u64| {
+        std::env::var(name).ok().and_then(|n| n.parse().ok()).unwrap_or(otherwise)
+    };
+    let (depth, most) = (number("DEPTH", 4), number("STATES", 20_000));
+    let mut worst = 0.0f64;
+    // From just before, within and after the first page, and from a calm fleet.
+    for calm_ms in [400.0, 2000.0, 2400.0, 3000.0, 3800.0, 5000.0, 9000.0] {
+        let found = paddleproxy_peerlab::enumerate::enumerate(&rules(), calm_ms, depth as usize, most);
+        println!("after {calm_ms} ms, {depth} deep: {} states, worst sums {:?}", found.states, found.worst);
+        assert_eq!(found.broken, None);
+        worst = worst.max(found.worst[1]);
+    }
+    assert!(worst > 0.9, "something was lent: {worst}");
+}
--- a/crates/peers/src/view/mod.rs
+++ b/crates/peers/src/view/mod.rs
@@ -150,6 +150,7 @@
 }
 
 /// Lives as long as the router.
+#[derive(Clone)]
 pub struct Peers {
     pub(crate) rules: Rules,
     about: About,
