Failover begun: evidence by zone, verdicts, and plans that move and return by hash

Need: each router finds out alone that a zone fails and sends its overflow wherever its hashes say; the plan for that has to be one pure function. Not wired to a router yet.

--- /dev/null
+++ b/crates/failover/src/plan.rs
@@ -0,0 +1,190 @@
+//! Which share of a zone's sessions has its home where. A session moves by its hash under a threshold that grows, so
+//! every router moves the same ones; a larger share moves further ones; coming back undoes it in the same order.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::verdict::Verdict;
+use crate::{Map, Zone};
+
+/// What all sessions of a zone add up to.
+pub const WHOLE: u16 = 10_000;
+
+/// For each zone that some sessions moved from: where to, in the order in which they moved.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Plan {
+    pub number: u64,
+    pub moves: BTreeMap<u8, Vec<(u8, u16)>>,
+}
+
+/// What may be asked of zones: dispatches a second that their sessions ask for at home, and that they can take.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bounds {
+    pub demand: Vec<f64>,
+    pub capacity: Vec<f64>,
+    /// Part of a zone's room beyond its own demand that is never given to others.
+    pub reserve: f64,
+    /// Most that one plan may move away of a zone's sessions, and may bring back, as shares.
+    pub out: f64,
+    pub back: f64,
+}
+
+/// An operator's word on a zone; it wins over what was seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Word {
+    /// Its plan stays as it is.
+    Hold,
+    /// Its sessions move away, as far as there is room.
+    Drain,
+    /// Its sessions come back.
+    Return,
+}
+
+/// What a zone's coming and going was like of late, so that hands grow calmer.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Hands {
+    /// Times that each zone went out again while it was coming back.
+    pub flaps: BTreeMap<u8, u32>,
+    /// Zones that come back.
+    pub returning: BTreeMap<u8, bool>,
+}
+
+/// How much slower each flap makes the next return, and the slowest.
+const CALMER: f64 = 0.5;
+const CALMEST: f64 = 1.0 / 32.0;
+
+impl Plan {
+    /// Share of a zone's sessions that moved.
+    pub fn moved(&self, from: Zone) -> u16 {
+        self.moves.get(&from.0).map_or(0, |rows| rows.iter().map(|(_, share)| *share).sum())
+    }
+
+    /// Where a session of a zone has its home, by its hash.
+    pub fn home(&self, from: Zone, hash: u64) -> Zone {
+        // The upper bits: the lower ones rank servers.
+        let mut at = ((u128::from(hash) * u128::from(WHOLE)) >> 64) as u16;
+        for (to, share) in self.moves.get(&from.0).into_iter().flatten() {
+            if at < *share {
+                return Zone(*to);
+            }
+            at -= share;
+        }
+        from
+    }
+
+    /// What a zone is given by others, in dispatches a second.
+    pub fn given(&self, to: Zone, demand: &[f64]) -> f64 {
+        let of = |(from, rows): (&u8, &Vec<(u8, u16)>)| {
+            let share: f64 =
+                rows.iter().filter(|(zone, _)| *zone == to.0).map(|(_, share)| f64::from(*share)).sum();
+            share / f64::from(WHOLE) * demand.get(usize::from(*from)).copied().unwrap_or(0.0)
+        };
+        self.moves.iter().map(of).sum()
+    }
+
+    /// The next plan. The same plan, verdicts, bounds and words give the same one, wherever it is made.
+    pub fn next(
+        &self,
+        map: &Map,
+        verdicts: &[Verdict],
+        bounds: &Bounds,
+        words: &BTreeMap<u8, Word>,
+        hands: &mut Hands,
+    ) -> Plan {
+        let mut plan = Plan { number: self.number + 1, moves: self.moves.clone() };
+        for zone in map.zones() {
+            let verdict = verdicts.get(usize::from(zone.0)).unwrap_or(&Verdict::Unknown);
+            let wanted = match (words.get(&zone.0), verdict) {
+                (Some(Word::Hold), _) => continue,
+                (Some(Word::Drain), _) => 1.0,
+                (Some(Word::Return), _) => 0.0,
+                (None, Verdict::Lost) => 1.0,
+                (None, Verdict::Impaired(share)) => 1.0 - share,
+                // Homes stay: overflow moves completion by completion, as without a plan.
+                (None, Verdict::Well | Verdict::Full) => 0.0,
+                // Without eyes on it, or with a path that is cut, what stands stands.
+                (None, Verdict::CutPath(_) | Verdict::Unknown) => continue,
+            };
+            let now = f64::from(plan.moved(zone)) / f64::from(WHOLE);
+            if wanted > now {
+                if hands.returning.insert(zone.0, false) == Some(true) {
+                    *hands.flaps.entry(zone.0).or_default() += 1;
+                }
+                let step = (wanted - now).min(bounds.out);
+                plan.push(map, verdicts, bounds, words, zone, step);
+            } else if wanted < now {
+                hands.returning.insert(zone.0, true);
+                let flaps = hands.flaps.get(&zone.0).copied().unwrap_or(0);
+                let calm = CALMER.powi(flaps.min(30) as i32).max(CALMEST);
+                plan.pop(zone, (now - wanted).min(bounds.back * calm));
+            } else if now == 0.0 {
+                hands.returning.remove(&zone.0);
+            }
+        }
+        if plan.moves == self.moves {
+            plan.number = self.number;
+        }
+        plan
+    }
+
+    /// Room that a zone has for others' sessions.
+    fn room(&self, bounds: &Bounds, verdicts: &[Verdict], words: &BTreeMap<u8, Word>, to: Zone) -> f64 {
+        let at = usize::from(to.0);
+        let takes = verdicts.get(at) == Some(&Verdict::Well) && words.get(&to.0) != Some(&Word::Drain);
+        let of = |rows: &[f64]| rows.get(at).copied().unwrap_or(0.0);
+        // A zone whose own sessions are away or coming back takes nobody else's.
+        if !takes || self.moved(to) > 0 {
+            return 0.0;
+        }
+        let free = (of(&bounds.capacity) - of(&bounds.demand)).max(0.0) * (1.0 - bounds.reserve);
+        (free - self.given(to, &bounds.demand)).max(0.0)
+    }
+
+    /// Moves a further share of a zone's sessions, as far as the others have room; the rest stays and is refused near.
+    fn push(
+        &mut self,
+        map: &Map,
+        verdicts: &[Verdict],
+        bounds: &Bounds,
+        words: &BTreeMap<u8, Word>,
+        from: Zone,
+        share: f64,
+    ) {
+        let demand = bounds.demand.get(usize::from(from.0)).copied().unwrap_or(0.0).max(1e-9);
+        let mut left = (share * f64::from(WHOLE)).round() as u16;
+        for to in map.order(from) {
+            if left == 0 {
+                return;
+            }
+            let room = self.room(bounds, verdicts, words, to) / demand * f64::from(WHOLE);
+            let takes = left.min(room.floor().min(f64::from(WHOLE)) as u16);
+            if takes == 0 {
+                continue;
+            }
+            left -= takes;
+            let rows = self.moves.entry(from.0).or_default();
+            match rows.last_mut() {
+                Some((last, held)) if *last == to.0 => *held += takes,
+                _ => rows.push((to.0, takes)),
+            }
+        }
+    }
+
+    /// Brings back those who moved last.
+    fn pop(&mut self, from: Zone, share: f64) {
+        let Some(rows) = self.moves.get_mut(&from.0) else { return };
+        let mut left = (share * f64::from(WHOLE)).ceil() as u16;
+        while let Some((_, held)) = rows.last_mut().filter(|_| left > 0) {
+            let takes = left.min(*held);
+            *held -= takes;
+            left -= takes;
+            if *held == 0 {
+                rows.pop();
+            }
+        }
+        if rows.is_empty() {
+            self.moves.remove(&from.0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/failover/src/verdict.rs
@@ -0,0 +1,101 @@
+//! What the joined evidence says of each zone.
+
+use crate::evidence::{Matrix, Seen};
+use crate::{Map, Zone};
+
+/// How a zone is.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    Well,
+    /// Its own routers find it well; these zones can't reach it. Each side serves its own, nobody evacuates.
+    CutPath(Vec<Zone>),
+    /// Nobody reaches it, its own routers included where there are any.
+    Lost,
+    /// Slow or failing for all; the share that it still carries.
+    Impaired(f64),
+    /// No room: overflow moves, homes stay.
+    Full,
+    /// Too little was seen, or everything is bad everywhere: a fleet that believes all is lost has lost its eyes.
+    Unknown,
+}
+
+/// Dispatches of late below which nothing is said of a zone.
+pub const LEAST: f32 = 4.0;
+/// Share of dispatches that met nobody from which a zone counts as dead, and below which as reached.
+const DEAD: f32 = 0.8;
+/// Share of what was answered in target below which a zone is impaired.
+const GOOD: f32 = 0.7;
+/// Share turned away from which a zone is full.
+const FULL: f32 = 0.3;
+
+#[derive(Clone, Copy, PartialEq)]
+enum Sight {
+    Nothing,
+    Dead,
+    Reached,
+}
+
+fn sight(seen: Option<&(Seen, usize)>) -> Sight {
+    match seen {
+        Some((seen, _)) if seen.tried() >= LEAST => {
+            if seen.dead() / seen.tried() >= DEAD {
+                Sight::Dead
+            } else {
+                Sight::Reached
+            }
+        }
+        _ => Sight::Nothing,
+    }
+}
+
+/// What to think of each zone. `speaking`: zones of which some router is in the agreed roster and heard.
+pub fn judge(map: &Map, matrix: &Matrix, speaking: &[Zone]) -> Vec<Verdict> {
+    let mut verdicts: Vec<Verdict> = map.zones().map(|zone| of(map, matrix, speaking, zone)).collect();
+    let seen = |verdict: &Verdict| !matches!(verdict, Verdict::Unknown);
+    let bad = |verdict: &Verdict| matches!(verdict, Verdict::Lost);
+    // With nothing left standing anywhere it is the eyes that are bad, and traffic stays where it is.
+    if verdicts.iter().any(seen) && verdicts.iter().filter(|verdict| seen(verdict)).all(bad) {
+        verdicts.fill(Verdict::Unknown);
+    }
+    verdicts
+}
+
+fn of(map: &Map, matrix: &Matrix, speaking: &[Zone], zone: Zone) -> Verdict {
+    let from = |observer: Zone| matrix.seen.get(&(observer, zone));
+    let own = if speaking.contains(&zone) { sight(from(zone)) } else { Sight::Nothing };
+    let others: Vec<Zone> = map.zones().filter(|other| *other != zone && speaking.contains(other)).collect();
+    let which =
+        |wanted: Sight| others.iter().copied().filter(|o| sight(from(*o)) == wanted).collect::<Vec<_>>();
+    let (dead, reached) = (which(Sight::Dead), which(Sight::Reached));
+    match own {
+        // A zone that its own routers find well is not lost, whatever the others meet on their way.
+        Sight::Reached if !dead.is_empty() => return Verdict::CutPath(dead),
+        Sight::Dead if reached.is_empty() => return Verdict::Lost,
+        Sight::Dead => return Verdict::Impaired(0.5),
+        // A step away from near needs witnesses of two zones, or of all that can still speak.
+        Sight::Nothing if !dead.is_empty() && reached.is_empty() => {
+            let enough = dead.len() >= 2 || dead.len() == others.len();
+            return if enough { Verdict::Lost } else { Verdict::Unknown };
+        }
+        Sight::Nothing if !dead.is_empty() => return Verdict::CutPath(dead),
+        Sight::Nothing if reached.is_empty() => return Verdict::Unknown,
+        _ => {}
+    }
+    let mut sum = Seen::default();
+    for observer in others.into_iter().chain([zone]).filter(|o| sight(from(*o)) == Sight::Reached) {
+        if let Some((seen, _)) = from(observer) {
+            sum.in_target += seen.in_target;
+            sum.late += seen.late + seen.dead();
+            sum.full += seen.full;
+        }
+    }
+    let answered = (sum.in_target + sum.late).max(1e-6);
+    let share = sum.in_target / answered;
+    if sum.full / (answered + sum.full) >= FULL {
+        Verdict::Full
+    } else if share < GOOD {
+        Verdict::Impaired(f64::from(share))
+    } else {
+        Verdict::Well
+    }
+}
