As many routers at once at a fresh worker as their traffic and chance allow

The rule lets them have 0.37 of a warm one's; a quarter of that had its turn at once (src/control.rs, our_turn), to guard against routers that send their share four times over in a turn, which routers of 0.02 dispatches a worker and turn can't. Ruled out before: clocks of turns (issue). Change: the guard's factor is what a router sends in a turn, from 1 to 4; and what few dispatches add up to by chance, three deviations, stays under what topples the worker.

--- a/src/control.rs
+++ b/src/control.rs
@@ -58,6 +58,8 @@
 const MEMORY_FULL: f64 = 0.75;
 /// Share of the load that topples a cold worker which all routers together may send it.
 const FALL_SHARE: f64 = 0.5;
+/// Times its share that a router whose turn it is at a fresh worker may come to send there.
+const BURST: f64 = 4.0;
 
 /// Read at a reader; fetch the state and write; or both at one worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -211,7 +213,7 @@
 
 /// Routers that may send to a worker that just started at the same time, of so many.
 pub fn at_once(s: &Settings, routers: usize) -> usize {
-    (s.cold_share * FALL_SHARE * s.fall_multiple / 4.0 * routers as f64).max(1.0) as usize
+    (s.cold_share * FALL_SHARE * s.fall_multiple / BURST * routers as f64).max(1.0) as usize
 }
 
 impl Control {
@@ -716,7 +718,7 @@
     }
 
     /// Turns at a fresh worker: routers, by their number, send together what it can do by its age, judged by
-    /// what its kind's others get, or all where those are fresh too; a quarter of it at once.
+    /// what its kind's others get, or all where those are fresh too; at once as many as can't send more.
     /// Guards against pushing over what just started. Harm: stand-ins spread its sessions.
     fn our_turn(&self, w: &Worker) -> bool {
         let s = &self.settings;
@@ -737,7 +739,11 @@
         if let Some(part) = s.fresh_part {
             return part > 0.0 && w.sent.at(self.now_ms, s.fall_ms) + 1.0 <= (budget * part).max(1.0);
         }
-        let at_once = (allowed / 4.0 * routers as f64).max(1.0).floor();
+        // Who sends a worker less than one dispatch in a turn can't send its share four times over; and what few
+        // dispatches add up to by chance, three deviations, has to stay under what topples it.
+        let crowd = (BURST * mean).clamp(1.0, BURST);
+        let calm = ((9.0 + 4.0 * budget / FALL_SHARE).sqrt() - 3.0) / 2.0;
+        let at_once = (budget.min(calm * calm) / (mean * crowd).max(1e-9)).clamp(1.0, routers as f64).floor();
         (turn * at_once as usize + s.own_number) % routers < at_once as usize
             && w.sent.at(self.now_ms, s.fall_ms) + 1.0 <= (budget / at_once).max(1.0)
     }
