--- a/src/control.rs
+++ b/src/control.rs
@@ -739,8 +739,8 @@
         if let Some(part) = s.fresh_part {
             return part > 0.0 && w.sent.at(self.now_ms, s.fall_ms) + 1.0 <= (budget * part).max(1.0);
         }
-        // Who sends a worker less than one dispatch in a turn can't send its share four times over; and what few
-        // dispatches add up to by chance, three deviations, has to stay under what topples it.
+        // Who sends a worker less than one dispatch in a turn can't send its share four times over; and what
+        // few dispatches add up to by chance, three deviations, has to stay under what topples it.
         let crowd = (BURST * mean).clamp(1.0, BURST);
         let calm = ((9.0 + 4.0 * budget / FALL_SHARE).sqrt() - 3.0) / 2.0;
         let at_once = (budget.min(calm * calm) / (mean * crowd).max(1e-9)).clamp(1.0, routers as f64).floor();
