--- a/crates/peerlab/tests/invariants.rs
+++ b/crates/peerlab/tests/invariants.rs
@@ -1,21 +1,8 @@
 //! What must hold at every instant, in virtual time.
 
+use paddleproxy_peerlab::measure::rules;
 use paddleproxy_peerlab::{random, Net};
-use paddleproxy_peers::{Mind, Place, Rules, State};
-
-fn rules() -> Rules {
-    Rules {
-        deployment: "lab".into(),
-        places: 0,
-        own: Place(0),
-        probe_ms: 200.0,
-        lease_ms: 1500.0,
-        floor: 0.5,
-        remember_ms: 600_000.0,
-        things: 2,
-        pieces: 4,
-    }
-}
+use paddleproxy_peers::{Mind, Place, State};
 
 fn started(routers: usize, seed: u64) -> Net {
     let mut net = Net::new(rules(), routers, 3, seed);
--- a/crates/peers/src/view/calling.rs
+++ b/crates/peers/src/view/calling.rs
@@ -68,9 +68,8 @@
                         reply.extend(page.map(|page| self.letter(vec![Word::Chosen { page }])));
                     }
                     Word::Propose { page } => {
-                        let yes = self.keeping.propose(self.now_ms, page);
-                        let kept = self.keeping.kept_number();
-                        reply.push(self.letter(vec![Word::Taken { number: page.number, yes, kept }]));
+                        let word = self.proposed(page);
+                        reply.push(self.letter(vec![word]));
                     }
                     Word::Exchange => whole = true,
                     _ => {}
@@ -107,12 +106,7 @@
                 Word::Rumour(rumour) => self.heard_rumour(&rumour),
                 Word::Row(row) => self.heard_row(row),
                 Word::Chosen { page } => self.choose(page),
-                Word::Taken { number, yes, kept } => {
-                    self.keeping.heard_of(kept);
-                    if let Some(page) = yes.then(|| self.keeping.vote(letter.from, number)).flatten() {
-                        self.choose(page);
-                    }
-                }
+                Word::Taken { number, yes, kept } => self.taken(letter.from, number, yes, kept),
                 _ => {}
             }
         }
--- a/crates/peers/src/view/hearing.rs
+++ b/crates/peers/src/view/hearing.rs
@@ -142,16 +142,10 @@
                 }
             }
             Word::Propose { page } => {
-                let yes = self.keeping.propose(self.now_ms, &page);
-                let kept = self.keeping.kept_number();
-                self.send(from, vec![Word::Taken { number: page.number, yes, kept }], false);
-            }
-            Word::Taken { number, yes, kept } => {
-                self.keeping.heard_of(kept);
-                if let Some(page) = yes.then(|| self.keeping.vote(letter.from, number)).flatten() {
-                    self.choose(page);
-                }
+                let word = self.proposed(&page);
+                self.send(from, vec![word], false);
             }
+            Word::Taken { number, yes, kept } => self.taken(letter.from, number, yes, kept),
             Word::Want { above } => {
                 if let Some(page) = self.keeping.page().filter(|page| page.number > above).cloned() {
                     self.send_large(from, Word::Chosen { page });
--- a/crates/peers/src/view/mod.rs
+++ b/crates/peers/src/view/mod.rs
@@ -68,8 +68,6 @@
     Tick,
     /// What this router wants of each thing.
     Need(Needs),
-    /// What this router says of itself to everyone.
-    Row(Vec<u8>),
     /// Settings count other places now.
     Places(usize),
     Leave,
@@ -265,7 +263,6 @@
             Event::CallFailed { to } => self.calling = self.calling.filter(|(at, _)| *at != to),
             Event::Tick => self.tick(),
             Event::Need(needs) => self.need(needs),
-            Event::Row(bytes) => self.row(bytes),
             Event::Places(places) => {
                 if places != self.rules.places && places > usize::from(self.rules.own.0) {
                     self.rules.places = places;
--- a/crates/peers/src/view/sharing.rs
+++ b/crates/peers/src/view/sharing.rs
@@ -17,6 +17,20 @@
         }
     }
 
+    /// As keeper: what is said to a page that was put before it.
+    pub(super) fn proposed(&mut self, page: &Page) -> Word {
+        let yes = self.keeping.propose(self.now_ms, page);
+        Word::Taken { number: page.number, yes, kept: self.keeping.kept_number() }
+    }
+
+    /// As proposer: what a keeper said.
+    pub(super) fn taken(&mut self, from: Place, number: u64, yes: bool, kept: u64) {
+        self.keeping.heard_of(kept);
+        if let Some(page) = yes.then(|| self.keeping.vote(from, number)).flatten() {
+            self.choose(page);
+        }
+    }
+
     pub(super) fn choose(&mut self, page: Page) {
         if self.keeping.chosen(self.now_ms, &page, self.life) {
             self.actions.push(Action::Paged { number: page.number });
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -208,7 +208,7 @@
         ("completions_open", status.open as u64),
         ("connections_open", front.connections.get() as u64),
         ("servers_listed", status.servers as u64),
-        ("routers_reckoned", status.reckoned.0 as u64),
+        ("routers_reckoned", status.reckoned as u64),
         ("list_version", status.version.unwrap_or(0)),
         ("list_revision", status.revision),
         ("lists_held_total", status.held_total),
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -245,9 +245,7 @@
                     revision: self.membership.revision(),
                     held_total: self.membership.held_total(),
                     refused: self.membership.refused_total(),
-                    reckoned: self.shared.as_ref().map_or((self.base.routers, None), |granted| {
-                        (granted.routers, granted.shares.first().copied())
-                    }),
+                    reckoned: self.shared.as_ref().map_or(self.base.routers, |granted| granted.routers),
                 });
             }
         }
--- a/crates/router/src/words.rs
+++ b/crates/router/src/words.rs
@@ -119,8 +119,8 @@
     /// Versions of the list that were held, and refused.
     pub held_total: u64,
     pub refused: u64,
-    /// Routers reckoned with, and the own part in what fresh servers get; none without fellows.
-    pub reckoned: (usize, Option<f64>),
+    /// Routers reckoned with.
+    pub reckoned: usize,
 }
 
 /// What a client asked for, as the servers need it.
