--- a/crates/bench/src/module.rs
+++ b/crates/bench/src/module.rs
@@ -42,6 +42,7 @@
             prefix_tokens: 0.0,
             max_tokens: 4.0,
             answer_hint_ms: None,
+            near: None,
             client_retry: false,
             resumed: false,
         };
--- /dev/null
+++ b/crates/cli/src/days.rs
@@ -0,0 +1,144 @@
+//! Several days, one table; and random scripts.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+
+use anyhow::{Context, Result};
+use paddleproxy_day::random::{draw, Room};
+use serde_json::{json, Value};
+
+use crate::run::on_one_thread;
+
+/// One day in one way of deciding.
+struct Row {
+    day: String,
+    way: &'static str,
+    report: Value,
+}
+
+/// Plays each day in each way, some at once as processes of their own, and prints a line for each.
+pub fn table(files: &[PathBuf], ways: &[&'static str], at_once: usize, as_json: bool) -> Result<bool> {
+    let program = std::env::current_exe().context("finding this program")?;
+    let plays: Vec<(&PathBuf, &'static str)> =
+        files.iter().flat_map(|file| ways.iter().map(move |way| (file, *way))).collect();
+    if !as_json {
+        println!("{}", head());
+    }
+    let mut good = true;
+    for some in plays.chunks(at_once.max(1)) {
+        let begun: Vec<_> = some
+            .iter()
+            .map(|(file, way)| {
+                let dir = tempdir(file, way);
+                let child = Command::new(&program)
+                    .arg("day")
+                    .arg(file)
+                    .args(["--format", "json", "--failover", way, "--out"])
+                    .arg(&dir)
+                    .stdout(Stdio::piped())
+                    .stderr(Stdio::null())
+                    .spawn();
+                (file, way, dir, child)
+            })
+            .collect();
+        for (file, way, dir, child) in begun {
+            let done = child.context("starting a day")?.wait_with_output()?;
+            let report: Value = serde_json::from_slice(&done.stdout)
+                .with_context(|| format!("{} ({way}) could not be played", file.display()))?;
+            let kept = report["kept"] == true;
+            good &= kept;
+            if kept {
+                std::fs::remove_dir_all(&dir).ok();
+            }
+            let day = report["day"].as_str().unwrap_or_default().to_owned();
+            let row = Row { day, way, report };
+            match as_json {
+                true => println!("{}", json!({ "day": row.day, "way": row.way, "report": row.report })),
+                false => print!("{}", line(&row, &dir)),
+            }
+        }
+    }
+    Ok(good)
+}
+
+fn tempdir(file: &Path, way: &str) -> PathBuf {
+    let name = file.file_stem().map(|stem| stem.to_string_lossy().into_owned()).unwrap_or_default();
+    std::env::temp_dir().join(format!("paddleproxy-days-{}-{name}-{way}", std::process::id()))
+}
+
+fn head() -> String {
+    format!(
+        "{:<24} {:<7} {:>6} {:>7} {:>9} {:>7} {:>7} {:>7} {:>7} {:>6} {:>8} {:>8}  simulated servers; in target by phase",
+        "day", "decides", "broken", "before", "first 3 s", "during", "after", "near", "changes", "moved", "first", "back"
+    )
+}
+
+fn line(row: &Row, dir: &Path) -> String {
+    let list = |value: &Value| value.as_array().cloned().unwrap_or_default();
+    let rules = list(&row.report["rules"]);
+    let broken: Vec<&Value> = rules.iter().filter(|rule| !list(&rule["broken"]).is_empty()).collect();
+    let phases = list(&row.report["phases"]);
+    let phase = |number: &str| {
+        let found =
+            phases.iter().find(|phase| phase["name"].as_str().is_some_and(|name| name.starts_with(number)));
+        found
+            .and_then(|phase| phase["in_target"].as_f64())
+            .map_or("-".to_owned(), |share| format!("{share:.3}"))
+    };
+    let planned = &row.report["planned"];
+    let zones = list(&planned["zones"]);
+    let most = zones.iter().filter_map(|zone| zone[1].as_f64()).fold(0.0, f64::max);
+    let first = zones.iter().filter_map(|zone| zone[2].as_f64()).fold(f64::INFINITY, f64::min);
+    let back = zones.iter().map(|zone| zone[3].as_f64().unwrap_or(f64::INFINITY)).fold(0.0, f64::max);
+    let seconds =
+        |ms: f64| if ms.is_finite() && ms > 0.0 { format!("{:.1} s", ms / 1e3) } else { "-".to_owned() };
+    let mut text = format!(
+        "{:<24} {:<7} {:>6} {:>7} {:>9} {:>7} {:>7} {:>7} {:>7} {:>6.2} {:>8} {:>8}\n",
+        row.day,
+        row.way,
+        broken.len(),
+        phase("1"),
+        phase("2"),
+        phase("3"),
+        phase("4"),
+        planned["near"].as_f64().map_or("-".to_owned(), |near| format!("{near:.4}")),
+        planned["changes"].as_u64().map_or("-".to_owned(), |changes| changes.to_string()),
+        most,
+        seconds(first),
+        seconds(back),
+    );
+    for rule in broken {
+        let first = list(&rule["broken"]).first().and_then(|what| what.as_str().map(str::to_owned));
+        text += &format!("    {}: {}\n", rule["name"].as_str().unwrap_or("-"), first.unwrap_or_default());
+        text += &format!("    its record: {}\n", dir.display());
+    }
+    text
+}
+
+/// Plays random scripts; one that breaks a rule is made smaller, and printed.
+pub fn scripts(common: &Path, from: u64, count: u64, dir: &Path, as_json: bool) -> Result<bool> {
+    let program = std::env::current_exe().context("finding this program")?;
+    let room = Room { program: &program, common, dir };
+    let cast = room.cast()?;
+    let mut good = true;
+    for seed in from..from.saturating_add(count) {
+        let played = on_one_thread(room.play(&draw(seed, &cast), &format!("script-{seed}")))?;
+        let kept = played.report.kept;
+        let troubles = played.script.troubles.len();
+        match as_json {
+            true => println!("{}", json!({ "seed": seed, "troubles": troubles, "kept": kept })),
+            false => println!("script {seed}: {troubles} troubles, {}", if kept { "kept" } else { "BROKEN" }),
+        }
+        if !kept {
+            good = false;
+            let least = on_one_thread(room.shrink(played))?;
+            let broken = least.report.rules.iter().filter(|rule| !rule.broken.is_empty());
+            for rule in broken {
+                println!("  {}: {}", rule.name, rule.broken.first().map_or("", String::as_str));
+            }
+            println!("  the least that still breaks it, {}:", least.file.display());
+            println!("{}", std::fs::read_to_string(&least.file)?);
+        }
+    }
+    Ok(good)
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,14 +1,17 @@
 //! The program `paddleproxy`.
 
+mod days;
 mod fellows;
 mod operators;
 mod run;
 mod stores;
+mod zones;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand, ValueEnum};
+use paddleproxy_settings::rooms::Decides;
 
 /// Routes completions over readers, writers and mixed model servers.
 #[derive(Parser)]
@@ -74,6 +77,53 @@
     Explain,
 }
 
+#[derive(Clone, Copy, ValueEnum, PartialEq, Eq)]
+pub enum FailoverWord {
+    /// What each router sees of zones, and which plan is in force there.
+    Plan,
+    /// Why a zone's sessions have their homes where they have.
+    Explain,
+    /// The zone's sessions stay where they are now, whatever is seen.
+    Hold,
+    /// The zone's sessions move away, as far as others have room.
+    DrainZone,
+    /// The zone's sessions come back.
+    Return,
+}
+
+/// Who decides on failover in a day.
+#[derive(Clone, Copy, ValueEnum, PartialEq, Eq)]
+enum DayFailover {
+    /// The routers in common, as the day's settings say.
+    Common,
+    /// Nobody: routers without `failover`.
+    Off,
+    /// Each router by its own evidence.
+    Alone,
+    /// Operators' words tell the true state one exchange late.
+    Told,
+}
+
+impl DayFailover {
+    fn decides(self) -> Decides {
+        match self {
+            DayFailover::Common => Decides::Common,
+            DayFailover::Off => Decides::Off,
+            DayFailover::Alone => Decides::Alone,
+            DayFailover::Told => Decides::Told,
+        }
+    }
+
+    fn name(self) -> &'static str {
+        match self {
+            DayFailover::Common => "common",
+            DayFailover::Off => "off",
+            DayFailover::Alone => "alone",
+            DayFailover::Told => "told",
+        }
+    }
+}
+
 #[derive(Subcommand)]
 enum Command {
     /// Runs one router until it is told to stop.
@@ -122,6 +172,21 @@
         #[arg(long, value_enum, default_value_t = Format::Text)]
         format: Format,
     },
+    /// Failover between zones: what routers see and agreed, and operators' words on a zone.
+    Failover {
+        #[arg(value_enum)]
+        what: FailoverWord,
+        /// The zone; not for `plan`.
+        zone: Option<String>,
+        /// Admin addresses of routers; a word is said to the first that answers, and told to all by it.
+        #[arg(long = "router", required = true)]
+        routers: Vec<std::net::SocketAddr>,
+        /// How long a word holds, in minutes.
+        #[arg(long = "for", default_value_t = 60.0)]
+        for_min: f64,
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
     /// Looks at a router's store, or mends it. `check`, `dump` and `stats` change nothing.
     Store {
         #[arg(value_enum)]
@@ -152,6 +217,37 @@
         /// Where the record goes; a new folder for temporary files where absent.
         #[arg(long)]
         out: Option<PathBuf>,
+        /// Who decides on failover, where the day has it.
+        #[arg(long, value_enum, default_value_t = DayFailover::Common)]
+        failover: DayFailover,
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
+    /// Plays several days, each in every way of deciding on failover that is named, and prints one table.
+    Days {
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        #[arg(long, value_enum, value_delimiter = ',', default_value = "common")]
+        failover: Vec<DayFailover>,
+        /// Days played at once.
+        #[arg(long, default_value_t = 3)]
+        at_once: usize,
+        #[arg(long, value_enum, default_value_t = Format::Text)]
+        format: Format,
+    },
+    /// Plays random scripts of faults between processes; one that breaks a rule is made smaller and printed.
+    Scripts {
+        /// The document that every script includes.
+        #[arg(long, default_value = "days/fellows-common.kdl")]
+        common: PathBuf,
+        /// Seed of the first.
+        #[arg(long, default_value_t = 1)]
+        from: u64,
+        #[arg(long, default_value_t = 10)]
+        count: u64,
+        /// Where scripts go, and records of those that broke a rule.
+        #[arg(long)]
+        out: PathBuf,
         #[arg(long, value_enum, default_value_t = Format::Text)]
         format: Format,
     },
@@ -267,7 +363,19 @@
         Command::Check { files, format } => run::check(&files, format == Format::Json),
         Command::Demo { keep: true, .. } => run::keep(),
         Command::Demo { format, .. } => run::demo(format == Format::Json),
-        Command::Day { file, out, format } => run::day(&file, out, format == Format::Json),
+        Command::Day { file, out, failover, format } => {
+            run::day(&file, out, failover.decides(), format == Format::Json)
+        }
+        Command::Days { files, failover, at_once, format } => {
+            let ways: Vec<_> = failover.into_iter().map(DayFailover::name).collect();
+            days::table(&files, &ways, at_once, format == Format::Json)
+        }
+        Command::Scripts { common, from, count, out, format } => {
+            days::scripts(&common, from, count, &out, format == Format::Json)
+        }
+        Command::Failover { what, zone, routers, for_min, format } => {
+            zones::run(what, zone.as_deref(), &routers, for_min, format == Format::Json)
+        }
         Command::Audit { dir, format } => run::audit(&dir, format == Format::Json),
         Command::Bench { alone, quick, format } => run::bench(alone, quick, format == Format::Json),
         Command::Rehearse { file, routers, fleets, load, seed, policy, html, out, format } => {
--- a/crates/cli/src/operators.rs
+++ b/crates/cli/src/operators.rs
@@ -42,9 +42,9 @@
     Ok(value)
 }
 
-fn encode(name: &str) -> Result<&str> {
+pub fn encode(name: &str) -> Result<&str> {
     let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.+:".contains(&byte);
-    ensure!(!name.is_empty() && name.bytes().all(plain), "'{name}' is no name of a server");
+    ensure!(!name.is_empty() && name.bytes().all(plain), "'{name}' is no name");
     Ok(name)
 }
 
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -9,6 +9,7 @@
 use paddleproxy_fleet::record::Record;
 use paddleproxy_fleet::Fleet;
 use paddleproxy_settings as settings;
+use paddleproxy_settings::rooms::Decides;
 use serde_json::json;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
@@ -149,8 +150,9 @@
     kept.map(|()| true)
 }
 
-pub fn day(file: &Path, out: Option<PathBuf>, as_json: bool) -> Result<bool> {
-    let day = settings::day::load(file)?;
+pub fn day(file: &Path, out: Option<PathBuf>, decides: Decides, as_json: bool) -> Result<bool> {
+    let mut day = settings::day::load(file)?;
+    day.deciding(decides);
     let dir =
         out.unwrap_or_else(|| std::env::temp_dir().join(format!("paddleproxy-day-{}", std::process::id())));
     let good = played(day, &dir, as_json)?;
--- a/crates/day/src/audit.rs
+++ b/crates/day/src/audit.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fellows::{self, FellowsFacts};
+use crate::zones::{self, ZonesFacts};
 
 /// The figures by which a day is judged.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -31,6 +32,9 @@
     /// Where routers know each other.
     #[serde(default)]
     pub fellows: Option<FellowsFacts>,
+    /// Where they agree on failover.
+    #[serde(default)]
+    pub zones: Option<ZonesFacts>,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -84,6 +88,11 @@
                 .filter(|_| !day.shapes.is_empty())
                 .map(|router| day.shape_of(router).to_owned())
                 .collect(),
+            zones: day.router.failover.as_ref().map(|failover| ZonesFacts {
+                expects: day.expects.clone(),
+                reserve: failover.reserve,
+                common: !failover.alone,
+            }),
             fellows: day.router.peers.as_ref().map(|peers| FellowsFacts {
                 routers: day.routers,
                 heals_ms: 5000.0,
@@ -140,6 +149,7 @@
         cold_servers(facts, &lines),
         pins(facts, &lines),
     ];
+    rules.extend(facts.zones.iter().flat_map(|facts| zones::rules(facts, &lines)));
     rules.extend(facts.fellows.iter().flat_map(|facts| fellows::rules(facts, &lines)));
     rules
 }
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -7,10 +7,12 @@
 mod load;
 mod mesh;
 pub mod play;
+pub mod random;
 pub mod report;
 mod rig;
 mod stage;
 mod troubles;
+pub mod zones;
 
 /// Memory that a process holds, in MiB, where the system tells it; by its id, or "self".
 pub fn resident_mib(process: &str) -> Option<f64> {
--- a/crates/day/src/mesh.rs
+++ b/crates/day/src/mesh.rs
@@ -9,6 +9,7 @@
 
 use anyhow::{Context, Result};
 use paddleproxy_settings::rig::{Carries, Cut, Weather, Who};
+use tokio::io::Interest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
@@ -60,6 +61,8 @@
 
 /// Processes beside the routers.
 const EXTRAS: usize = 2;
+/// How often a connection that is not made yet is looked at, in ms.
+const CLOSED_EVERY_MS: f64 = 5.0;
 /// What a segment lost on the way costs a connection, in ms.
 const AGAIN_MS: f64 = 200.0;
 
@@ -67,6 +70,14 @@
     Duration::from_secs_f64(ms.max(0.0) / 1e3)
 }
 
+/// Passes once the other end of a connection has closed it, read or unread.
+async fn closed(stream: &TcpStream) {
+    while !stream.ready(Interest::READABLE).await.is_ok_and(|ready| ready.is_read_closed()) {
+        // Bytes that nobody reads yet keep it ready.
+        sleep(duration(CLOSED_EVERY_MS)).await;
+    }
+}
+
 impl Mesh {
     /// Relays between so many routers, of which each is in one of the zones.
     ///
@@ -306,7 +317,13 @@
             (self.open(&from, &to, what).await && self.open(&to, &from, what).await).then_some(())?;
             TcpStream::connect(real).await.ok()
         };
-        let Some(server) = joined.await else {
+        // Whose client is gone before the other end answered is never made: no request waits here for a server's return.
+        let joined = tokio::select! {
+            biased;
+            joined = joined => joined,
+            () = closed(&client) => None,
+        };
+        let Some(server) = joined else {
             reset(&client);
             return;
         };
--- /dev/null
+++ b/crates/day/src/random.rs
@@ -0,0 +1,239 @@
+//! Random scripts for processes that know each other: drawn from a seed, played, and where one breaks a rule, made smaller
+//! until no trouble can be left out.
+
+use std::path::{Path, PathBuf};
+
+use anyhow::{Context, Result};
+use paddleproxy_settings::day::{self, DaySettings};
+
+use crate::play::play;
+use crate::report::{report, Report};
+
+/// A day as text: what it includes, and its troubles one by one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Script {
+    pub seed: u64,
+    pub length_s: u64,
+    pub failover: bool,
+    pub troubles: Vec<String>,
+}
+
+/// What scripts are drawn over.
+pub struct Cast {
+    pub routers: usize,
+    pub zones: Vec<String>,
+    pub servers: Vec<String>,
+}
+
+impl Cast {
+    pub fn of(day: &DaySettings) -> Cast {
+        Cast {
+            routers: day.routers,
+            zones: day.router.names.zones.clone(),
+            servers: day.fleet.servers.iter().map(|row| row.name.clone()).collect(),
+        }
+    }
+}
+
+/// Troubles of one script, the time in which they begin, and the quiet at its end in which all has to heal, in s.
+const TROUBLES: std::ops::RangeInclusive<usize> = 2..=6;
+const BEGINS_S: std::ops::Range<f64> = 3.0..15.0;
+const LASTS_S: std::ops::Range<f64> = 0.5..5.0;
+const LENGTH_S: u64 = 32;
+
+/// The script of a seed: always the same.
+pub fn draw(seed: u64, cast: &Cast) -> Script {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let count = rng.usize(TROUBLES);
+    let troubles = (0..count).map(|_| trouble(&mut rng, cast)).collect();
+    Script { seed, length_s: LENGTH_S, failover: rng.bool(), troubles }
+}
+
+fn trouble(rng: &mut fastrand::Rng, cast: &Cast) -> String {
+    let between = |rng: &mut fastrand::Rng, range: &std::ops::Range<f64>| {
+        range.start + (range.end - range.start) * rng.f64()
+    };
+    let at = format!("at=\"{:.1}s\" for=\"{:.1}s\"", between(rng, &BEGINS_S), between(rng, &LASTS_S));
+    let zone = |rng: &mut fastrand::Rng| cast.zones[rng.usize(..cast.zones.len())].clone();
+    let server = |rng: &mut fastrand::Rng| cast.servers[rng.usize(..cast.servers.len())].clone();
+    let routers = |rng: &mut fastrand::Rng, most: usize| {
+        let mut all: Vec<usize> = (0..cast.routers).collect();
+        rng.shuffle(&mut all);
+        let some = rng.usize(1..=most.min(cast.routers).max(1));
+        all[..some].iter().map(usize::to_string).collect::<Vec<_>>().join(" ")
+    };
+    let end = |rng: &mut fastrand::Rng| match rng.usize(..5) {
+        0 => format!("router:{}", rng.usize(..cast.routers)),
+        1 => format!("routers:{}", zone(rng)),
+        2 => format!("workers:{}", zone(rng)),
+        3 => format!("zone:{}", zone(rng)),
+        _ => "routers".to_owned(),
+    };
+    match rng.usize(..14) {
+        0..=2 => {
+            let (from, to) = (end(rng), end(rng));
+            let both = rng.bool();
+            let cut = if rng.bool() { "silent" } else { "reset" };
+            format!("trouble \"link\" {at} from=\"{from}\" to=\"{to}\" both=#{both} cut=\"{cut}\"")
+        }
+        3 => {
+            let (loss, twice) = (0.3 * rng.f64(), 0.3 * rng.f64());
+            let (delay, jitter) = (rng.u32(..200), rng.u32(..300));
+            format!(
+                "trouble \"link\" {at} from=\"routers\" to=\"routers\" both=#true carries=\"datagrams\" loss={loss:.2} \
+                 twice={twice:.2} delay=\"{delay}ms\" jitter=\"{jitter}ms\""
+            )
+        }
+        4 | 5 => {
+            let state = ["own", "empty", "others"][rng.usize(..3)];
+            format!("trouble \"routers-killed\" {at} which=\"{}\" state=\"{state}\"", routers(rng, 4))
+        }
+        6 => format!("trouble \"routers-paused\" {at} which=\"{}\"", routers(rng, 3)),
+        7 => {
+            let which = routers(rng, 3);
+            format!("trouble \"routers-starved\" {at} which=\"{which}\" runs=\"20ms\" of=\"120ms\"")
+        }
+        8 => format!("trouble \"routers-restarted\" {at} which=\"{}\" every=\"800ms\"", routers(rng, 3)),
+        9 => format!("trouble \"zone-lost\" {at} zone=\"{}\" routers=#{}", zone(rng), rng.bool()),
+        10 => format!(
+            "trouble \"dead\" \"{}\" \"{}\" {at} back-as-new=#{}",
+            server(rng),
+            server(rng),
+            rng.bool()
+        ),
+        11 => format!("trouble \"slow\" \"{}\" {at} factor={}", server(rng), rng.usize(2..8)),
+        12 => format!("trouble \"list-behind\" {at} by=\"{}s\"", rng.usize(1..6)),
+        _ => format!("trouble \"drain\" \"{}\" {at} notice=\"1s\"", server(rng)),
+    }
+}
+
+impl Script {
+    /// The day's own document, before what it includes.
+    pub fn text(&self, include: &str, zones: &[String]) -> String {
+        let failover = match (self.failover, zones.split_first()) {
+            (true, Some((far, near))) => {
+                let near: Vec<_> = near.iter().map(|zone| format!("\"{zone}\"")).collect();
+                format!(
+                    "\nfailover {{\n    region \"near\" {}\n    region \"far\" \"{far}\"\n}}\n",
+                    near.join(" ")
+                )
+            }
+            _ => String::new(),
+        };
+        format!(
+            "// Drawn from seed {seed}.\ninclude \"{include}\"\n\nday \"script-{seed}\" {{\n    length \"{length}s\"\n    \
+             rest \"8s\"\n    seed {seed}\n    routers 9\n    drain-grace \"1s\"\n}}\n{failover}\n{troubles}\n",
+            seed = self.seed,
+            length = self.length_s,
+            troubles = self.troubles.join("\n"),
+        )
+    }
+}
+
+/// Where scripts are played.
+pub struct Room<'a> {
+    pub program: &'a Path,
+    /// The document that every script includes.
+    pub common: &'a Path,
+    pub dir: &'a Path,
+}
+
+/// What came of one script.
+pub struct Played {
+    pub script: Script,
+    pub report: Report,
+    /// The script as a file that anyone can play.
+    pub file: PathBuf,
+}
+
+impl Room<'_> {
+    fn write(&self, script: &Script, name: &str) -> Result<(DaySettings, PathBuf)> {
+        let common = std::fs::canonicalize(self.common)
+            .with_context(|| format!("finding {}", self.common.display()))?;
+        let common_text = std::fs::read_to_string(&common)?;
+        let include = common.display().to_string();
+        // Drawn over the zones of the common part; a day without troubles reads those.
+        let bare = Script { troubles: Vec::new(), failover: false, ..script.clone() };
+        let parts = |text: String| vec![(name.to_owned(), text), (include.clone(), common_text.clone())];
+        let zones = day::parse(&parts(bare.text(&include, &[])))?.router.names.zones;
+        let text = script.text(&include, &zones);
+        let file = self.dir.join(format!("{name}.kdl"));
+        std::fs::write(&file, &text)?;
+        Ok((day::parse(&parts(text))?, file))
+    }
+
+    /// The cast of the common part.
+    ///
+    /// # Errors
+    /// A document that can't be read.
+    pub fn cast(&self) -> Result<Cast> {
+        std::fs::create_dir_all(self.dir)?;
+        let bare = Script { seed: 0, length_s: 1, failover: false, troubles: Vec::new() };
+        Ok(Cast::of(&self.write(&bare, "bare")?.0))
+    }
+
+    /// Plays one script.
+    ///
+    /// # Errors
+    /// A script that can't be played.
+    pub async fn play(&self, script: &Script, name: &str) -> Result<Played> {
+        let (day, file) = self.write(script, name)?;
+        let dir = self.dir.join(name);
+        let (facts, lines) = play(day, self.program, &dir).await?;
+        let report = report(&facts, &lines);
+        if report.kept {
+            std::fs::remove_dir_all(&dir)?;
+        }
+        Ok(Played { script: script.clone(), report, file })
+    }
+
+    /// Leaves out one trouble after the other as long as a rule is still broken.
+    ///
+    /// # Errors
+    /// A script that can't be played.
+    pub async fn shrink(&self, broken: Played) -> Result<Played> {
+        let mut least = broken;
+        let mut row = 0;
+        while row < least.script.troubles.len() && least.script.troubles.len() > 1 {
+            let mut fewer = least.script.clone();
+            fewer.troubles.remove(row);
+            let name = format!("script-{}-less-{}", fewer.seed, fewer.troubles.len());
+            let played = self.play(&fewer, &name).await?;
+            match played.report.kept {
+                true => row += 1,
+                false => least = played,
+            }
+        }
+        Ok(least)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn common() -> PathBuf {
+        Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days/fellows-common.kdl")
+    }
+
+    #[test]
+    fn every_drawn_script_is_a_day_and_the_same_for_its_seed() {
+        let dir = tempfile::tempdir().unwrap();
+        let common = common();
+        let room = Room { program: Path::new("none"), common: &common, dir: dir.path() };
+        let cast = room.cast().unwrap();
+        assert_eq!((cast.routers, cast.zones.len(), cast.servers.len()), (9, 3, 24));
+        let mut kinds = std::collections::BTreeSet::new();
+        for seed in 0..30 {
+            let script = draw(seed, &cast);
+            assert_eq!(script, draw(seed, &cast));
+            let (day, _) = room.write(&script, "one").unwrap();
+            assert_eq!(day.troubles.len(), script.troubles.len());
+            assert_eq!(day.router.failover.is_some(), script.failover);
+            kinds.extend(day.troubles.iter().map(|trouble| trouble.what.name().to_owned()));
+            // Everything has to be over in time for healing to be judged.
+            assert!(day.troubles.iter().all(|trouble| trouble.at_ms + trouble.for_ms <= 24_000.0));
+        }
+        assert!(kinds.len() >= 8, "{kinds:?}");
+    }
+}
--- a/crates/day/src/report.rs
+++ b/crates/day/src/report.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::audit::{rules, Facts, Rule};
+use crate::zones::{planned, Planned};
 
 #[derive(Clone, Debug, Serialize)]
 pub struct Report {
@@ -20,6 +21,10 @@
     pub customers: Vec<Service>,
     /// By the shape of the router that got the first try; empty where all routers have one.
     pub shapes: Vec<Service>,
+    /// By whether a trouble was on when they were asked; where routers agree on failover.
+    pub phases: Vec<Service>,
+    /// What plans came to; where routers agree on failover.
+    pub planned: Option<Planned>,
     /// What befell, with how often it began.
     pub troubles: BTreeMap<String, usize>,
 }
@@ -43,7 +48,7 @@
     pub first_p99_ms: f64,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Op<'a> {
     model: &'a str,
     router: usize,
@@ -89,10 +94,52 @@
             // Beyond the day's own, where one is rehearsed with more of them, routers are as the template says.
             false => by(&ops, |op| facts.shapes.get(op.router).map_or(TEMPLATE, |name| name).to_owned()),
         },
+        phases: match facts.fellows {
+            None => Vec::new(),
+            Some(_) => {
+                let (first_ms, last_ms) = span(lines);
+                // Whoever asks for more than its limit allows says nothing of the routers.
+                let limited =
+                    |name: &str| facts.fellows.iter().flat_map(|f| &f.limits).any(|row| row.0 == name);
+                let free: BTreeMap<&str, Op> = ops
+                    .iter()
+                    .filter(|(_, op)| !limited(op.customer))
+                    .map(|(id, op)| (*id, op.clone()))
+                    .collect();
+                by(&free, |op| {
+                    let phase = match op.asked_ms {
+                        at if at < first_ms => "1 before",
+                        at if at < first_ms + SETTLES_MS => "2 first 3 s",
+                        at if at < last_ms => "3 during",
+                        _ => "4 after",
+                    };
+                    phase.to_owned()
+                })
+            }
+        },
+        planned: facts.zones.as_ref().map(|_| planned(lines)),
         troubles,
     }
 }
 
+/// Time from the first trouble in which the plan may still be on its way, in ms.
+const SETTLES_MS: f64 = 3000.0;
+
+/// When the first trouble began and the last one ended, in ms; words of operators and bursts of clients are none.
+fn span(lines: &[Line]) -> (f64, f64) {
+    let times = |wanted: bool| {
+        lines.iter().filter_map(move |line| match &line.what {
+            What::Trouble { name, begins }
+                if *begins == wanted && !["said", "burst"].contains(&name.as_str()) =>
+            {
+                Some(line.at_ms)
+            }
+            _ => None,
+        })
+    };
+    (times(true).fold(f64::INFINITY, f64::min), times(false).fold(f64::NEG_INFINITY, f64::max))
+}
+
 fn set_last<'a>(ops: &mut BTreeMap<&'a str, Op<'a>>, op: &str, how: &'a str) {
     if let Some(op) = ops.get_mut(op) {
         op.last = how;
@@ -144,7 +191,12 @@
                 let _ = writeln!(text, "    and {} more", rule.broken.len() - 5);
             }
         }
-        let tables = [("workload", &self.workloads), ("customer", &self.customers), ("shape", &self.shapes)];
+        let tables = [
+            ("workload", &self.workloads),
+            ("customer", &self.customers),
+            ("shape", &self.shapes),
+            ("phase", &self.phases),
+        ];
         for (title, rows) in tables.into_iter().filter(|(_, rows)| !rows.is_empty()) {
             let _ = writeln!(
                 text,
@@ -178,6 +230,21 @@
                 );
             }
         }
+        if let Some(planned) = &self.planned {
+            let _ = writeln!(
+                text,
+                "\nplans: {} changes, {:.4} of completions had their home near",
+                planned.changes, planned.near
+            );
+            for (zone, most, first_ms, back_ms) in &planned.zones {
+                let back = back_ms.map_or("not back".to_owned(), |ms| format!("back at {:.1} s", ms / 1e3));
+                let _ = writeln!(
+                    text,
+                    "    {zone}: at most {most:.2} moved, first at {:.1} s, {back}",
+                    first_ms / 1e3
+                );
+            }
+        }
         let names: Vec<_> = self.troubles.iter().map(|(name, times)| format!("{name} x{times}")).collect();
         let _ =
             writeln!(text, "\ntroubles: {}", if names.is_empty() { "none".into() } else { names.join(", ") });
--- a/crates/day/tests/judge.rs
+++ b/crates/day/tests/judge.rs
@@ -30,6 +30,7 @@
         ],
         shapes: Vec::new(),
         fellows: None,
+        zones: None,
     }
 }
 
--- a/crates/drill/src/wire.rs
+++ b/crates/drill/src/wire.rs
@@ -320,6 +320,7 @@
                     prefix_tokens,
                     max_tokens,
                     answer_hint_ms: hint.filter(|_| bits & 1 != 0).map(|hint| hint * 1e3),
+                    near: None,
                     client_retry: bits & 2 != 0,
                     resumed: bits & 16 != 0,
                 })
--- a/crates/emulator/src/record.rs
+++ b/crates/emulator/src/record.rs
@@ -101,6 +101,20 @@
         deaf_to: Vec<usize>,
         unheard_by: Vec<usize>,
     },
+    /// What a router said of failover, asked at that time and heard at the line's: the page and plan in force, which share
+    /// of which zone's sessions has its home where, what it makes of each zone, and what each asks for and can take.
+    Plan {
+        router: usize,
+        asked_ms: f64,
+        mind: String,
+        page: u64,
+        plan: u64,
+        moves: Vec<(String, String, f64)>,
+        verdicts: Vec<(String, String)>,
+        rooms: Vec<(String, f64, f64)>,
+        completions: u64,
+        moved: u64,
+    },
     /// A client's request left whole; it waits until the deadline.
     Asked {
         op: String,
--- a/crates/failover/src/evidence.rs
+++ b/crates/failover/src/evidence.rs
@@ -1,13 +1,16 @@
 //! What routers saw of zones: fading counts of what their own dispatches met, summed by who saw it from where.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
+use crate::verdict::{sight, Sight};
+use crate::words::Saying;
 use crate::Zone;
 
 /// What dispatches to one zone met, in dispatches of late; halves in a time that the caller sets.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "Small", into = "Small")]
 pub struct Seen {
     /// First tokens in target, and after it.
     pub in_target: f32,
@@ -18,14 +21,18 @@
     pub broken: f32,
     /// Turned away for want of room.
     pub full: f32,
-    /// Servers listed, and those of them that may be used.
+    /// Answers to mere questions, asked where no dispatch goes.
+    pub answered: f32,
+    /// Share of their room that its servers say is in use, of the role that has least left; 0 where none said.
+    pub load: f32,
+    /// Servers listed, and those of them that may be used. None listed: there were some, and the list has dropped all.
     pub listed: u16,
     pub usable: u16,
 }
 
 impl Seen {
     pub fn tried(&self) -> f32 {
-        self.in_target + self.late + self.refused + self.silent + self.broken + self.full
+        self.in_target + self.late + self.refused + self.silent + self.broken + self.full + self.answered
     }
 
     /// That nobody was there, or nothing came.
@@ -41,6 +48,7 @@
             &mut self.silent,
             &mut self.broken,
             &mut self.full,
+            &mut self.answered,
         ] {
             *count *= by;
         }
@@ -53,6 +61,7 @@
         self.silent += other.silent;
         self.broken += other.broken;
         self.full += other.full;
+        self.answered += other.answered;
         // What is listed is the same for all; the most that anyone knows of.
         self.listed = self.listed.max(other.listed);
         self.usable = self.usable.max(other.usable);
@@ -60,13 +69,47 @@
 
     /// No number that is not one, none below 0, none beyond what a router could have tried.
     fn sound(&self) -> bool {
-        let counts = [self.in_target, self.late, self.refused, self.silent, self.broken, self.full];
+        let Seen { in_target, late, refused, silent, broken, full, answered, load, .. } = *self;
+        let counts = [in_target, late, refused, silent, broken, full, answered, load];
         counts.iter().all(|count| count.is_finite() && (0.0..=COUNT_MAX).contains(count))
     }
 }
 
+/// How it stands on the wire: counts by their logarithm, a byte each, so that 30 zones fit a datagram and what hardly
+/// changed stays the same.
+#[derive(Serialize, Deserialize)]
+struct Small([u8; 8], u16, u16);
+
+/// Steps of a count for each doubling.
+const STEPS: f32 = 6.0;
+
+fn small(count: f32) -> u8 {
+    (STEPS * (1.0 + count.max(0.0)).log2()).round().min(255.0) as u8
+}
+
+fn large(step: u8) -> f32 {
+    (f32::from(step) / STEPS).exp2() - 1.0
+}
+
+impl From<Seen> for Small {
+    fn from(seen: Seen) -> Self {
+        let Seen { in_target, late, refused, silent, broken, full, answered, load, listed, usable } = seen;
+        let counts = [in_target, late, refused, silent, broken, full, answered].map(small);
+        let [a, b, c, d, e, f, g] = counts;
+        Small([a, b, c, d, e, f, g, (load.clamp(0.0, 2.0) * 100.0).round() as u8], listed, usable)
+    }
+}
+
+impl From<Small> for Seen {
+    fn from(Small([a, b, c, d, e, f, g, load], listed, usable): Small) -> Self {
+        let [in_target, late, refused, silent, broken, full, answered] = [a, b, c, d, e, f, g].map(large);
+        let load = f32::from(load) / 100.0;
+        Seen { in_target, late, refused, silent, broken, full, answered, load, listed, usable }
+    }
+}
+
 /// Dispatches of late beyond which a count is not believed.
-const COUNT_MAX: f32 = 1e6;
+const COUNT_MAX: f32 = 1e7;
 /// Most zones of a row.
 const ZONES_MAX: usize = 64;
 
@@ -75,6 +118,10 @@
 pub struct Row {
     pub from: u8,
     pub seen: Vec<(u8, Seen)>,
+    /// Completions of late whose sessions have their home in a zone while no plan is in force.
+    pub homes: Vec<(u8, f32)>,
+    /// Operators' words that it knows of.
+    pub words: Vec<Saying>,
 }
 
 /// Bytes that are no row.
@@ -95,7 +142,11 @@
     pub fn read(bytes: &[u8]) -> Result<Row, NoRow> {
         let row: Row = postcard::from_bytes(bytes).map_err(|_| NoRow)?;
         let ordered = row.seen.windows(2).all(|pair| pair[0].0 < pair[1].0);
-        let sound = row.seen.len() <= ZONES_MAX && ordered && row.seen.iter().all(|(_, seen)| seen.sound());
+        let counted = |(_, count): &(u8, f32)| count.is_finite() && (0.0..=COUNT_MAX).contains(count);
+        let sound = row.seen.len().max(row.homes.len()).max(row.words.len()) <= ZONES_MAX
+            && ordered
+            && row.seen.iter().all(|(_, seen)| seen.sound())
+            && row.homes.iter().all(counted);
         if sound {
             Ok(row)
         } else {
@@ -108,6 +159,11 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Matrix {
     pub seen: BTreeMap<(Zone, Zone), (Seen, usize)>,
+    /// Completions of late by the home of their sessions, and the load of each zone as the middle one heard of it.
+    pub homes: BTreeMap<Zone, f64>,
+    pub loads: BTreeMap<Zone, f64>,
+    /// Zones of which most routers that know of servers there have none on their list.
+    pub off: BTreeSet<Zone>,
 }
 
 /// Most that one router counts for, as a part of what all saw from its zone: the median of the others' dispatches by
@@ -119,18 +175,39 @@
     /// The sum of all rows, whatever their order.
     pub fn of<'a>(rows: impl IntoIterator<Item = &'a Row>) -> Matrix {
         let mut by: BTreeMap<(Zone, Zone), Vec<Seen>> = BTreeMap::new();
+        let mut homes: BTreeMap<Zone, Vec<f64>> = BTreeMap::new();
+        let mut loads: BTreeMap<Zone, Vec<f64>> = BTreeMap::new();
+        let mut lists: BTreeMap<Zone, (usize, usize)> = BTreeMap::new();
         for row in rows {
             for (of, seen) in &row.seen {
                 by.entry((Zone(row.from), Zone(*of))).or_default().push(*seen);
+                let (none, all) = lists.entry(Zone(*of)).or_default();
+                (*none, *all) = (*none + usize::from(seen.listed == 0), *all + 1);
+                if seen.load > 0.0 {
+                    loads.entry(Zone(*of)).or_default().push(f64::from(seen.load));
+                }
+            }
+            for (of, count) in &row.homes {
+                homes.entry(Zone(*of)).or_default().push(f64::from(*count));
             }
         }
-        let mut matrix = Matrix::default();
+        // Sorted, so that sums come out the same in whatever order the rows came.
+        let sorted = |mut all: Vec<f64>| {
+            all.sort_by(f64::total_cmp);
+            all
+        };
+        let mut matrix = Matrix {
+            homes: homes.into_iter().map(|(zone, all)| (zone, sorted(all).iter().sum())).collect(),
+            off: lists.into_iter().filter(|(_, (none, all))| 2 * none > *all).map(|(zone, _)| zone).collect(),
+            loads: loads.into_iter().map(|(zone, all)| (zone, sorted(all.clone())[all.len() / 2])).collect(),
+            ..Matrix::default()
+        };
         for (key, mut all) in by {
             // Sorted by all they hold, so that sums of fractions come out the same everywhere.
             all.sort_by(|a, b| {
                 let figures = |seen: &Seen| {
-                    [seen.in_target, seen.late, seen.refused, seen.silent, seen.broken, seen.full]
-                        .map(f32::to_bits)
+                    let Seen { in_target, late, refused, silent, broken, full, answered, .. } = *seen;
+                    [in_target, late, refused, silent, broken, full, answered].map(f32::to_bits)
                 };
                 figures(a).cmp(&figures(b)).then((a.listed, a.usable).cmp(&(b.listed, b.usable)))
             });
@@ -151,10 +228,15 @@
         matrix
     }
 
-    /// From which zones anybody says anything.
-    pub fn observers(&self) -> Vec<Zone> {
-        let mut zones: Vec<Zone> = self.seen.keys().map(|(from, _)| *from).collect();
-        zones.dedup();
-        zones
+    /// Whether anybody finds a zone dead.
+    pub fn dead(&self, of: Zone) -> bool {
+        let rows = self.seen.iter().filter(|((_, zone), _)| *zone == of);
+        rows.into_iter().any(|(_, row)| sight(Some(row)) == Sight::Dead)
+    }
+
+    /// Dispatches to a zone of late that were answered, from everywhere.
+    pub fn served(&self, of: Zone) -> f64 {
+        let seen = self.seen.iter().filter(|((_, zone), _)| *zone == of);
+        seen.map(|(_, (seen, _))| f64::from(seen.in_target + seen.late)).sum()
     }
 }
--- a/crates/failover/src/lib.rs
+++ b/crates/failover/src/lib.rs
@@ -1,16 +1,23 @@
 //! Failover between zones and regions: what each router saw of each zone ([`Row`]), what that comes to ([`judge`]), and
 //! which share of a zone's sessions has its home where ([`Plan`]). Pure: no socket, clock, log or chance.
 //!
-//! Not yet wired to a running router: the plan is to travel on the page of `paddleproxy-peers` and to reach the
-//! decisions through `paddleproxy-membership`. `docs/design/failover.md` says what stands and what is open.
+//! [`Desk`] holds all of one router: it is told what dispatches met and what fellows' rows say, and says which zone a
+//! session's home moved to. Rows and plans travel as bytes with `paddleproxy-peers`; `docs/design/failover.md` has the
+//! options and tables.
 
+pub mod desk;
 pub mod evidence;
+pub mod homes;
 pub mod plan;
 pub mod verdict;
+pub mod words;
 
+pub use desk::{Agreed, Desk, Met, Rules};
 pub use evidence::{Matrix, Row, Seen};
+pub use homes::Homes;
 pub use plan::{Bounds, Hands, Plan, Word};
 pub use verdict::{judge, Verdict};
+pub use words::{Saying, Sayings};
 
 use serde::{Deserialize, Serialize};
 
@@ -36,6 +43,18 @@
         self.regions.get(usize::from(a.0)) == self.regions.get(usize::from(b.0))
     }
 
+    /// How far each zone is from each: 0 is itself, then the order in which its overflow goes.
+    pub fn far(&self) -> Vec<Vec<u8>> {
+        let of = |from: Zone| {
+            let mut far = vec![0; self.regions.len()];
+            for (row, to) in self.order(from).into_iter().enumerate() {
+                far[usize::from(to.0)] = row as u8 + 1;
+            }
+            far
+        };
+        self.zones().map(of).collect()
+    }
+
     /// Other zones in the order in which sessions of one go there: its region by cost, then the others by cost.
     pub fn order(&self, from: Zone) -> Vec<Zone> {
         let cost = |to: &Zone| {
--- a/crates/failover/src/plan.rs
+++ b/crates/failover/src/plan.rs
@@ -50,10 +50,21 @@
     pub returning: BTreeMap<u8, bool>,
 }
 
+/// Share of an impaired zone's sessions that stays, so that it is seen how it fares; and the least change.
+const STAYS: f64 = 0.1;
 /// How much slower each flap makes the next return, and the slowest.
 const CALMER: f64 = 0.5;
 const CALMEST: f64 = 1.0 / 32.0;
 
+/// All that one step of a plan goes by.
+struct Case<'a> {
+    before: &'a Plan,
+    map: &'a Map,
+    verdicts: &'a [Verdict],
+    bounds: &'a Bounds,
+    words: &'a BTreeMap<u8, Word>,
+}
+
 impl Plan {
     /// Share of a zone's sessions that moved.
     pub fn moved(&self, from: Zone) -> u16 {
@@ -73,14 +84,17 @@
         from
     }
 
+    /// Share of a zone's sessions that has its home in another.
+    pub fn share(&self, from: Zone, to: Zone) -> f64 {
+        let rows = self.moves.get(&from.0).into_iter().flatten().filter(|(zone, _)| *zone == to.0);
+        rows.map(|(_, share)| f64::from(*share)).sum::<f64>() / f64::from(WHOLE)
+    }
+
     /// What a zone is given by others, in dispatches a second.
     pub fn given(&self, to: Zone, demand: &[f64]) -> f64 {
-        let of = |(from, rows): (&u8, &Vec<(u8, u16)>)| {
-            let share: f64 =
-                rows.iter().filter(|(zone, _)| *zone == to.0).map(|(_, share)| f64::from(*share)).sum();
-            share / f64::from(WHOLE) * demand.get(usize::from(*from)).copied().unwrap_or(0.0)
-        };
-        self.moves.iter().map(of).sum()
+        let of =
+            |from: &u8| self.share(Zone(*from), to) * demand.get(usize::from(*from)).copied().unwrap_or(0.0);
+        self.moves.keys().map(of).sum()
     }
 
     /// The next plan. The same plan, verdicts, bounds and words give the same one, wherever it is made.
@@ -92,6 +106,7 @@
         words: &BTreeMap<u8, Word>,
         hands: &mut Hands,
     ) -> Plan {
+        let case = Case { before: self, map, verdicts, bounds, words };
         let mut plan = Plan { number: self.number + 1, moves: self.moves.clone() };
         for zone in map.zones() {
             let verdict = verdicts.get(usize::from(zone.0)).unwrap_or(&Verdict::Unknown);
@@ -100,19 +115,24 @@
                 (Some(Word::Drain), _) => 1.0,
                 (Some(Word::Return), _) => 0.0,
                 (None, Verdict::Lost) => 1.0,
-                (None, Verdict::Impaired(share)) => 1.0 - share,
+                (None, Verdict::Impaired(share)) => (1.0 - share).min(1.0 - STAYS),
                 // Homes stay: overflow moves completion by completion, as without a plan.
                 (None, Verdict::Well | Verdict::Full) => 0.0,
                 // Without eyes on it, or with a path that is cut, what stands stands.
                 (None, Verdict::CutPath(_) | Verdict::Unknown) => continue,
             };
             let now = f64::from(plan.moved(zone)) / f64::from(WHOLE);
+            let impaired = matches!(verdict, Verdict::Impaired(_)) && !words.contains_key(&zone.0);
+            // What an impaired zone still carries wavers: out by steps that are worth it, back when it is well.
+            if impaired && wanted < now + STAYS {
+                continue;
+            }
             if wanted > now {
                 if hands.returning.insert(zone.0, false) == Some(true) {
                     *hands.flaps.entry(zone.0).or_default() += 1;
                 }
                 let step = (wanted - now).min(bounds.out);
-                plan.push(map, verdicts, bounds, words, zone, step);
+                plan.push(&case, zone, step);
             } else if wanted < now {
                 hands.returning.insert(zone.0, true);
                 let flaps = hands.flaps.get(&zone.0).copied().unwrap_or(0);
@@ -128,36 +148,35 @@
         plan
     }
 
-    /// Room that a zone has for others' sessions.
-    fn room(&self, bounds: &Bounds, verdicts: &[Verdict], words: &BTreeMap<u8, Word>, to: Zone) -> f64 {
+    /// Room that a zone has for others' sessions. Pages of neighbouring numbers are in force side by side for up to a
+    /// lease, so each zone of origin counts with the larger of what it gives by this plan and by the one before.
+    fn room(&self, case: &Case, to: Zone) -> f64 {
         let at = usize::from(to.0);
-        let takes = verdicts.get(at) == Some(&Verdict::Well) && words.get(&to.0) != Some(&Word::Drain);
+        let takes =
+            case.verdicts.get(at) == Some(&Verdict::Well) && case.words.get(&to.0) != Some(&Word::Drain);
         let of = |rows: &[f64]| rows.get(at).copied().unwrap_or(0.0);
         // A zone whose own sessions are away or coming back takes nobody else's.
         if !takes || self.moved(to) > 0 {
             return 0.0;
         }
+        let bounds = case.bounds;
         let free = (of(&bounds.capacity) - of(&bounds.demand)).max(0.0) * (1.0 - bounds.reserve);
-        (free - self.given(to, &bounds.demand)).max(0.0)
+        let given = |(from, demand): (usize, &f64)| {
+            let from = Zone(from as u8);
+            self.share(from, to).max(case.before.share(from, to)) * demand
+        };
+        (free - bounds.demand.iter().enumerate().map(given).sum::<f64>()).max(0.0)
     }
 
     /// Moves a further share of a zone's sessions, as far as the others have room; the rest stays and is refused near.
-    fn push(
-        &mut self,
-        map: &Map,
-        verdicts: &[Verdict],
-        bounds: &Bounds,
-        words: &BTreeMap<u8, Word>,
-        from: Zone,
-        share: f64,
-    ) {
-        let demand = bounds.demand.get(usize::from(from.0)).copied().unwrap_or(0.0).max(1e-9);
+    fn push(&mut self, case: &Case, from: Zone, share: f64) {
+        let demand = case.bounds.demand.get(usize::from(from.0)).copied().unwrap_or(0.0).max(1e-9);
         let mut left = (share * f64::from(WHOLE)).round() as u16;
-        for to in map.order(from) {
+        for to in case.map.order(from) {
             if left == 0 {
                 return;
             }
-            let room = self.room(bounds, verdicts, words, to) / demand * f64::from(WHOLE);
+            let room = self.room(case, to) / demand * f64::from(WHOLE);
             let takes = left.min(room.floor().min(f64::from(WHOLE)) as u16);
             if takes == 0 {
                 continue;
--- a/crates/failover/src/verdict.rs
+++ b/crates/failover/src/verdict.rs
@@ -1,10 +1,12 @@
 //! What the joined evidence says of each zone.
 
+use serde::Serialize;
+
 use crate::evidence::{Matrix, Seen};
 use crate::{Map, Zone};
 
 /// How a zone is.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub enum Verdict {
     Well,
     /// Its own routers find it well; these zones can't reach it. Each side serves its own, nobody evacuates.
@@ -29,13 +31,13 @@
 const FULL: f32 = 0.3;
 
 #[derive(Clone, Copy, PartialEq)]
-enum Sight {
+pub(crate) enum Sight {
     Nothing,
     Dead,
     Reached,
 }
 
-fn sight(seen: Option<&(Seen, usize)>) -> Sight {
+pub(crate) fn sight(seen: Option<&(Seen, usize)>) -> Sight {
     match seen {
         Some((seen, _)) if seen.tried() >= LEAST => {
             if seen.dead() / seen.tried() >= DEAD {
@@ -62,6 +64,10 @@
 
 fn of(map: &Map, matrix: &Matrix, speaking: &[Zone], zone: Zone) -> Verdict {
     let from = |observer: Zone| matrix.seen.get(&(observer, zone));
+    // The list, as sockets let it stand, has none of its servers any more.
+    if matrix.off.contains(&zone) {
+        return Verdict::Lost;
+    }
     let own = if speaking.contains(&zone) { sight(from(zone)) } else { Sight::Nothing };
     let others: Vec<Zone> = map.zones().filter(|other| *other != zone && speaking.contains(other)).collect();
     let which =
@@ -72,6 +78,8 @@
         Sight::Reached if !dead.is_empty() => return Verdict::CutPath(dead),
         Sight::Dead if reached.is_empty() => return Verdict::Lost,
         Sight::Dead => return Verdict::Impaired(0.5),
+        // Its own routers can speak and have not looked: they are about to, since somebody finds it dead.
+        Sight::Nothing if !dead.is_empty() && speaking.contains(&zone) => return Verdict::Unknown,
         // A step away from near needs witnesses of two zones, or of all that can still speak.
         Sight::Nothing if !dead.is_empty() && reached.is_empty() => {
             let enough = dead.len() >= 2 || dead.len() == others.len();
@@ -81,21 +89,25 @@
         Sight::Nothing if reached.is_empty() => return Verdict::Unknown,
         _ => {}
     }
-    let mut sum = Seen::default();
-    for observer in others.into_iter().chain([zone]).filter(|o| sight(from(*o)) == Sight::Reached) {
-        if let Some((seen, _)) = from(observer) {
-            sum.in_target += seen.in_target;
-            sum.late += seen.late + seen.dead();
-            sum.full += seen.full;
-        }
-    }
-    let answered = (sum.in_target + sum.late).max(1e-6);
-    let share = sum.in_target / answered;
-    if sum.full / (answered + sum.full) >= FULL {
+    // Slow or failing for all: its own routers among them, where any speak. Who sees it well from anywhere sees that it
+    // is the way there that is bad.
+    let share = |observer: Zone| {
+        let (seen, _) = from(observer)?;
+        let answered = seen.in_target + seen.late + seen.dead();
+        (answered >= LEAST).then(|| (seen.in_target / answered, seen.full / (answered + seen.full)))
+    };
+    let all: Vec<(f32, f32)> = others.iter().chain([&zone]).filter_map(|observer| share(*observer)).collect();
+    let unheard = speaking.contains(&zone) && share(zone).is_none();
+    if all.is_empty() {
+        // Mere questions were answered and hardly a dispatch went there: it is there, and nothing speaks against it.
+        Verdict::Well
+    } else if all.iter().all(|(_, full)| *full >= FULL) {
         Verdict::Full
-    } else if share < GOOD {
-        Verdict::Impaired(f64::from(share))
-    } else {
+    } else if !all.iter().all(|(good, _)| *good < GOOD) {
         Verdict::Well
+    } else if unheard {
+        Verdict::Unknown
+    } else {
+        Verdict::Impaired(f64::from(all.iter().map(|(good, _)| *good).fold(0.0, f32::max)))
     }
 }
--- /dev/null
+++ b/crates/failover/tests/desks.rs
@@ -0,0 +1,389 @@
+//! Desks of several routers with one page between them, in virtual time.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use paddleproxy::interface::*;
+use paddleproxy::Control;
+use paddleproxy_failover::plan::WHOLE;
+use paddleproxy_failover::{Desk, Homes, Map, Met, Row, Rules, Saying, Sayings, Verdict, Word, Zone};
+
+const ZONES: usize = 3;
+const EACH: usize = 4;
+
+fn name(zone: usize, server: usize) -> WorkerId {
+    WorkerId(Arc::from(format!("z{zone}-m{server}")))
+}
+
+fn listing(zone: usize, server: usize) -> Listing {
+    Listing {
+        worker: name(zone, server),
+        zone: ZoneId(zone),
+        kind: KindId(0),
+        cell: CellId(zone as u32),
+        readiness: Readiness::Ready,
+        weight: 1.0,
+        started_ms: None,
+    }
+}
+
+fn all() -> Vec<Listing> {
+    (0..ZONES * EACH).map(|row| listing(row / EACH, row % EACH)).collect()
+}
+
+fn rules(place: usize) -> Rules {
+    let costs = vec![vec![0.0, 1.0, 5.0], vec![1.0, 0.0, 5.0], vec![5.0, 5.0, 0.0]];
+    Rules {
+        map: Map { regions: vec![0, 0, 1], costs },
+        own: Zone((place % ZONES) as u8),
+        place: place as u16,
+        lease_ms: 1500.0,
+        reserve: 0.25,
+        out: 0.5,
+        back: 0.1,
+        weights_act: true,
+        alone: false,
+        told: false,
+        roles: vec![Role::Mixed],
+    }
+}
+
+/// Routers that hear each other and go by one page; what a dispatch meets is `meets(from, to)`.
+struct Fleet {
+    desks: Vec<Desk>,
+    now_ms: f64,
+    page: (u64, Vec<u8>),
+    /// Whether servers say what room they have.
+    reports: bool,
+    /// Plans that moved somebody or brought somebody back, and when.
+    changes: Vec<f64>,
+}
+
+impl Fleet {
+    fn new() -> Fleet {
+        let desk = |place| {
+            let mut desk = Desk::new(0.0, rules(place));
+            desk.listed(ListKind::Whole, &all());
+            desk
+        };
+        Fleet {
+            desks: (0..9).map(desk).collect(),
+            now_ms: 0.0,
+            page: (1, Vec::new()),
+            reports: true,
+            changes: Vec::new(),
+        }
+    }
+
+    /// Half a second: ten completions at each router, then rows, then perhaps another page.
+    fn step(&mut self, meets: impl Fn(Zone, usize) -> Met) {
+        self.now_ms += 500.0;
+        let now_ms = self.now_ms;
+        for (place, desk) in self.desks.iter_mut().enumerate() {
+            let own = Zone((place % ZONES) as u8);
+            for n in 0..10u64 {
+                let session = SessionId(
+                    (now_ms as u64 * 31 + n * 17 + place as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15),
+                );
+                let home = desk.near(now_ms, session);
+                let zone = home.map_or((n as usize + place) % ZONES, |zone| zone.0);
+                let server = name(zone, n as usize % EACH);
+                desk.met(now_ms, &server, meets(own, zone));
+                if self.reports {
+                    desk.reported(now_ms, &server, 0.2);
+                }
+            }
+            for server in desk.asks(now_ms as u64) {
+                let zone = (0..ZONES).find(|zone| (0..EACH).any(|s| name(*zone, s) == server)).unwrap();
+                let met = match meets(own, zone) {
+                    Met::InTarget | Met::Late => Met::Answered,
+                    other => other,
+                };
+                desk.met(now_ms, &server, met);
+            }
+        }
+        let rows: Vec<Row> =
+            self.desks.iter_mut().map(|desk| Row::read(&desk.row(now_ms).bytes()).unwrap()).collect();
+        for desk in &mut self.desks {
+            desk.hear(now_ms, &rows);
+        }
+        let speaking: Vec<Zone> = (0..ZONES as u8).map(Zone).collect();
+        let pages: Vec<Vec<u8>> = self
+            .desks
+            .iter_mut()
+            .map(|desk| desk.next(now_ms, &self.page.1.clone(), &rows, &speaking))
+            .collect();
+        // Who has the same rows, words and page before makes the same page after; words end at each by its own clock.
+        let said = self.desks.iter().any(|desk| desk.sayings.holding(now_ms - 1000.0).next().is_some());
+        assert!(said || pages.iter().all(|page| *page == pages[0]), "at {now_ms} ms");
+        if pages[0] != self.page.1 && (now_ms as u64).is_multiple_of(2500) {
+            self.page = (self.page.0 + 1, pages[0].clone());
+            let (number, extra) = (self.page.0, self.page.1.clone());
+            let moved = self
+                .desks
+                .iter_mut()
+                .map(|desk| desk.force(Some((number, &extra))))
+                .fold(false, |a, b| a | b);
+            if moved {
+                self.changes.push(now_ms);
+            }
+        }
+    }
+
+    fn moved(&self, zone: u8) -> u16 {
+        self.desks[0].agreed().map_or(0, |agreed| agreed.plan.moved(Zone(zone)))
+    }
+}
+
+fn well(_: Zone, _: usize) -> Met {
+    Met::InTarget
+}
+
+fn lost(_: Zone, to: usize) -> Met {
+    if to == 2 {
+        Met::Refused
+    } else {
+        Met::InTarget
+    }
+}
+
+#[test]
+fn a_lost_zone_is_left_and_comes_back_step_by_step() {
+    let mut fleet = Fleet::new();
+    (0..20).for_each(|_| fleet.step(well));
+    assert_eq!(fleet.page.0, 1, "calm days change no page");
+    (0..40).for_each(|_| fleet.step(lost));
+    assert_eq!(fleet.moved(2), WHOLE);
+    assert_eq!(fleet.desks[0].last.verdicts[2], Verdict::Lost);
+    let out = fleet.changes.len();
+    assert_eq!(out, 2, "in two steps of a half");
+    let back_ms = fleet.now_ms;
+    (0..100).for_each(|_| fleet.step(well));
+    assert_eq!(fleet.moved(2), 0);
+    assert_eq!(fleet.changes.len() - out, 10);
+    let first = fleet.changes[out] - back_ms;
+    assert!(first >= 6000.0, "well for four leases first, came back after {first} ms");
+}
+
+#[test]
+fn a_cut_path_moves_nobody() {
+    let mut fleet = Fleet::new();
+    (0..20).for_each(|_| fleet.step(well));
+    let cut = |from: Zone, to: usize| if to == 2 && from != Zone(2) { Met::Silent } else { Met::InTarget };
+    (0..80).for_each(|_| fleet.step(cut));
+    assert_eq!(fleet.page.0, 1);
+    assert!(matches!(fleet.desks[4].last.verdicts[2], Verdict::CutPath(_)));
+}
+
+#[test]
+fn a_zone_that_flaps_goes_out_at_once_and_stays_out() {
+    let mut fleet = Fleet::new();
+    (0..20).for_each(|_| fleet.step(well));
+    for _ in 0..10 {
+        (0..6).for_each(|_| fleet.step(lost));
+        (0..6).for_each(|_| fleet.step(well));
+    }
+    // A minute of it: at most the two steps out.
+    assert!(fleet.changes.len() <= 3, "{:?}", fleet.changes);
+    assert!(fleet.moved(2) >= WHOLE / 2);
+}
+
+#[test]
+fn everything_dead_everywhere_moves_nobody() {
+    let mut fleet = Fleet::new();
+    (0..20).for_each(|_| fleet.step(well));
+    (0..40).for_each(|_| fleet.step(|_, _| Met::Silent));
+    assert_eq!(fleet.page.0, 1);
+    assert!(fleet.desks[0].last.verdicts.iter().all(|verdict| *verdict == Verdict::Unknown));
+}
+
+#[test]
+fn one_router_that_finds_everything_dead_moves_nobody() {
+    let mut fleet = Fleet::new();
+    (0..20).for_each(|_| fleet.step(well));
+    for _ in 0..40 {
+        let now_ms = fleet.now_ms;
+        for server in 0..200 {
+            fleet.desks[4].met(now_ms, &name(server % ZONES, server % EACH), Met::Silent);
+        }
+        fleet.step(well);
+    }
+    assert_eq!(fleet.page.0, 1);
+}
+
+#[test]
+fn what_nobody_measured_takes_nothing() {
+    let mut fleet = Fleet::new();
+    // As if no server said anything of its room.
+    fleet.reports = false;
+    (0..60).for_each(|_| fleet.step(lost));
+    assert_eq!(fleet.desks[0].last.verdicts[2], Verdict::Lost);
+    assert_eq!(fleet.moved(2), 0);
+}
+
+#[test]
+fn an_operators_word_wins_is_told_to_all_and_ends() {
+    let mut fleet = Fleet::new();
+    (0..20).for_each(|_| fleet.step(well));
+    let now_ms = fleet.now_ms;
+    fleet.desks[7].sayings.say(now_ms, 7, 1, Word::Drain, 20_000.0);
+    (0..24).for_each(|_| fleet.step(well));
+    assert_eq!(fleet.moved(1), WHOLE, "a healthy zone moves by a word");
+    (0..120).for_each(|_| fleet.step(well));
+    assert_eq!(fleet.moved(1), 0, "and comes back once it has ended");
+    // Held, a lost zone's sessions stay.
+    let now_ms = fleet.now_ms;
+    fleet.desks[3].sayings.say(now_ms, 3, 2, Word::Hold, 600_000.0);
+    (0..40).for_each(|_| fleet.step(lost));
+    assert_eq!(fleet.moved(2), 0);
+}
+
+#[test]
+fn a_lease_that_lapses_leaves_homes_where_hashes_say() {
+    let mut fleet = Fleet::new();
+    (0..20).for_each(|_| fleet.step(well));
+    (0..40).for_each(|_| fleet.step(lost));
+    let now_ms = fleet.now_ms;
+    let desk = &mut fleet.desks[1];
+    let sessions: Vec<SessionId> =
+        (0..500u64).map(|n| SessionId(n.wrapping_mul(0x9e37_79b9_7f4a_7c15))).collect();
+    let away = |desk: &mut Desk| sessions.iter().filter(|s| desk.near(now_ms, **s).is_some()).count();
+    assert!(away(desk) > 100);
+    assert!(desk.force(None));
+    assert_eq!(away(desk), 0);
+    assert_eq!(desk.forced(), None);
+}
+
+#[test]
+fn words_are_registers_in_which_the_newest_stamp_wins() {
+    let (mut a, mut b) = (Sayings::default(), Sayings::default());
+    let first = a.say(0.0, 4, 1, Word::Drain, 1000.0);
+    assert!(b.hear(50.0, first, f64::from(first.for_ms)));
+    assert!(!b.hear(60.0, first, f64::from(first.for_ms)), "known");
+    let second = b.say(100.0, 2, 1, Word::Return, 5000.0);
+    assert!(second.stamp > first.stamp);
+    assert!(a.hear(110.0, second, f64::from(second.for_ms)));
+    assert!(!a.hear(120.0, first, 1000.0), "an older word never comes back");
+    assert_eq!(a.words(120.0), b.words(120.0));
+    // It ends at each by its own clock, and is not heard anew from one that still holds it.
+    assert!(b.words(5101.0).is_empty());
+    assert!(!b.hear(5105.0, second, f64::from(second.for_ms)));
+    assert!(b.words(5106.0).is_empty());
+    // Two at once: the same one wins everywhere, in either order.
+    let (one, two) = (a.say(6000.0, 4, 1, Word::Hold, 1e6), b.say(6000.0, 2, 1, Word::Drain, 1e6));
+    a.hear(6010.0, two, 1e6);
+    b.hear(6010.0, one, 1e6);
+    assert_eq!(a.words(6020.0), b.words(6020.0));
+    assert_eq!(a.words(6020.0), BTreeMap::from([(1, Word::Hold)]));
+    let bad = Saying { for_ms: f32::NAN, ..one };
+    assert!(!Sayings::default().hear(0.0, bad, 5.0));
+}
+
+/// The desk's origin of a session is the zone in which the module has its home.
+#[test]
+fn origins_are_the_modules_homes() {
+    for weights_act in [false, true] {
+        let rows: Vec<Listing> = all()
+            .into_iter()
+            .enumerate()
+            .map(|(n, row)| Listing { weight: [1.0, 0.5, 3.0][n % 3], ..row })
+            .collect();
+        let mut homes = Homes::new(weights_act);
+        homes.listed(ListKind::Whole, &rows, |_| true);
+        let mut control = Control::new(settings(weights_act), 7);
+        let mut actions = Vec::new();
+        control.handle(0.0, &Event::Listed { kind: ListKind::Whole, rows: rows.into() }, &mut actions);
+        for id in 1..=300u32 {
+            let session = SessionId(u64::from(id) * 7919);
+            actions.clear();
+            control.handle(0.0, &Event::Arrived(facts(id, session)), &mut actions);
+            let sent = actions.iter().find_map(|action| match action {
+                Action::Dispatch { worker, .. } => Some(worker.0.to_string()),
+                _ => None,
+            });
+            let zone = homes.origin(session).unwrap();
+            assert!(sent.unwrap().starts_with(&format!("z{}", zone.0)), "session {id}");
+            let (completion, seq) = (CompletionId(id), Seq(0));
+            let outcome = Outcome::Finished;
+            let ended = Event::Ended { completion, seq, took_ms: 1.0, over: true, outcome, kept_tokens: 0.0 };
+            control.handle(0.0, &ended, &mut actions);
+        }
+    }
+}
+
+#[test]
+fn a_zone_off_the_list_is_remembered_and_one_that_shrinks_is_not() {
+    let mut homes = Homes::new(false);
+    homes.listed(ListKind::Whole, &all(), |_| true);
+    let sessions: Vec<SessionId> = (0..600u64).map(|n| SessionId(n * 7919)).collect();
+    let origins = |homes: &Homes| sessions.iter().map(|s| homes.origin(*s)).collect::<Vec<_>>();
+    let before = origins(&homes);
+    let gone = |zone: usize, servers: std::ops::Range<usize>| -> Vec<Listing> {
+        servers.map(|s| Listing { readiness: Readiness::Gone, ..listing(zone, s) }).collect()
+    };
+    homes.listed(ListKind::Changes, &gone(2, 0..EACH), |_| true);
+    assert_eq!(origins(&homes), before, "its sessions are its own while it is out");
+    let without: Vec<Listing> = all().into_iter().filter(|row| row.zone != ZoneId(2)).collect();
+    homes.listed(ListKind::Whole, &without, |_| true);
+    assert_eq!(origins(&homes), before);
+    homes.listed(ListKind::Whole, &all(), |_| true);
+    assert_eq!(origins(&homes), before);
+    homes.listed(ListKind::Changes, &gone(1, 0..1), |_| true);
+    assert_ne!(origins(&homes), before, "one server less is no zone lost: its sessions have other homes");
+}
+
+fn facts(completion: u32, session: SessionId) -> Arrival {
+    Arrival {
+        completion: CompletionId(completion),
+        workload: WorkloadId(0),
+        session,
+        prefix: None,
+        customer: None,
+        client_timeout_ms: 4000.0,
+        prompt_tokens: 100.0,
+        prefix_tokens: 0.0,
+        max_tokens: 10.0,
+        answer_hint_ms: None,
+        near: None,
+        client_retry: false,
+        resumed: false,
+    }
+}
+
+fn settings(weights_act: bool) -> Settings {
+    Settings {
+        routers: 1,
+        own_number: 0,
+        zone: Some(ZoneId(0)),
+        workloads: vec![WorkloadSettings {
+            effect: Effect::Idempotent,
+            group: Group::All,
+            window_ms: 0.0,
+            value: 1.0,
+            latency_target_ms: 1000.0,
+            target_per_token_ms: 0.0,
+        }],
+        kinds: vec![KindSettings { role: Role::Mixed, memory_tokens: 160_000.0 }],
+        customers: Vec::new(),
+        over_share_value: 1.0,
+        must_subscribe: false,
+        must_ask_in_ms: 0.0,
+        holds_allowed: false,
+        writers_read: true,
+        probes_allowed: false,
+        cancel_allowed: true,
+        second_copies: true,
+        retry_after: true,
+        max_retry_after_ms: 500.0,
+        max_dispatches: 5,
+        resolution_ms: 2.0,
+        pin_limit_ms: 500.0,
+        fall_multiple: 2.5,
+        fall_ms: 2000.0,
+        cold_share: 0.3,
+        cold_ms: 12_000.0,
+        weights_act,
+        fresh_part: None,
+        far: Vec::new(),
+    }
+}
--- a/crates/peers/src/page.rs
+++ b/crates/peers/src/page.rs
@@ -18,6 +18,8 @@
 /// Most places and things that a page may have.
 pub const PLACES_MAX: usize = 4096;
 pub const THINGS_MAX: usize = 32;
+/// Most bytes that a page may carry for others.
+pub const EXTRA_MAX: usize = 4096;
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Page {
@@ -26,13 +28,19 @@
     pub pieces: u16,
     /// By place.
     pub seats: Vec<Seat>,
+    /// What else was agreed with it, as bytes that are only carried. On the wire it stands behind the letter's words,
+    /// where a version that does not know it passes over it; without any, pages of both are the same.
+    #[serde(skip)]
+    pub extra: Vec<u8>,
 }
 
 impl Page {
     /// Fingerprint by which keepers and holders know that they mean the same page. Two of one number can only come to
     /// be after a majority of the keepers started anew.
     pub fn mark(&self) -> u32 {
-        postcard::to_stdvec(self).map_or(0, |bytes| crc32fast::hash(&bytes))
+        let mut bytes = postcard::to_stdvec(self).unwrap_or_default();
+        bytes.extend(&self.extra);
+        crc32fast::hash(&bytes)
     }
 
     /// Whether its places are in order, its rows alike, and nothing in it adds up to more than the whole.
@@ -43,6 +51,7 @@
         let sum = |thing: usize| self.seats.iter().map(|seat| u64::from(seat.parts[thing])).sum::<u64>();
         let most = |thing: usize| u64::from(if thing == 0 { self.pieces } else { WHOLE });
         self.seats.len() <= PLACES_MAX
+            && self.extra.len() <= EXTRA_MAX
             && things <= THINGS_MAX
             && ordered
             && alike
--- a/crates/peers/src/shares.rs
+++ b/crates/peers/src/shares.rs
@@ -55,7 +55,7 @@
         };
         seats.iter_mut().zip(parts).for_each(|(seat, part)| seat.parts.push(part));
     }
-    Page { number, pieces: pieces as u16, seats }
+    Page { number, pieces: pieces as u16, seats, extra: Vec::new() }
 }
 
 /// Evenly as far as it goes; the rest to those who hold one already, then to those who need most.
@@ -106,7 +106,7 @@
 }
 
 /// Whether another page is worth its while: somebody came, went or started anew, or a share is off by an eighth of
-/// an even one and more.
+/// an even one and more, or what it carries for others is another.
 pub fn differs(now: &Page, wanted: &Page) -> bool {
     let same = now.seats.len() == wanted.seats.len()
         && now.pieces == wanted.pieces
@@ -119,5 +119,5 @@
     let off = |(a, b): (&Seat, &Seat)| {
         a.parts.iter().zip(&b.parts).skip(1).any(|(a, b)| (f64::from(*a) - f64::from(*b)).abs() > slack)
     };
-    !same || now.seats.iter().zip(&wanted.seats).any(off)
+    !same || now.extra != wanted.extra || now.seats.iter().zip(&wanted.seats).any(off)
 }
--- a/crates/peers/src/view/mod.rs
+++ b/crates/peers/src/view/mod.rs
@@ -68,6 +68,13 @@
     Tick,
     /// What this router wants of each thing.
     Need(Needs),
+    /// What the own row carries for others beside its needs, and what the page after that number is to carry if this
+    /// router puts it to the keepers.
+    Carry {
+        row: Vec<u8>,
+        page: Vec<u8>,
+        after: u64,
+    },
     /// Settings count other places now.
     Places(usize),
     Leave,
@@ -173,6 +180,9 @@
     rumours: Rumours,
     keeping: Keeping,
     needs: Needs,
+    /// Bytes that the own row carries, and those for the page after that one.
+    row_extra: Vec<u8>,
+    page_extra: (u64, Vec<u8>),
     row_version: u32,
     proposed_ms: f64,
     calling: Option<(SocketAddr, f64)>,
@@ -224,6 +234,8 @@
             rumours: Rumours::default(),
             keeping,
             needs: Vec::new(),
+            row_extra: Vec::new(),
+            page_extra: (0, Vec::new()),
             row_version: 0,
             proposed_ms: f64::NEG_INFINITY,
             calling: None,
@@ -263,6 +275,7 @@
             Event::CallFailed { to } => self.calling = self.calling.filter(|(at, _)| *at != to),
             Event::Tick => self.tick(),
             Event::Need(needs) => self.need(needs),
+            Event::Carry { row, page, after } => self.carry(row, page, after),
             Event::Places(places) => {
                 if places != self.rules.places && places > usize::from(self.rules.own.0) {
                     self.rules.places = places;
--- a/crates/peers/src/view/sharing.rs
+++ b/crates/peers/src/view/sharing.rs
@@ -43,15 +43,39 @@
 
     /// What this router wants goes to all; the lowest that is here and hears enough puts another page to the keepers.
     pub(super) fn need(&mut self, needs: Needs) {
-        let bytes = postcard::to_stdvec(&needs.iter().map(|need| *need as f32).collect::<Vec<_>>())
-            .unwrap_or_default();
         if self.needs != needs || self.row_version == 0 {
-            self.row(bytes);
+            self.needs = needs;
+            self.say_row();
         }
-        self.needs = needs;
         self.think();
     }
 
+    /// What else the own row and the next page carry.
+    pub(super) fn carry(&mut self, row: Vec<u8>, page: Vec<u8>, after: u64) {
+        if self.row_extra != row {
+            self.row_extra = row;
+            self.say_row();
+        }
+        self.page_extra = (after, page);
+    }
+
+    /// Needs first, then what is carried: who knows nothing of that reads the needs alone.
+    fn say_row(&mut self) {
+        let needs: Vec<f32> = self.needs.iter().map(|need| *need as f32).collect();
+        let mut bytes = postcard::to_stdvec(&needs).unwrap_or_default();
+        bytes.extend(&self.row_extra);
+        self.row(bytes);
+    }
+
+    /// What the rows of those who are here carry beside their needs.
+    pub fn carried(&self) -> impl Iterator<Item = (Place, &[u8])> {
+        let here = self.members.values().filter(|m| m.state.here());
+        here.filter_map(|m| {
+            let (_, rest) = postcard::take_from_bytes::<Vec<f32>>(&m.row.as_ref()?.bytes).ok()?;
+            Some((m.place, rest))
+        })
+    }
+
     pub(super) fn think(&mut self) {
         let now_ms = self.now_ms;
         let lowest = self.members.values().find(|m| m.state.here()).is_none_or(|m| m.place > self.rules.own);
@@ -69,7 +93,12 @@
         }
         let number = self.keeping.next_number();
         let (things, pieces) = (self.rules.things, self.rules.pieces);
-        let page = split(number, &roster, self.keeping.page(), things, pieces);
+        let mut page = split(number, &roster, self.keeping.page(), things, pieces);
+        page.extra = match &self.page_extra {
+            // Worked out from the page that stands; else what stands goes on.
+            (after, extra) if *after == self.keeping.number() => extra.clone(),
+            _ => self.keeping.page().map(|page| page.extra.clone()).unwrap_or_default(),
+        };
         if self.keeping.page().is_some_and(|now| !differs(now, &page))
             && self.keeping.lease_until_ms() > now_ms
         {
@@ -95,6 +124,12 @@
         self.part(usable.as_deref(), until_ms)
     }
 
+    /// What the page carries for others, while a lease on it holds.
+    pub fn agreed(&self, now_ms: f64) -> Option<(u64, &[u8])> {
+        let holds = !self.displaced && self.keeping.usable(now_ms, self.life).is_some();
+        self.keeping.page().filter(|_| holds).map(|page| (page.number, page.extra.as_slice()))
+    }
+
     /// What is left once no lease holds.
     pub fn floor(&self) -> Granted {
         self.part(None, f64::INFINITY)
--- a/crates/peers/src/words.rs
+++ b/crates/peers/src/words.rs
@@ -111,6 +111,22 @@
     },
 }
 
+impl Word {
+    fn page(&self) -> Option<&Page> {
+        match self {
+            Word::Propose { page } | Word::Chosen { page } => Some(page),
+            _ => None,
+        }
+    }
+
+    fn page_mut(&mut self) -> Option<&mut Page> {
+        match self {
+            Word::Propose { page } | Word::Chosen { page } => Some(page),
+            _ => None,
+        }
+    }
+}
+
 /// One datagram or one page of an exchange.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Letter {
@@ -169,6 +185,10 @@
     bytes.extend([0; 4]);
     // Writing plain values to memory can't fail; an empty letter would be refused by its reader.
     let mut bytes = postcard::to_extend(letter, bytes).unwrap_or_default();
+    let extras: Vec<&Vec<u8>> = letter.words.iter().filter_map(Word::page).map(|page| &page.extra).collect();
+    if extras.iter().any(|extra| !extra.is_empty()) {
+        bytes = postcard::to_extend(&extras, bytes).unwrap_or_default();
+    }
     if bytes.len() > HEAD {
         let sum = checksum(&bytes);
         bytes[6..HEAD].copy_from_slice(&sum.to_le_bytes());
@@ -206,7 +226,17 @@
         return Err(Wrong::Deployment);
     }
     // What a newer version may add stands behind the words that this one knows, and is passed over.
-    let (letter, _): (Letter, _) = postcard::take_from_bytes(&bytes[HEAD..]).map_err(|_| Wrong::Words)?;
+    let (mut letter, rest): (Letter, _) =
+        postcard::take_from_bytes(&bytes[HEAD..]).map_err(|_| Wrong::Words)?;
+    if !rest.is_empty() {
+        let (extras, _): (Vec<Vec<u8>>, _) = postcard::take_from_bytes(rest).map_err(|_| Wrong::Words)?;
+        letter
+            .words
+            .iter_mut()
+            .filter_map(Word::page_mut)
+            .zip(extras)
+            .for_each(|(page, extra)| page.extra = extra);
+    }
     let addressed =
         |about: &About| local(about.address) && about.name.len() <= 64 && about.region.len() <= 64;
     let bounded = letter.words.iter().all(|word| match word {
@@ -229,5 +259,6 @@
 
 /// Bytes of one word on the wire.
 pub fn size(word: &Word) -> usize {
-    postcard::experimental::serialized_size(word).unwrap_or(usize::MAX)
+    let extra = word.page().map_or(0, |page| page.extra.len() + 4);
+    postcard::experimental::serialized_size(word).map_or(usize::MAX, |size| size + extra)
 }
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -199,6 +199,7 @@
         // There a weight is a number for comparing, by size or load, that may change with each list.
         weights_act: false,
         fresh_part: None,
+        far: Vec::new(),
     };
     Ok(Provision {
         settings,
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -8,6 +8,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use paddleproxy_failover::words::FOR_MAX_MS;
 use paddleproxy_membership::Word as ListSays;
 use paddleproxy_routing::Reason;
 use serde_json::json;
@@ -15,10 +16,14 @@
 use tokio::sync::oneshot;
 
 use crate::clock::duration;
+use crate::failover::WordFor;
 use crate::front::Front;
 use crate::peers::{self, ToFellows};
 use crate::words::{Status, Told};
 
+/// How long an operator's word on a zone holds where it does not say, in ms.
+const WORD_FOR_MS: f64 = 3_600_000.0;
+
 pub async fn listen(listener: TcpListener, front: Rc<Front>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -56,12 +61,16 @@
             let mut text = metrics(&front, &status);
             if let Some(fellows) = &front.fellows {
                 text.push_str(&view(fellows).await.map(|view| fellows_metrics(&view)).unwrap_or_default());
+                let (sender, receiver) = oneshot::channel();
+                let asked = fellows.send(peers::Ask::Failover(sender)).await;
+                let plan = if asked.is_ok() { receiver.await.ok().flatten() } else { None };
+                text.push_str(&plan.map(|plan| failover_metrics(&plan)).unwrap_or_default());
             }
             (StatusCode::OK, text)
         }
         _ => (
             StatusCode::NOT_FOUND,
-            "known are /healthz, /metrics, /status, /peers, /workers/WORD and /list/accept\n".to_owned(),
+            "known are /healthz, /metrics, /status, /peers, /failover, /failover/WORD, /workers/WORD and /list/accept\n".to_owned(),
         ),
     };
     let mut response = Response::new(Full::new(Bytes::from(text)));
@@ -116,6 +125,18 @@
             None => gone(),
         };
     }
+    if path == "/failover" || path.starts_with("/failover/") {
+        let Some(fellows) = &front.fellows else {
+            return json(
+                StatusCode::NOT_FOUND,
+                json!({ "error": "this router has no 'peers' in its settings" }),
+            );
+        };
+        return match failover(fellows, request).await {
+            Ok(view) => json(StatusCode::OK, view),
+            Err((code, why)) => json(code, json!({ "error": why })),
+        };
+    }
     let word = match path.strip_prefix("/workers/") {
         Some("drain") => Some(ListSays::Drain),
         Some("undrain") => Some(ListSays::Undrain),
@@ -152,6 +173,43 @@
     receiver.await.ok()
 }
 
+/// `GET /failover`, and `POST /failover/hold|drain-zone|return?zone=...&for_ms=...`.
+async fn failover(
+    fellows: &ToFellows,
+    request: &Request<hyper::body::Incoming>,
+) -> Result<serde_json::Value, (StatusCode, String)> {
+    let gone = || (StatusCode::SERVICE_UNAVAILABLE, "the router stops".to_owned());
+    let Some(word) = request.uri().path().strip_prefix("/failover/") else {
+        let (sender, receiver) = oneshot::channel();
+        fellows.send(peers::Ask::Failover(sender)).await.map_err(|_| gone())?;
+        let view = receiver.await.map_err(|_| gone())?;
+        return view
+            .ok_or((StatusCode::NOT_FOUND, "this router has no 'failover' in its settings".to_owned()));
+    };
+    if request.method() != Method::POST {
+        return Err((StatusCode::METHOD_NOT_ALLOWED, "only POST says anything".to_owned()));
+    }
+    let wrong = |why: String| (StatusCode::BAD_REQUEST, why);
+    let word = word.parse().map_err(wrong)?;
+    let query = request.uri().query().unwrap_or_default();
+    let value = |name: &str| {
+        query
+            .split('&')
+            .find_map(|part| part.split_once('=').filter(|(key, _)| *key == name))
+            .map(|(_, value)| value)
+    };
+    let zone = value("zone").unwrap_or_default().to_owned();
+    let for_ms = match value("for_ms").map(str::parse::<f64>) {
+        None => WORD_FOR_MS,
+        Some(Ok(ms)) if (0.0..=FOR_MAX_MS).contains(&ms) => ms,
+        Some(_) => return Err(wrong(format!("for_ms: a time in ms from 0 to {FOR_MAX_MS}"))),
+    };
+    let (sender, receiver) = oneshot::channel();
+    let said = WordFor { zone, word, for_ms };
+    fellows.send(peers::Ask::Word(said, sender)).await.map_err(|_| gone())?;
+    receiver.await.map_err(|_| gone())?.map_err(wrong)
+}
+
 /// Lines on fellows, from the view that operators see.
 fn fellows_metrics(view: &serde_json::Value) -> String {
     let members = view["members"].as_array().map_or(&[][..], Vec::as_slice);
@@ -172,6 +230,30 @@
     text
 }
 
+/// Lines on failover; a plan's number is 0 where none is in force.
+fn failover_metrics(view: &serde_json::Value) -> String {
+    let mut text = String::new();
+    let number = |value: &serde_json::Value| value.as_f64().unwrap_or(0.0);
+    text.push_str(&format!("paddleproxy_failover_plan {}\n", number(&view["plan"])));
+    text.push_str(&format!("paddleproxy_failover_completions_total {}\n", number(&view["completions"])));
+    text.push_str(&format!("paddleproxy_failover_moved_total {}\n", number(&view["moved"])));
+    for row in view["zones"].as_array().into_iter().flatten() {
+        let (zone, verdict) =
+            (row["zone"].as_str().unwrap_or("-"), row["verdict"]["is"].as_str().unwrap_or("-"));
+        let moves = row["moves"].as_array().into_iter().flatten();
+        let moved: f64 = moves.map(|to| number(&to["share"])).sum();
+        text.push_str(&format!("paddleproxy_failover_verdict{{zone=\"{zone}\",verdict=\"{verdict}\"}} 1\n"));
+        text.push_str(&format!("paddleproxy_failover_moved_share{{zone=\"{zone}\"}} {moved}\n"));
+        for (name, value) in [("demand", &row["demand_per_s"]), ("capacity", &row["capacity_per_s"])] {
+            text.push_str(&format!(
+                "paddleproxy_failover_{name}_per_s{{zone=\"{zone}\"}} {}\n",
+                number(value)
+            ));
+        }
+    }
+    text
+}
+
 /// Counts what the process allocates; costs a little on each allocation.
 #[cfg(feature = "allocations")]
 #[global_allocator]
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -9,6 +9,7 @@
 use paddleproxy::interface::*;
 use paddleproxy_engine as wire;
 use paddleproxy_engine::Load;
+use paddleproxy_failover::Met;
 use paddleproxy_membership::{Heard, Membership, Saved, SourceId};
 use paddleproxy_messages::{Answer, ApiError, ErrorKind};
 use paddleproxy_peers::Granted;
@@ -23,6 +24,7 @@
 use crate::clock::{duration, wall_ms, Clock};
 use crate::dispatch::{request_id, Dispatch};
 use crate::engines::Engines;
+use crate::failover::{self, Desked};
 use crate::list::ListWord;
 use crate::peers;
 use crate::state::{Left, State};
@@ -50,6 +52,9 @@
     shared: Option<Granted>,
     floor: Option<Granted>,
     lapses: Option<Instant>,
+    /// Where failover between zones is decided, and the latency targets of open completions for it.
+    desk: Option<Desked>,
+    targets: BTreeMap<CompletionId, f64>,
 }
 
 impl Core {
@@ -86,10 +91,16 @@
             shared: None,
             floor: None,
             lapses: None,
+            desk: None,
+            targets: BTreeMap::new(),
             settings,
         }
     }
 
+    pub fn sit_at(&mut self, desk: Desked) {
+        self.desk = Some(desk);
+    }
+
     /// Before any fellow was heard: what is left to a router without a lease.
     pub fn begin_with(&mut self, floor: Granted) {
         (self.shared, self.floor) = (Some(floor.clone()), Some(floor));
@@ -108,6 +119,9 @@
             }
         }
         info!(servers = rows.len(), "saved list taken");
+        if let Some(desk) = &self.desk {
+            desk.borrow_mut().listed(ListKind::Saved, &rows);
+        }
         self.handle(Input::Listed { kind: ListKind::Saved, rows });
         let kept = left.believed(&self.membership.starts());
         info!(entries = kept.len(), "kept texts of the earlier run believed");
@@ -143,6 +157,9 @@
         if self.lapses.is_some_and(|at| Instant::now() >= at) {
             self.lapses = None;
             self.shared = self.floor.clone();
+            self.desk.iter().for_each(|desk| {
+                desk.borrow_mut().force(None);
+            });
             self.resettle();
         }
     }
@@ -160,13 +177,19 @@
         self.lapse();
         match told {
             Told::Arrived { completion, facts, received_ms, ask, owed } => {
-                let arrival = facts.arrival(completion, received_ms);
+                let mut arrival = facts.arrival(completion, received_ms);
+                if let Some(desk) = &self.desk {
+                    arrival.near = desk.borrow_mut().near(self.book.clock.now_ms(), arrival.session);
+                    let target_ms = failover::target_ms(&self.base, &arrival);
+                    self.targets.insert(completion, target_ms);
+                }
                 let streamed = ask.streamed;
                 self.owed.insert(completion, owed);
                 self.asks.insert(completion, ask);
                 self.handle(Input::Arrived { arrival, streamed });
             }
             Told::Began { completion, seq, took_ms } => {
+                self.met(completion, seq, failover::began(self.targets.get(&completion), took_ms));
                 self.handle(Input::Began { completion, seq, took_ms })
             }
             Told::Ended { completion, seq, took_ms, end } => {
@@ -177,6 +200,7 @@
                 }
                 let End { end, kept_tokens, state, .. } = end;
                 self.saw(completion, seq, &end);
+                self.met(completion, seq, failover::ended(self.targets.get(&completion), took_ms, &end));
                 self.handle(Input::Ended { completion, seq, took_ms, end, kept_tokens, state });
                 self.wholes.remove(&(completion, seq));
             }
@@ -190,6 +214,10 @@
                 if let Some(load) = load {
                     self.reported(worker.clone(), &load);
                 }
+                if let Some(desk) = &self.desk {
+                    let met = if answered { Met::Answered } else { Met::Silent };
+                    desk.borrow_mut().met(self.book.clock.now_ms(), &worker, met);
+                }
                 self.handle(Input::Probed { worker, answered, took_ms });
             }
             Told::HoldAnswered { completion, seq, worker, held } => {
@@ -221,9 +249,14 @@
                 let _ = status.send(self.membership.status(self.book.clock.now_ms(), cold_ms));
             }
             Told::There { worker, there } => {
+                if let Some(desk) = &self.desk {
+                    let met = if there { Met::Answered } else { Met::Silent };
+                    desk.borrow_mut().met(self.book.clock.now_ms(), &worker, met);
+                }
                 let heard = self.membership.observe(self.book.clock.now_ms(), &worker, there);
                 self.heard(heard);
             }
+            Told::Look { workers } => workers.into_iter().for_each(|worker| self.look(worker)),
             Told::Settings { decisions } => {
                 self.base = *decisions;
                 self.resettle();
@@ -269,20 +302,34 @@
         let now_ms = self.book.clock.now_ms();
         if let Heard::Listed { kind, rows } = heard {
             info!(revision = self.membership.revision(), ?kind, rows = rows.len(), "list taken");
+            if let Some(desk) = &self.desk {
+                desk.borrow_mut().listed(kind, &rows);
+            }
             self.handle(Input::Listed { kind, rows });
             self.saves.send_replace(self.membership.save(now_ms, wall_ms()));
         }
         let asks = self.membership.asks(now_ms);
         self.wakes = self.membership.wakes_ms(now_ms).map(|at| Instant::now() + duration(at - now_ms));
-        for worker in asks {
-            let Some(address) = self.membership.address(&worker) else { continue };
-            let (engines, core) = (self.engines.clone(), self.own.clone());
-            tokio::task::spawn_local(async move {
-                let within_ms = engines.settings.probe_ms;
-                let answer =
-                    engines.call(address, Method::GET, wire::PROBE, String::new(), within_ms, 4096).await;
-                let _ = core.send(Told::There { worker, there: answer.is_ok() }).await;
-            });
+        asks.into_iter().for_each(|worker| self.look(worker));
+    }
+
+    /// Asks a server whether it is there.
+    fn look(&self, worker: WorkerId) {
+        let Some(address) = self.membership.address(&worker) else { return };
+        let (engines, core) = (self.engines.clone(), self.own.clone());
+        tokio::task::spawn_local(async move {
+            let within_ms = engines.settings.probe_ms;
+            let answer =
+                engines.call(address, Method::GET, wire::PROBE, String::new(), within_ms, 4096).await;
+            let _ = core.send(Told::There { worker, there: answer.is_ok() }).await;
+        });
+    }
+
+    /// What a dispatch says of its zone.
+    fn met(&mut self, completion: CompletionId, seq: Seq, met: Option<Met>) {
+        let (Some(desk), Some(met)) = (&self.desk, met) else { return };
+        if let Some(worker) = self.book.worker(completion, seq) {
+            desk.borrow_mut().met(self.book.clock.now_ms(), worker, met);
         }
     }
 
@@ -314,6 +361,9 @@
             memory_share: load.mem_utilization,
             waiting_kilotokens: load.metric(wire::WAITING_TOKENS).map(|tokens| tokens / 1e3),
         };
+        if let Some((desk, share)) = self.desk.as_ref().zip(failover::share(&load)) {
+            desk.borrow_mut().reported(self.book.clock.now_ms(), &worker, share);
+        }
         self.handle(Input::Reported { worker, load });
     }
 
@@ -359,6 +409,7 @@
             Effect::Forget { completion } => {
                 self.owed.remove(&completion);
                 self.asks.remove(&completion);
+                self.targets.remove(&completion);
             }
             // The book has set its timers.
             Effect::Arm { .. } => {}
--- /dev/null
+++ b/crates/router/src/failover.rs
@@ -0,0 +1,259 @@
+//! Failover's part of the edge: the desk that the core and the fellows' task share, operators' words and their file.
+//! What moves where is decided in `paddleproxy-failover`.
+
+use std::cell::RefCell;
+use std::path::PathBuf;
+use std::rc::Rc;
+
+use paddleproxy::interface::{Arrival, LoadReport, Settings, WorkerId};
+use paddleproxy_engine::Refusal;
+use paddleproxy_failover::{Desk, Met, Row, Rules, Saying, Verdict, Word, Zone};
+use paddleproxy_peers::mind::Stand;
+use paddleproxy_peers::{About, Peers};
+use paddleproxy_routing::SocketEnd;
+use paddleproxy_settings::router::RouterSettings;
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use tracing::{info, warn};
+
+use crate::clock::{wall_ms, Clock};
+use crate::files::write_whole;
+
+pub type Desked = Rc<RefCell<Desk>>;
+
+const FILE: &str = "zone-words.json";
+
+/// The desk, where settings have `failover` and `peers`.
+pub fn desk(settings: &RouterSettings, clock: Clock) -> Option<Desked> {
+    let (failover, peers) = settings.failover.as_ref().zip(settings.peers.as_ref())?;
+    let decisions = &settings.decisions;
+    let rules = Rules {
+        map: failover.map.clone(),
+        own: Zone(decisions.zone.map_or(0, |zone| zone.0 as u8)),
+        place: decisions.own_number as u16,
+        lease_ms: peers.lease_ms,
+        reserve: failover.reserve,
+        out: failover.out,
+        back: failover.back,
+        weights_act: decisions.weights_act,
+        alone: failover.alone,
+        told: failover.told,
+        roles: decisions.kinds.iter().map(|kind| kind.role).collect(),
+    };
+    Some(Rc::new(RefCell::new(Desk::new(clock.now_ms(), rules))))
+}
+
+/// The time in which a completion's first token is in target.
+pub fn target_ms(settings: &Settings, arrival: &Arrival) -> f64 {
+    let workload = settings.workloads.get(arrival.workload.0);
+    workload
+        .map_or(f64::INFINITY, |row| row.latency_target_ms + row.target_per_token_ms * arrival.prompt_tokens)
+}
+
+/// What a first event says of its server's zone.
+pub fn began(target_ms: Option<&f64>, took_ms: f64) -> Option<Met> {
+    target_ms.map(|target_ms| if took_ms <= *target_ms { Met::InTarget } else { Met::Late })
+}
+
+/// What an end says of it; an answer that began has spoken already, and one that we called off says nothing.
+pub fn ended(target_ms: Option<&f64>, took_ms: f64, end: &SocketEnd) -> Option<Met> {
+    use SocketEnd::*;
+    match end {
+        ConnectRefused | Unreachable | NoAddress => Some(Met::Refused),
+        ConnectTimedOut | TimedOut => Some(Met::Silent),
+        TurnedAway(Refusal::Full) => Some(Met::Full),
+        ErrorStatus(_) | BrokeBeforeAnswer | BrokeWithinAnswer | BrokeAfterFirst | Stalled => {
+            Some(Met::Broken)
+        }
+        ReadDone => began(target_ms, took_ms),
+        NeverWritten | TurnedAway(_) | Stopped | Nonsense(_) | AnswerDone => None,
+    }
+}
+
+/// Share of its room that a server says is in use.
+pub fn share(load: &LoadReport) -> Option<f64> {
+    let queued = load.queue.is_some_and(|queue| queue >= 1.0);
+    load.slots_share.map(|share| if queued { share.max(1.0) } else { share })
+}
+
+/// What goes to the fellows, and what is to be asked.
+pub struct Carried {
+    pub row: Vec<u8>,
+    pub page: Vec<u8>,
+    pub after: u64,
+    pub asks: Vec<WorkerId>,
+    /// Operators' words that were not known here.
+    pub news: bool,
+}
+
+/// Reads what fellows carry and works out what to carry.
+pub fn carry(desk: &mut Desk, peers: &Peers, now_ms: f64) -> Carried {
+    let mut rows: Vec<Row> = peers.carried().filter_map(|(_, bytes)| Row::read(bytes).ok()).collect();
+    let news = desk.hear(now_ms, &rows);
+    let own = desk.row(now_ms);
+    let row = own.bytes();
+    // As fellows read it: counts on the wire are rounded.
+    rows.extend(Row::read(&row));
+    let mut speaking: Vec<Zone> =
+        peers.members().filter(|member| member.state.here()).map(|member| Zone(member.about.zone)).collect();
+    let own_zone = Zone(peers.about().zone);
+    speaking.push(own_zone);
+    speaking.sort();
+    speaking.dedup();
+    if desk.rules().alone {
+        // Its own plan, from its own row, in force at once.
+        let own = [Row::read(&row).unwrap_or_default()];
+        let before = desk.alone_before();
+        let page = desk.next(now_ms, &before, &own, &[own_zone]);
+        desk.force_alone(&page);
+        return Carried { row, page: Vec::new(), after: 0, asks: desk.asks(now_ms as u64), news };
+    }
+    let (after, before) =
+        peers.keeping().page().map_or((0, &[][..]), |page| (page.number, page.extra.as_slice()));
+    let page = desk.next(now_ms, before, &rows, &speaking);
+    Carried { row, page, after, asks: desk.asks(now_ms as u64), news }
+}
+
+/// An operator's word as it comes in.
+pub struct WordFor {
+    pub zone: String,
+    pub word: Word,
+    pub for_ms: f64,
+}
+
+#[derive(Serialize, Deserialize)]
+struct SavedWord {
+    zone: String,
+    #[serde(flatten)]
+    saying: Saying,
+    left_ms: f64,
+    saved_at_ms: f64,
+}
+
+/// Operators' words on disk: they survive a restart, and the time in between counts.
+pub struct Words {
+    file: PathBuf,
+    zones: Vec<String>,
+}
+
+impl Words {
+    pub fn new(settings: &RouterSettings) -> Self {
+        Words { file: settings.state_dir.join(FILE), zones: settings.names.zones.clone() }
+    }
+
+    pub fn recover(&self, desk: &mut Desk, now_ms: f64) {
+        let Ok(bytes) = std::fs::read(&self.file) else { return };
+        let saved: Vec<SavedWord> = match serde_json::from_slice(&bytes) {
+            Ok(saved) => saved,
+            Err(cause) => {
+                warn!(%cause, file = FILE, "operators' words can't be read; fellows will tell those that hold");
+                return;
+            }
+        };
+        for row in saved {
+            // By name: settings may count zones otherwise now. A clock that went back makes no word longer.
+            let Some(zone) = self.zones.iter().position(|zone| *zone == row.zone) else { continue };
+            let left_ms = row.left_ms - (wall_ms() - row.saved_at_ms).max(0.0);
+            desk.sayings.hear(now_ms, Saying { zone: zone as u8, ..row.saying }, left_ms);
+        }
+    }
+
+    pub fn keep(&self, desk: &Desk, now_ms: f64) {
+        let saved: Vec<SavedWord> = desk
+            .sayings
+            .holding(now_ms)
+            .filter_map(|(saying, left_ms)| {
+                let zone = self.zones.get(usize::from(saying.zone))?.clone();
+                Some(SavedWord { zone, saying, left_ms, saved_at_ms: wall_ms() })
+            })
+            .collect();
+        let written = serde_json::to_vec(&saved).map_err(std::io::Error::from);
+        if let Err(cause) = written.and_then(|bytes| write_whole(&self.file, &bytes)) {
+            warn!(%cause, file = FILE, "operators' words are not kept; fellows know them");
+        }
+    }
+
+    /// Takes a word that is said here.
+    pub fn say(
+        &self,
+        desk: &mut Desk,
+        zones: &[String],
+        said: &WordFor,
+        now_ms: f64,
+    ) -> Result<Value, String> {
+        let zone = zones.iter().position(|zone| *zone == said.zone);
+        let zone = zone.ok_or_else(|| format!("zone '{:.64}' is none of {}", said.zone, zones.join(", ")))?;
+        let place = desk.rules().place;
+        let saying = desk.sayings.say(now_ms, place, zone as u8, said.word, said.for_ms);
+        info!(zone = said.zone, word = ?said.word, for_ms = said.for_ms, "an operator's word on a zone");
+        self.keep(desk, now_ms);
+        Ok(
+            json!({ "zone": said.zone, "word": name(said.word), "for_ms": saying.for_ms, "stamp": saying.stamp }),
+        )
+    }
+}
+
+fn name(word: Word) -> &'static str {
+    match word {
+        Word::Hold => "hold",
+        Word::Drain => "drain-zone",
+        Word::Return => "return",
+    }
+}
+
+/// All that operators may ask for.
+pub fn view(desk: &Desk, zones: &[String], about: &About, stand: Stand, now_ms: f64) -> Value {
+    let zone = |zone: Zone| zones.get(usize::from(zone.0)).cloned().unwrap_or_default();
+    let (looked, agreed) = (&desk.last, desk.agreed());
+    let words = desk.sayings.holding(now_ms).collect::<Vec<_>>();
+    let rows: Vec<Value> = desk
+        .rules()
+        .map
+        .zones()
+        .map(|of| {
+            let at = usize::from(of.0);
+            let verdict = looked.verdicts.get(at).unwrap_or(&Verdict::Unknown);
+            let moves = agreed.and_then(|agreed| agreed.plan.moves.get(&of.0)).into_iter().flatten();
+            let moves =
+                moves.map(|(to, share)| json!({ "to": zone(Zone(*to)), "share": f64::from(*share) / 1e4 }));
+            let seen = looked.matrix.seen.iter().filter(|((_, seen), _)| *seen == of);
+            let seen = seen.map(|((from, _), (seen, routers))| {
+                json!({
+                    "from": zone(*from), "routers": routers, "in_target": seen.in_target, "late": seen.late,
+                    "refused": seen.refused, "silent": seen.silent, "broken": seen.broken, "full": seen.full,
+                    "answered": seen.answered, "listed": seen.listed, "usable": seen.usable,
+                })
+            });
+            let word = words.iter().find(|(saying, _)| saying.zone == of.0);
+            json!({
+                "zone": zone(of), "region": desk.rules().map.regions.get(at), "verdict": said(verdict, zones),
+                "demand_per_s": looked.demand.get(at), "capacity_per_s": looked.capacity.get(at),
+                "load": looked.matrix.loads.get(&of), "moves": moves.collect::<Vec<_>>(),
+                "word": word.map(|(saying, left)| json!({ "word": name(saying.word), "left_ms": left })),
+                "flaps": agreed.and_then(|agreed| agreed.hands.flaps.get(&of.0)),
+                "seen": seen.collect::<Vec<_>>(),
+            })
+        })
+        .collect();
+    json!({
+        "schema": "paddleproxy.failover.v1",
+        "name": about.name, "zone": zone(Zone(about.zone)), "mind": stand.mind.name(), "why": stand.why,
+        "page": desk.forced(), "plan": agreed.map(|agreed| agreed.plan.number),
+        "speaking": looked.speaking.iter().map(|speaks| zone(*speaks)).collect::<Vec<_>>(),
+        "completions": desk.homed_total, "moved": desk.moved_total, "zones": rows,
+    })
+}
+
+fn said(verdict: &Verdict, zones: &[String]) -> Value {
+    let names = |list: &[Zone]| {
+        list.iter().filter_map(|zone| zones.get(usize::from(zone.0)).cloned()).collect::<Vec<_>>()
+    };
+    match verdict {
+        Verdict::Well => json!({ "is": "well" }),
+        Verdict::CutPath(from) => json!({ "is": "cut path", "from": names(from) }),
+        Verdict::Lost => json!({ "is": "lost" }),
+        Verdict::Impaired(share) => json!({ "is": "impaired", "carries": share }),
+        Verdict::Full => json!({ "is": "full" }),
+        Verdict::Unknown => json!({ "is": "unknown" }),
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,6 +9,7 @@
 mod dispatch;
 pub mod duty;
 mod engines;
+mod failover;
 mod files;
 mod front;
 mod list;
@@ -105,6 +106,10 @@
     let store = Rc::new(store);
     let own = (engines.clone(), core.clone());
     let mut state = Core::new(settings.clone(), clock, boot, seed, own.0, own.1, list, saves, store.clone());
+    let desk = failover::desk(&settings, clock);
+    if let Some(desk) = &desk {
+        state.sit_at(desk.clone());
+    }
     let after = state.recover(list::saved(&dir), &left);
     let admission = Rc::new(RefCell::new(Admission::new(Bounds::of(&settings))));
     let (to_fellows, asks) = mpsc::channel(8);
@@ -114,7 +119,7 @@
             admission.borrow_mut().share(&floor.shares[1..], &floor.shares[1..], f64::INFINITY);
             state.begin_with(floor);
             let (settings, core, admission) = (settings.clone(), core.clone(), admission.clone());
-            Some(peers::Fellows { bound, rules, settings, peers: row, seed, clock, core, admission })
+            Some(peers::Fellows { bound, rules, settings, peers: row, seed, clock, core, admission, desk })
         }
         None => None,
     };
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -21,6 +21,7 @@
 use tracing::{info, warn};
 
 use crate::clock::{duration, Clock};
+use crate::failover::{self, Desked, WordFor};
 use crate::files::write_whole;
 use crate::words::{ToCore, Told};
 
@@ -43,6 +44,10 @@
     View(oneshot::Sender<Value>),
     /// Say goodbye; answered once that is sent.
     Leave(oneshot::Sender<()>),
+    /// All of failover; none where settings have none.
+    Failover(oneshot::Sender<Option<Value>>),
+    /// An operator's word on a zone, or why it is none.
+    Word(WordFor, oneshot::Sender<Result<Value, String>>),
 }
 
 pub type ToFellows = mpsc::Sender<Ask>;
@@ -129,6 +134,7 @@
     pub clock: Clock,
     pub core: ToCore,
     pub admission: Rc<RefCell<Admission>>,
+    pub desk: Option<Desked>,
 }
 
 struct Task {
@@ -148,11 +154,14 @@
     asked: (f64, Vec<u64>),
     needs: Vec<f64>,
     outgoing: Rc<std::cell::Cell<usize>>,
+    desk: Option<Desked>,
+    words: failover::Words,
+    turn: u64,
 }
 
 /// Runs as long as the router does.
 pub async fn run(fellows: Fellows, mut asks: mpsc::Receiver<Ask>) {
-    let Fellows { bound, rules, settings, peers, seed, clock, core, admission } = fellows;
+    let Fellows { bound, rules, settings, peers, seed, clock, core, admission, desk } = fellows;
     let life_file = settings.state_dir.join(LIFE);
     let life = next_life(&life_file);
     let about = about(&settings, &peers, bound.address);
@@ -177,7 +186,13 @@
         asked: (clock.now_ms(), Vec::new()),
         needs: Vec::new(),
         outgoing: Rc::default(),
+        words: failover::Words::new(&settings),
+        desk,
+        turn: 0,
     };
+    if let Some(desk) = &task.desk {
+        task.words.recover(&mut desk.borrow_mut(), clock.now_ms());
+    }
     let open = Rc::new(std::cell::Cell::new(0usize));
     let mut need = tokio::time::interval(duration(need_ms));
     need.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -194,10 +209,13 @@
                     task.tell(Event::Leave).await;
                     let _ = done.send(());
                 }
+                Some(Ask::Failover(answer)) => drop(answer.send(task.failover())),
+                Some(Ask::Word(word, answer)) => drop(answer.send(task.word(&word))),
                 None => return,
             },
             _ = need.tick() => {
                 let needs = task.measured();
+                task.carry().await;
                 task.tell(Event::Need(needs)).await;
             }
             Some(inside) = within.recv() => match inside {
@@ -277,8 +295,48 @@
         }
     }
 
+    /// What failover has to say goes with the own row, and onto the page that may be next.
+    async fn carry(&mut self) {
+        let Some(desk) = &self.desk else { return };
+        let now_ms = self.clock.now_ms();
+        let carried = {
+            let desk = &mut *desk.borrow_mut();
+            let carried = failover::carry(desk, &self.peers, now_ms);
+            if carried.news {
+                self.words.keep(desk, now_ms);
+            }
+            carried
+        };
+        self.turn = self.turn.wrapping_add(1);
+        if !carried.asks.is_empty() {
+            // A core with that many words waiting has no time for mere questions.
+            let _ = self.core.try_send(Told::Look { workers: carried.asks });
+        }
+        let event = Event::Carry { row: carried.row, page: carried.page, after: carried.after };
+        self.tell(event).await;
+    }
+
+    fn failover(&self) -> Option<Value> {
+        let desk = self.desk.as_ref()?.borrow();
+        Some(failover::view(&desk, &self.zones, self.peers.about(), self.peers.stand(), self.clock.now_ms()))
+    }
+
+    fn word(&mut self, word: &WordFor) -> Result<Value, String> {
+        let desk = self.desk.as_ref().ok_or("this router has no 'failover' in its settings")?;
+        self.words.say(&mut desk.borrow_mut(), &self.zones, word, self.clock.now_ms())
+    }
+
     /// Tells the core and the gates what may be used, where that changed.
     async fn share(&mut self) {
+        if let Some(desk) = self.desk.as_ref().filter(|desk| !desk.borrow().rules().alone) {
+            let page = self.peers.agreed(self.clock.now_ms());
+            let mut desk = desk.borrow_mut();
+            if desk.force(page) {
+                let plan = desk.agreed().map(|agreed| &agreed.plan);
+                info!(page = page.map(|(number, _)| number), number = plan.map(|plan| plan.number),
+                    moves = ?plan.map(|plan| &plan.moves), "plan in force");
+            }
+        }
         let granted = self.peers.granted(self.clock.now_ms());
         if self.said.as_ref() == Some(&granted) {
             return;
--- a/crates/router/src/words.rs
+++ b/crates/router/src/words.rs
@@ -88,6 +88,10 @@
         worker: WorkerId,
         there: bool,
     },
+    /// Servers to ask whether they are there: no dispatch goes to their zone.
+    Look {
+        workers: Vec<WorkerId>,
+    },
     /// Other settings for the decisions from now on.
     Settings {
         decisions: Box<Settings>,
--- a/crates/routing/tests/ledger.rs
+++ b/crates/routing/tests/ledger.rs
@@ -56,6 +56,7 @@
         cold_ms: 12_000.0,
         weights_act: false,
         fresh_part: None,
+        far: Vec::new(),
     }
 }
 
@@ -98,6 +99,7 @@
             prefix_tokens: 0.0,
             max_tokens: 20.0,
             answer_hint_ms: None,
+            near: None,
             client_retry: false,
             resumed: false,
         };
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -4,9 +4,11 @@
 
 use kdl::{KdlDocument, KdlEntry, KdlNode, KdlValue};
 
+use crate::failover;
 use crate::fleet::{fleet, FleetSettings};
 use crate::reader::{Block, Count, Millis, Problems, Share, Source};
 use crate::rig::{self, Fault};
+use crate::rooms::{self, Decides, Expect};
 use crate::router::{router, RouterSettings, Switch, SWITCHES};
 use crate::{text_of, Error};
 
@@ -30,6 +32,8 @@
     /// Time one way between a router and a server, inside a zone and to another, in ms; for virtual time alone.
     pub network_ms: (f64, f64),
     pub troubles: Vec<Trouble>,
+    /// What plans are expected to say.
+    pub expects: Vec<Expect>,
 }
 
 /// Routers in which some of the template's rules are switched.
@@ -257,7 +261,55 @@
     pub places: Option<usize>,
 }
 
+/// Time one exchange between routers takes, after which the true state is told, in ms.
+const EXCHANGE_MS: f64 = 200.0;
+
 impl DaySettings {
+    /// The same day with another way to decide on failover.
+    pub fn deciding(&mut self, decides: Decides) {
+        let block = self.router_nodes.get_mut("failover").and_then(|block| block.children_mut().as_mut());
+        match (decides, block) {
+            (Decides::Common, _) | (_, None) => return,
+            (Decides::Off, _) => {
+                self.router_nodes.nodes_mut().retain(|node| node.name().value() != "failover");
+                self.router.failover = None;
+            }
+            (Decides::Alone, Some(block)) => set(block, "decides", "alone"),
+            (Decides::Told, Some(block)) => {
+                set(block, "decides", "told");
+                set(block, "out", 1.0);
+                let told: Vec<Trouble> =
+                    self.troubles.iter().flat_map(|trouble| self.told(trouble)).collect();
+                self.troubles.extend(told);
+            }
+        }
+        self.expects.clear();
+    }
+
+    /// Words that tell a trouble's true state.
+    fn told(&self, trouble: &Trouble) -> Vec<Trouble> {
+        let all = |zone: &String| {
+            let mut servers = self.fleet.servers.iter().filter(|row| row.zone == *zone);
+            match &trouble.what {
+                What::ZoneLost { zone: lost, .. } => lost == zone,
+                What::Dead { servers: of, .. }
+                | What::Silent { servers: of }
+                | What::Slow { servers: of, .. } => servers.all(|row| of.contains(&row.name)),
+                _ => false,
+            }
+        };
+        let says = |zone: &String, at_ms: f64, word: &str| {
+            let said = Fault::Said { zone: zone.clone(), word: word.to_owned(), for_ms: 600_000.0 };
+            Trouble { at_ms: at_ms + EXCHANGE_MS, for_ms: 0.0, every_ms: None, what: What::Rig(said) }
+        };
+        let zones = self.router.names.zones.iter().filter(|zone| all(zone));
+        let words = zones.flat_map(|zone| {
+            let (from_ms, to_ms) = (trouble.at_ms, trouble.at_ms + trouble.for_ms);
+            [says(zone, from_ms, "drain-zone"), says(zone, to_ms, "return")]
+        });
+        words.collect()
+    }
+
     fn shape(&self, router: usize) -> Option<&Shape> {
         self.shapes.iter().rfind(|shape| shape.routers.contains(&router))
     }
@@ -339,12 +391,23 @@
         head.problem("'routers' must be from 1 to 64");
     }
     let template = top.need_block("router");
-    let router_nodes = template.as_ref().and_then(|block| block.node()?.children().cloned());
-    let read_router = template.and_then(|block| {
+    let mut router_nodes = template.as_ref().and_then(|block| block.node()?.children().cloned());
+    let mut read_router = template.and_then(|block| {
         let read = router(&block);
         block.done();
         read
     });
+    // Of the day, since one template serves days with and without it.
+    if let (Some(block), Some(router)) = (top.block("failover"), &mut read_router) {
+        let read = failover::read(&block, &router.names.zones);
+        block.done();
+        router.decisions.far = read.map.far();
+        router.failover = Some(read);
+        router_nodes.iter_mut().for_each(|nodes| nodes.nodes_mut().extend(block.node().cloned()));
+        if router.peers.is_none() {
+            block.problem("'failover' needs 'peers' in the routers' settings");
+        }
+    }
     let read_fleet = top.need_block("fleet").and_then(|block| {
         let read = fleet(&block);
         block.done();
@@ -372,6 +435,7 @@
         clients,
         network_ms: network.unwrap_or((NETWORK_MS, NETWORK_MS)),
         troubles,
+        expects: top.blocks("expect").into_iter().map(rooms::expect).collect(),
     };
     agrees(top, &settings);
     Some(settings)
@@ -470,6 +534,12 @@
     if let Some(router) = fault.routers().iter().find(|router| **router >= day.routers) {
         top.problem(format!("trouble '{name}' names router {router}, which is not there"));
     }
+    if matches!(fault, Fault::Said { zone, .. } if !day.router.names.zones.contains(zone)) {
+        top.problem("trouble 'said' names a zone that is not there");
+    }
+    if matches!(fault, Fault::Said { .. }) && day.router.failover.is_none() {
+        top.problem("trouble 'said' needs the day's 'failover'");
+    }
     if let Fault::Link { from, to, .. } = fault {
         for who in from.iter().chain(to) {
             let zone = |zone: &String| day.router.names.zones.contains(zone);
@@ -579,4 +649,4 @@
 const KNOWN: &str =
     "dead, silent, slow, ageing, erring, answer-lost, pausing, flush, drain, links, zone-lost, \
     list-behind, list-down, list-lies, router-killed, router-stopped, burst, ramp, long-prompts, hot-beginning, give-up, \
-    link, routers-killed, routers-paused, routers-starved, routers-restarted, namesake, noise";
+    link, routers-killed, routers-paused, routers-starved, routers-restarted, namesake, noise, said";
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -3,10 +3,12 @@
 
 pub mod day;
 pub mod experiment;
+pub mod failover;
 pub mod fleet;
 pub mod peers;
 pub mod reader;
 pub mod rig;
+pub mod rooms;
 pub mod router;
 pub mod servers;
 
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -6,6 +6,7 @@
 use paddleproxy::interface as house;
 use paddleproxy_messages::EVENTS;
 
+use crate::failover::{self, FailoverSettings};
 use crate::peers::{self, PeerSettings};
 use crate::reader::{Block, Count, Local, Millis, Problems, Share, Source};
 
@@ -36,6 +37,8 @@
     pub reports: bool,
     /// How it finds and watches its fellows; it knows of none where absent.
     pub peers: Option<PeerSettings>,
+    /// How sessions move between zones by what fellows agree; they do not where absent.
+    pub failover: Option<FailoverSettings>,
 }
 
 /// A switch of `rules`.
@@ -220,7 +223,7 @@
     let (customers, customer_names) = customers(top);
     let (kinds, kind_names) = kinds(top);
     let limits = top.need_block("rules")?;
-    let decisions = house::Settings {
+    let mut decisions = house::Settings {
         routers: top.need::<Count>("routers").0 as usize,
         own_number: top.need::<Count>("number").0 as usize,
         zone: zone.map(house::ZoneId),
@@ -246,6 +249,7 @@
         cold_ms: limits.need::<Millis>("cold").0,
         weights_act: limits.maybe("weights").unwrap_or(true),
         fresh_part: None,
+        far: Vec::new(),
     };
     let reports = limits.maybe("reports").unwrap_or(true);
     let roles: Vec<_> = decisions.kinds.iter().map(|kind| kind.role).collect();
@@ -283,6 +287,13 @@
     if peers.is_some() && zone.is_none() {
         top.problem_of("peers", "'peers' needs 'zone': fellows ask where a router stands");
     }
+    let failover = top.block("failover").map(|block| finish(block, |block| failover::read(block, &zones)));
+    if failover.is_some() && peers.is_none() {
+        top.problem_of("failover", "'failover' needs 'peers': a plan is what fellows agree on");
+    }
+    if let Some(failover) = &failover {
+        decisions.far = failover.map.far();
+    }
     let rules = top.need_block("requests").map(|block| finish(block, requests));
     let front = top.need_block("front").map(|block| finish(block, |block| front(block, answer_slack_ms)));
     let engines = top.need_block("engines").map(|block| finish(block, engines));
@@ -308,6 +319,7 @@
         workload_rows,
         reports,
         peers,
+        failover,
     })
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -201,7 +201,7 @@
 }
 
 /// Stable in every process: FNV-1a over the name, mixed with the key.
-fn rank(worker: &WorkerId, key: u64) -> u64 {
+pub fn rank(worker: &WorkerId, key: u64) -> u64 {
     let name = worker.0.bytes().fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
     });
@@ -524,9 +524,11 @@
         Stamped { value: 1.0, at_ms: w.said.at_ms }.at(self.now_ms, self.settings.fall_ms * SAID_HALVES)
     }
 
-    /// Home: a mixed server by session hash; the next in hash order stands in for one that can't be used.
+    /// Home: a mixed server by session hash; the next in hash order stands in for one that can't be used. The
+    /// exception: a session that routers agreed to move has it in that zone while the zone has a usable one.
     fn home(&self, c: &Completion) -> Option<WorkerId> {
-        self.by_hash(c, c.facts.session.0, |w| w.role == Role::Mixed).into_iter().next()
+        let off = |id: &WorkerId| c.facts.near.is_some_and(|near| near != self.workers[id].listing.zone);
+        self.by_hash(c, c.facts.session.0, |w| w.role == Role::Mixed).into_iter().min_by_key(off)
     }
 
     /// Read at home what it keeps for the most part, or what is short; else at a reader of home's cell, and
@@ -548,7 +550,9 @@
         // session's last one, so that it is not read from its beginning. Harm: hot sessions stay together.
         let own = |reader: &WorkerId| self.believed(c, reader) > c.facts.prefix_tokens;
         let home_cell = home.as_ref().and_then(|home| self.cell(home));
-        all.sort_by_key(|reader| (self.cell(reader) != home_cell, !own(reader)));
+        let zone = |id: &WorkerId| self.workers[id].listing.zone.0;
+        let far = |id: &WorkerId| self.settings.far.get(zone(home.as_ref()?))?.get(zone(id));
+        all.sort_by_key(|reader| (self.cell(reader) != home_cell, far(reader), !own(reader)));
         // Guards against thrashing: in a jam each text would spill everywhere, pushing out what readers keep.
         // Harm: a completion can be refused while a reader elsewhere is idle.
         let near = all.iter().filter(|reader| self.cell(reader) == home_cell).count();
@@ -664,9 +668,8 @@
     /// Guards against a flush, whatever emptied the worker: what else we hold as kept there is void.
     /// Harm: a single text pushed out of a full memory voids the others too.
     fn check_kept(&mut self, worker: &WorkerId, kept: f64, believed: f64, sent_ms: f64) {
-        if let Some(w) = self.workers.get_mut(worker).filter(|_| kept < believed / 2.0) {
-            w.forgot_ms = w.forgot_ms.max(sent_ms);
-        }
+        let void = self.workers.get_mut(worker).filter(|_| kept < believed / 2.0);
+        void.into_iter().for_each(|w| w.forgot_ms = w.forgot_ms.max(sent_ms));
     }
 
     /// An entry of an earlier run; it never counts as newer than what this one saw of the worker.
@@ -727,9 +730,9 @@
         let turn = (self.now_ms / s.fall_ms.max(1.0)) as usize;
         let warm = |o: &&Worker| self.fresh_share(o).is_none() && o.listing.readiness == Readiness::Ready;
         let of = |same: bool| {
-            let peers = self.workers.values().filter(warm);
-            let peers = peers.filter(|o| !same || o.listing.kind == w.listing.kind);
-            peers.map(|o| o.sent.at(self.now_ms, s.fall_ms)).collect::<Vec<_>>()
+            let all =
+                self.workers.values().filter(|o| warm(o) && (!same || o.listing.kind == w.listing.kind));
+            all.map(|o| o.sent.at(self.now_ms, s.fall_ms)).collect::<Vec<_>>()
         };
         let sent = Some(of(true)).filter(|sent| !sent.is_empty()).unwrap_or_else(|| of(false));
         let mean = sent.iter().sum::<f64>() / sent.len().max(1) as f64;
@@ -767,9 +770,8 @@
     /// Blame adds to distrust; a good answer takes of it.
     fn judge(&mut self, id: &WorkerId, blame: f64, good: bool) {
         let value = self.workers.get(id).map_or(0.0, |w| (self.distrust(w) + blame).min(DISTRUST_MAX));
-        if let Some(w) = self.workers.get_mut(id) {
-            w.distrust = Stamped { value: value * if good { FORGIVEN } else { 1.0 }, at_ms: self.now_ms };
-        }
+        let distrust = Stamped { value: value * if good { FORGIVEN } else { 1.0 }, at_ms: self.now_ms };
+        self.workers.entry(id.clone()).and_modify(|w| w.distrust = distrust);
     }
 
     /// The rule on effects, for any worker that writes.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -106,6 +106,8 @@
     pub weights_act: bool,
     /// The own part of what all routers together may send to fresh workers, as they agreed; absent: by turns.
     pub fresh_part: Option<f64>,
+    /// How far each zone is from each, as the order in which overflow goes there; empty: all the same.
+    pub far: Vec<Vec<u8>>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -177,6 +179,8 @@
     pub prefix_tokens: f64,
     pub max_tokens: f64,
     pub answer_hint_ms: Option<f64>,
+    /// Zone that its session's home moved to, as routers agreed; absent: home is where its hash says.
+    pub near: Option<ZoneId>,
     pub client_retry: bool,
     pub resumed: bool,
 }
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -70,6 +70,7 @@
         cold_ms: 12_000.0,
         weights_act: false,
         fresh_part: None,
+        far: Vec::new(),
     }
 }
 
@@ -113,6 +114,7 @@
             prefix_tokens: 1000.0,
             max_tokens: 200.0,
             answer_hint_ms: None,
+            near: None,
             client_retry: false,
             resumed: false,
         };
--- a/tests/weights.rs
+++ b/tests/weights.rs
@@ -28,6 +28,7 @@
             prefix_tokens: 0.0,
             max_tokens: 10.0,
             answer_hint_ms: None,
+            near: None,
             client_retry: false,
             resumed: false,
         };
