--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -98,6 +98,8 @@
     Common,
     /// Nobody: routers without `failover`.
     Off,
+    /// Nobody, and routers don't know each other: without `peers`, and without relays between them.
+    Strangers,
     /// Each router by its own evidence.
     Alone,
     /// Operators' words tell the true state one exchange late.
@@ -109,6 +111,7 @@
         match self {
             DayFailover::Common => Decides::Common,
             DayFailover::Off => Decides::Off,
+            DayFailover::Strangers => Decides::Strangers,
             DayFailover::Alone => Decides::Alone,
             DayFailover::Told => Decides::Told,
         }
@@ -118,6 +121,7 @@
         match self {
             DayFailover::Common => "common",
             DayFailover::Off => "off",
+            DayFailover::Strangers => "strangers",
             DayFailover::Alone => "alone",
             DayFailover::Told => "told",
         }
--- a/crates/day/src/play.rs
+++ b/crates/day/src/play.rs
@@ -33,6 +33,7 @@
     let record = stage.record.clone();
     // The day's clock starts once all are up.
     record.restart();
+    let began = stage.used();
     let clients = Clients::new(
         day.clone(),
         record.clone(),
@@ -67,7 +68,7 @@
         task.await?;
     }
     stage.check()?;
-    stage.end().await;
+    stage.end(&began).await;
     let (facts, lines) = (Facts::of(&day), record.lines());
     write(dir, &facts, &lines)?;
     Ok((facts, lines))
--- a/crates/day/src/report.rs
+++ b/crates/day/src/report.rs
@@ -23,6 +23,8 @@
     pub shapes: Vec<Service>,
     /// By whether a trouble was on when they were asked; where routers agree on failover.
     pub phases: Vec<Service>,
+    /// Processor time of a router a completion asked of it, in ms, at routers that ran throughout.
+    pub cpu_ms: Option<f64>,
     /// What plans came to; where routers agree on failover.
     pub planned: Option<Planned>,
     /// What befell, with how often it began.
@@ -117,11 +119,25 @@
                 })
             }
         },
+        cpu_ms: cpu_ms(lines),
         planned: facts.zones.as_ref().map(|_| planned(lines)),
         troubles,
     }
 }
 
+fn cpu_ms(lines: &[Line]) -> Option<f64> {
+    let (mut used, mut asked): (BTreeMap<usize, f64>, BTreeMap<usize, usize>) = Default::default();
+    for line in lines {
+        match &line.what {
+            What::Used { router, cpu_ms } => drop(used.insert(*router, *cpu_ms)),
+            What::Asked { router, .. } => *asked.entry(*router).or_default() += 1,
+            _ => {}
+        }
+    }
+    let all: usize = used.keys().filter_map(|router| asked.get(router)).sum();
+    (all > 0).then(|| used.values().sum::<f64>() / all as f64)
+}
+
 /// Time from the first trouble in which the plan may still be on its way, in ms.
 const SETTLES_MS: f64 = 3000.0;
 
@@ -230,6 +246,9 @@
                 );
             }
         }
+        if let Some(cpu_ms) = self.cpu_ms {
+            let _ = writeln!(text, "\na router used {cpu_ms:.2} ms of a processor for a completion");
+        }
         if let Some(planned) = &self.planned {
             let _ = writeln!(
                 text,
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -238,7 +238,21 @@
         }
     }
 
-    pub async fn end(&self) {
+    /// Processor time of each router's process so far, by its process.
+    pub fn used(&self) -> BTreeMap<usize, (u32, f64)> {
+        let children = self.children.borrow();
+        let ids =
+            children.iter().enumerate().filter_map(|(router, child)| Some((router, child.as_ref()?.id()?)));
+        ids.filter_map(|(router, id)| Some((router, (id, cpu_ms(id)?)))).collect()
+    }
+
+    /// Ends all; what each router used since `began` is recorded where its process is still the same.
+    pub async fn end(&self, began: &BTreeMap<usize, (u32, f64)>) {
+        for (router, (id, now_ms)) in self.used() {
+            if let Some((_, then_ms)) = began.get(&router).filter(|(then, _)| *then == id) {
+                self.record.add(What::Used { router, cpu_ms: now_ms - then_ms });
+            }
+        }
         for router in 0..self.day.routers {
             let child = self.children.borrow_mut()[router].take();
             if let Some(mut child) = child {
@@ -248,6 +262,15 @@
     }
 }
 
+/// Processor time of a process, where the system tells it.
+fn cpu_ms(process: u32) -> Option<f64> {
+    let text = std::fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
+    // Fields after the name, which may hold anything: user and system time are the 12th and 13th, in ticks of 10 ms.
+    let mut fields = text.rsplit(')').next()?.split_whitespace().skip(11);
+    let mut ticks = || fields.next()?.parse::<f64>().ok();
+    Some((ticks()? + ticks()?) * 10.0)
+}
+
 /// Puts a relay on each router's way to the list service and to each server.
 async fn between(mesh: &Rc<Mesh>, fleet: &Fleet, lists: &mut [SocketAddr]) -> Result<()> {
     let mut ways = BTreeMap::new();
--- a/crates/emulator/src/record.rs
+++ b/crates/emulator/src/record.rs
@@ -115,6 +115,11 @@
         completions: u64,
         moved: u64,
     },
+    /// Time that a router's process was on a processor from the day's start to its end.
+    Used {
+        router: usize,
+        cpu_ms: f64,
+    },
     /// A client's request left whole; it waits until the deadline.
     Asked {
         op: String,
--- a/crates/router/src/failover.rs
+++ b/crates/router/src/failover.rs
@@ -130,7 +130,6 @@
 #[derive(Serialize, Deserialize)]
 struct SavedWord {
     zone: String,
-    #[serde(flatten)]
     saying: Saying,
     left_ms: f64,
     saved_at_ms: f64,
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -267,9 +267,17 @@
 impl DaySettings {
     /// The same day with another way to decide on failover.
     pub fn deciding(&mut self, decides: Decides) {
+        if decides == Decides::Strangers {
+            self.router_nodes
+                .nodes_mut()
+                .retain(|node| !["peers", "failover"].contains(&node.name().value()));
+            (self.router.peers, self.router.failover) = (None, None);
+            self.expects.clear();
+            return;
+        }
         let block = self.router_nodes.get_mut("failover").and_then(|block| block.children_mut().as_mut());
         match (decides, block) {
-            (Decides::Common, _) | (_, None) => return,
+            (Decides::Common | Decides::Strangers, _) | (_, None) => return,
             (Decides::Off, _) => {
                 self.router_nodes.nodes_mut().retain(|node| node.name().value() != "failover");
                 self.router.failover = None;
--- a/crates/settings/src/rooms.rs
+++ b/crates/settings/src/rooms.rs
@@ -21,6 +21,8 @@
     Common,
     /// Routers have no `failover` at all: as before there was one.
     Off,
+    /// Nor `peers`: they don't know each other, and no relays stand between them.
+    Strangers,
     /// Each router by its own evidence.
     Alone,
     /// The true state of every zone, told as operators' words one exchange late.
