--- a/crates/failover/src/plan.rs
+++ b/crates/failover/src/plan.rs
@@ -107,7 +107,7 @@
         hands: &mut Hands,
     ) -> Plan {
         let case = Case { before: self, map, verdicts, bounds, words };
-        let mut plan = Plan { number: self.number + 1, moves: self.moves.clone() };
+        let mut plan = Plan { number: self.number.saturating_add(1), moves: self.moves.clone() };
         for zone in map.zones() {
             let verdict = verdicts.get(usize::from(zone.0)).unwrap_or(&Verdict::Unknown);
             let wanted = match (words.get(&zone.0), verdict) {
@@ -129,7 +129,8 @@
             }
             if wanted > now {
                 if hands.returning.insert(zone.0, false) == Some(true) {
-                    *hands.flaps.entry(zone.0).or_default() += 1;
+                    let flaps = hands.flaps.entry(zone.0).or_default();
+                    *flaps = flaps.saturating_add(1);
                 }
                 let step = (wanted - now).min(bounds.out);
                 plan.push(&case, zone, step);
--- a/crates/failover/tests/desks.rs
+++ b/crates/failover/tests/desks.rs
@@ -282,6 +282,43 @@
     assert!(!Sayings::default().hear(0.0, bad, 5.0));
 }
 
+/// A page's bytes come from a majority's page; whatever they are, sessions have some home and the next plan is made.
+#[test]
+fn bytes_of_any_page_do_no_harm() {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut fleet = Fleet::new();
+    (0..4).for_each(|_| fleet.step(well));
+    let mut desk = fleet.desks.pop().unwrap();
+    let rows: Vec<Row> = Vec::new();
+    let moves = BTreeMap::from([(2u8, vec![(0u8, 4000u16), (1, 3000)]), (1, vec![(0, 500)])]);
+    let plan = paddleproxy_failover::Plan { number: 9, moves };
+    let hands = paddleproxy_failover::Hands {
+        flaps: BTreeMap::from([(2, 3)]),
+        returning: BTreeMap::from([(2, true)]),
+    };
+    let good = postcard::to_stdvec(&paddleproxy_failover::Agreed { plan, hands }).unwrap();
+    let mut plans = 0;
+    for round in 0..20_000u64 {
+        let mut bytes = good.clone();
+        for _ in 0..rng.usize(..4) {
+            let at = rng.usize(..bytes.len());
+            bytes[at] = rng.u8(..);
+        }
+        bytes.truncate(rng.usize(bytes.len() / 2..=bytes.len()));
+        desk.force(Some((round + 2, &bytes)));
+        plans += u64::from(desk.agreed().is_some_and(|agreed| !agreed.plan.moves.is_empty()));
+        desk.near(1e6, SessionId(rng.u64(..)));
+        desk.next(1e6, &bytes, &rows, &[Zone(0)]);
+        desk.asks(round);
+    }
+    assert!(plans > 100, "{plans} were plans");
+    let most = paddleproxy_failover::Agreed {
+        plan: paddleproxy_failover::Plan { number: u64::MAX, ..Default::default() },
+        ..Default::default()
+    };
+    desk.next(1e6, &postcard::to_stdvec(&most).unwrap(), &rows, &[]);
+}
+
 /// The desk's origin of a session is the zone in which the module has its home.
 #[test]
 fn origins_are_the_modules_homes() {
--- a/crates/failover/tests/plans.rs
+++ b/crates/failover/tests/plans.rs
@@ -216,4 +216,16 @@
         }
         prop_assert_eq!(first, Matrix::of(&rows));
     }
+
+    /// Bytes of any kind are no row, or one whose figures are bounded and come back the same.
+    #[test]
+    fn random_bytes_are_no_row_or_a_sound_one(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        if let Ok(row) = Row::read(&bytes) {
+            prop_assert!(row.seen.iter().all(|(_, seen)| seen.tried().is_finite() && seen.tried() >= 0.0));
+            let again = Row::read(&row.bytes()).unwrap();
+            prop_assert_eq!(&again.seen, &row.seen);
+            let matrix = Matrix::of([&row]);
+            prop_assert_eq!(judge(&map(), &matrix, &ALL).len(), 3);
+        }
+    }
 }
--- a/crates/router/src/failover.rs
+++ b/crates/router/src/failover.rs
@@ -10,6 +10,7 @@
 use paddleproxy_failover::evidence::tells;
 use paddleproxy_failover::{Desk, Met, Row, Rules, Saying, Verdict, Word, Zone};
 use paddleproxy_peers::mind::Stand;
+use paddleproxy_peers::page::EXTRA_MAX;
 use paddleproxy_peers::{About, Peers};
 use paddleproxy_routing::SocketEnd;
 use paddleproxy_settings::router::RouterSettings;
@@ -117,6 +118,8 @@
     let (after, before) =
         peers.keeping().page().map_or((0, &[][..]), |page| (page.number, page.extra.as_slice()));
     let page = desk.next(now_ms, before, &rows, &speaking);
+    // What no page carries is no plan: the one that stands goes on.
+    let page = if page.len() > EXTRA_MAX { before.to_vec() } else { page };
     Carried { row, page, after, asks: desk.asks(now_ms as u64), news }
 }
 
