--- a/crates/day/src/zones.rs
+++ b/crates/day/src/zones.rs
@@ -29,7 +29,7 @@
 struct Said<'a> {
     at_ms: f64,
     mind: &'a str,
-    /// How often a majority had been down by then, and the page: whose keepers all start anew count from 1 again.
+    /// How often a majority had been down when that router started, and the page: keepers that start anew count from 1 again.
     page: (usize, u64),
     moves: Moves<'a>,
     rooms: &'a [(String, f64, f64)],
@@ -53,6 +53,8 @@
     });
     let routers = routers.max().unwrap_or(0);
     let (mut down, mut times, mut said) = (BTreeSet::new(), 0, Vec::new());
+    // For each router how often a majority had been down when its process started.
+    let mut started: BTreeMap<usize, usize> = BTreeMap::new();
     for line in lines {
         match &line.what {
             What::RouterDown { router } => {
@@ -62,8 +64,10 @@
             }
             What::RouterUp { router } => {
                 down.remove(router);
+                started.insert(*router, times);
             }
-            What::Plan { mind, page, moves, rooms, .. } => {
+            What::Plan { router, mind, page, moves, rooms, .. } => {
+                let times = started.get(router).copied().unwrap_or(0);
                 said.push(Said { at_ms: line.at_ms, mind, page: (times, *page), moves, rooms });
             }
             _ => {}
