--- a/crates/cli/tests/fellows.rs
+++ b/crates/cli/tests/fellows.rs
@@ -1,20 +1,8 @@
 //! Nine processes that know each other, with faults between them: every rule kept, of every rule something seen.
 
-use std::path::Path;
+mod common;
 
-use paddleproxy_day::report::{report, Report};
-
-fn played(name: &str) -> Report {
-    let day = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days").join(name);
-    let day = paddleproxy_settings::day::load(&day).unwrap();
-    let program = Path::new(env!("CARGO_BIN_EXE_paddleproxy"));
-    let dir = tempfile::tempdir().unwrap();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let local = tokio::task::LocalSet::new();
-    let played = local.block_on(&runtime, paddleproxy_day::play::play(day, program, dir.path()));
-    let (facts, lines) = played.unwrap();
-    report(&facts, &lines)
-}
+use common::played;
 
 #[test]
 fn routers_killed_cut_off_and_stopped_keep_every_rule() {
--- a/crates/cli/tests/shapes.rs
+++ b/crates/cli/tests/shapes.rs
@@ -1,9 +1,9 @@
 //! Routers of the old shape (probes, reports, weights, second copies) and of the new (none of them) before the same
 //! stand-ins on sockets, with drains, a death and fresh servers: the rules hold and neither kind starves the other.
 
-use std::path::Path;
+mod common;
 
-use paddleproxy_day::report::report;
+use common::played;
 
 /// The most that the kinds' shares in target may lie apart, and the least share of either. Both serve the same clients
 /// on the same machine, so a slow machine lowers both; a kind that is crowded out falls far under the other.
@@ -12,15 +12,7 @@
 
 #[test]
 fn both_shapes_before_the_same_servers_keep_the_rules_and_starve_neither() {
-    let day = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../days/both-shapes.kdl");
-    let day = paddleproxy_settings::day::load(&day).unwrap();
-    let program = Path::new(env!("CARGO_BIN_EXE_paddleproxy"));
-    let dir = tempfile::tempdir().unwrap();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    let local = tokio::task::LocalSet::new();
-    let played = local.block_on(&runtime, paddleproxy_day::play::play(day, program, dir.path()));
-    let (facts, lines) = played.unwrap();
-    let report = report(&facts, &lines);
+    let report = played("both-shapes.kdl");
     for rule in &report.rules {
         println!("{}: {} cases", rule.name, rule.cases);
         assert!(rule.cases > 0, "{}: nothing was looked at", rule.name);
--- a/crates/day/src/report.rs
+++ b/crates/day/src/report.rs
@@ -50,7 +50,7 @@
     pub first_p99_ms: f64,
 }
 
-#[derive(Clone, Default)]
+#[derive(Default)]
 struct Op<'a> {
     model: &'a str,
     router: usize,
@@ -89,12 +89,14 @@
         day: facts.day.clone(),
         kept: rules.iter().all(|rule| rule.broken.is_empty()),
         rules,
-        workloads: by(&ops, workload),
-        customers: by(&ops, |op| op.customer.to_owned()),
+        workloads: by(ops.values(), workload),
+        customers: by(ops.values(), |op| op.customer.to_owned()),
         shapes: match facts.shapes.is_empty() {
             true => Vec::new(),
             // Beyond the day's own, where one is rehearsed with more of them, routers are as the template says.
-            false => by(&ops, |op| facts.shapes.get(op.router).map_or(TEMPLATE, |name| name).to_owned()),
+            false => {
+                by(ops.values(), |op| facts.shapes.get(op.router).map_or(TEMPLATE, |name| name).to_owned())
+            }
         },
         phases: match facts.fellows {
             None => Vec::new(),
@@ -103,12 +105,8 @@
                 // Whoever asks for more than its limit allows says nothing of the routers.
                 let limited =
                     |name: &str| facts.fellows.iter().flat_map(|f| &f.limits).any(|row| row.0 == name);
-                let free: BTreeMap<&str, Op> = ops
-                    .iter()
-                    .filter(|(_, op)| !limited(op.customer))
-                    .map(|(id, op)| (*id, op.clone()))
-                    .collect();
-                by(&free, |op| {
+                let free = ops.values().filter(|op| !limited(op.customer));
+                by(free, |op| {
                     let phase = match op.asked_ms {
                         at if at < first_ms => "1 before",
                         at if at < first_ms + SETTLES_MS => "2 first 3 s",
@@ -162,9 +160,9 @@
     }
 }
 
-fn by(ops: &BTreeMap<&str, Op>, name: impl Fn(&Op) -> String) -> Vec<Service> {
+fn by<'a>(ops: impl Iterator<Item = &'a Op<'a>>, name: impl Fn(&Op) -> String) -> Vec<Service> {
     let mut rows: BTreeMap<String, (Service, usize, Option<Histogram<u64>>)> = BTreeMap::new();
-    for op in ops.values() {
+    for op in ops {
         let row = rows.entry(name(op)).or_insert_with(|| (Service::default(), 0, Histogram::new(3).ok()));
         row.0.asked += 1;
         match op.last {
--- a/crates/day/src/zones.rs
+++ b/crates/day/src/zones.rs
@@ -76,6 +76,20 @@
     said
 }
 
+/// What was first said of each page, in their order.
+fn firsts<'a>(said: impl Iterator<Item = &'a Said<'a>>) -> BTreeMap<(usize, u64), &'a Said<'a>> {
+    let mut pages = BTreeMap::new();
+    said.for_each(|said| {
+        pages.entry(said.page).or_insert(said);
+    });
+    pages
+}
+
+/// Zones that anybody said anything of.
+fn zones<'a>(said: &[Said<'a>]) -> BTreeSet<&'a String> {
+    said.iter().flat_map(|said| said.rooms.iter().map(|room| &room.0)).collect()
+}
+
 /// Rules on plans; of a day in which each decides alone only what any way of deciding owes.
 pub fn rules(facts: &ZonesFacts, lines: &[Line]) -> Vec<Rule> {
     let said = said(lines);
@@ -102,10 +116,7 @@
 /// Where a plan gives a zone more than the page before did, that is within the room that the zone then had.
 fn roomy(facts: &ZonesFacts, said: &[Said]) -> Rule {
     let mut rule = Rule::new("no zone beyond its room by plan");
-    let mut pages: BTreeMap<(usize, u64), &Said> = BTreeMap::new();
-    said.iter().filter(|said| said.page.1 > 0).for_each(|said| {
-        pages.entry(said.page).or_insert(said);
-    });
+    let pages = firsts(said.iter().filter(|said| said.page.1 > 0));
     let mut before: Option<&Said> = None;
     // The most room that anybody saw a moment before: looks differ, and the page's maker saw one of them.
     let most = |zone: &String, at_ms: f64| {
@@ -136,19 +147,10 @@
 }
 
 /// When each zone's sessions began to leave, by the first router that says so.
-pub fn leaves(lines: &[Line]) -> BTreeMap<String, Vec<f64>> {
-    leaving(&said(lines))
-}
-
 fn leaving(said: &[Said]) -> BTreeMap<String, Vec<f64>> {
-    let mut pages: BTreeMap<(usize, u64), &Said> = BTreeMap::new();
-    said.iter().for_each(|said| {
-        pages.entry(said.page).or_insert(said);
-    });
-    let zones: BTreeSet<&String> =
-        said.iter().flat_map(|said| said.rooms.iter().map(|room| &room.0)).collect();
+    let pages = firsts(said.iter());
     let mut leaves: BTreeMap<String, Vec<f64>> = BTreeMap::new();
-    for zone in zones {
+    for zone in zones(said) {
         let (mut before, mut growing) = (0.0, false);
         for said in pages.values() {
             let now = said.moved(zone);
@@ -216,14 +218,10 @@
 
 pub fn planned(lines: &[Line]) -> Planned {
     let said = said(lines);
-    let mut pages: BTreeMap<(usize, u64), &Said> = BTreeMap::new();
-    said.iter().for_each(|said| {
-        pages.entry(said.page).or_insert(said);
-    });
+    let pages = firsts(said.iter());
     let moves: Vec<Moves> = pages.values().map(|said| said.moves).collect();
     let changes = moves.windows(2).filter(|pair| pair[0] != pair[1]).count();
-    let names: BTreeSet<&String> =
-        said.iter().flat_map(|said| said.rooms.iter().map(|room| &room.0)).collect();
+    let names = zones(&said);
     let zone = |name: &&String| {
         let most = said.iter().map(|said| said.moved(name)).fold(0.0, f64::max);
         let first = said.iter().find(|said| said.moved(name) > 0.0)?;
--- a/crates/failover/tests/desks.rs
+++ b/crates/failover/tests/desks.rs
@@ -1,10 +1,12 @@
 //! Desks of several routers with one page between them, in virtual time.
 
+#[path = "../../../tests/helpers/mod.rs"]
+mod helpers;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use paddleproxy::interface::*;
-use paddleproxy::Control;
 use paddleproxy_failover::plan::WHOLE;
 use paddleproxy_failover::{Desk, Homes, Map, Met, Row, Rules, Saying, Sayings, Verdict, Word, Zone};
 
@@ -330,23 +332,16 @@
             .collect();
         let mut homes = Homes::new(weights_act);
         homes.listed(ListKind::Whole, &rows, |_| true);
-        let mut control = Control::new(settings(weights_act), 7);
-        let mut actions = Vec::new();
-        control.handle(0.0, &Event::Listed { kind: ListKind::Whole, rows: rows.into() }, &mut actions);
-        for id in 1..=300u32 {
-            let session = SessionId(u64::from(id) * 7919);
-            actions.clear();
-            control.handle(0.0, &Event::Arrived(facts(id, session)), &mut actions);
-            let sent = actions.iter().find_map(|action| match action {
-                Action::Dispatch { worker, .. } => Some(worker.0.to_string()),
-                _ => None,
-            });
-            let zone = homes.origin(session).unwrap();
-            assert!(sent.unwrap().starts_with(&format!("z{}", zone.0)), "session {id}");
-            let (completion, seq) = (CompletionId(id), Seq(0));
-            let outcome = Outcome::Finished;
-            let ended = Event::Ended { completion, seq, took_ms: 1.0, over: true, outcome, kept_tokens: 0.0 };
-            control.handle(0.0, &ended, &mut actions);
+        let settings = Settings {
+            weights_act,
+            kinds: vec![KindSettings { role: Role::Mixed, memory_tokens: 160_000.0 }],
+            ..helpers::settings()
+        };
+        let sent = helpers::goes(rows, settings, 300, 100.0, None);
+        assert_eq!(sent.len(), 300);
+        for (session, worker) in sent {
+            let zone = homes.origin(SessionId(session)).unwrap();
+            assert!(worker.starts_with(&format!("z{}", zone.0)), "session {session}");
         }
     }
 }
@@ -371,59 +366,3 @@
     homes.listed(ListKind::Changes, &gone(1, 0..1), |_| true);
     assert_ne!(origins(&homes), before, "one server less is no zone lost: its sessions have other homes");
 }
-
-fn facts(completion: u32, session: SessionId) -> Arrival {
-    Arrival {
-        completion: CompletionId(completion),
-        workload: WorkloadId(0),
-        session,
-        prefix: None,
-        customer: None,
-        client_timeout_ms: 4000.0,
-        prompt_tokens: 100.0,
-        prefix_tokens: 0.0,
-        max_tokens: 10.0,
-        answer_hint_ms: None,
-        near: None,
-        client_retry: false,
-        resumed: false,
-    }
-}
-
-fn settings(weights_act: bool) -> Settings {
-    Settings {
-        routers: 1,
-        own_number: 0,
-        zone: Some(ZoneId(0)),
-        workloads: vec![WorkloadSettings {
-            effect: Effect::Idempotent,
-            group: Group::All,
-            window_ms: 0.0,
-            value: 1.0,
-            latency_target_ms: 1000.0,
-            target_per_token_ms: 0.0,
-        }],
-        kinds: vec![KindSettings { role: Role::Mixed, memory_tokens: 160_000.0 }],
-        customers: Vec::new(),
-        over_share_value: 1.0,
-        must_subscribe: false,
-        must_ask_in_ms: 0.0,
-        holds_allowed: false,
-        writers_read: true,
-        probes_allowed: false,
-        cancel_allowed: true,
-        second_copies: true,
-        retry_after: true,
-        max_retry_after_ms: 500.0,
-        max_dispatches: 5,
-        resolution_ms: 2.0,
-        pin_limit_ms: 500.0,
-        fall_multiple: 2.5,
-        fall_ms: 2000.0,
-        cold_share: 0.3,
-        cold_ms: 12_000.0,
-        weights_act,
-        fresh_part: None,
-        far: Vec::new(),
-    }
-}
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -214,10 +214,7 @@
                 if let Some(load) = load {
                     self.reported(worker.clone(), &load);
                 }
-                if let Some(desk) = &self.desk {
-                    let met = if answered { Met::Answered } else { Met::Silent };
-                    desk.borrow_mut().met(self.book.clock.now_ms(), &worker, met);
-                }
+                self.asked(&worker, answered);
                 self.handle(Input::Probed { worker, answered, took_ms });
             }
             Told::HoldAnswered { completion, seq, worker, held } => {
@@ -249,10 +246,7 @@
                 let _ = status.send(self.membership.status(self.book.clock.now_ms(), cold_ms));
             }
             Told::There { worker, there } => {
-                if let Some(desk) = &self.desk {
-                    let met = if there { Met::Answered } else { Met::Silent };
-                    desk.borrow_mut().met(self.book.clock.now_ms(), &worker, met);
-                }
+                self.asked(&worker, there);
                 let heard = self.membership.observe(self.book.clock.now_ms(), &worker, there);
                 self.heard(heard);
             }
@@ -325,6 +319,14 @@
         });
     }
 
+    /// What a mere question says of its zone.
+    fn asked(&self, worker: &WorkerId, answered: bool) {
+        if let Some(desk) = &self.desk {
+            let met = if answered { Met::Answered } else { Met::Silent };
+            desk.borrow_mut().met(self.book.clock.now_ms(), worker, met);
+        }
+    }
+
     /// What a dispatch says of its zone.
     fn met(&mut self, completion: CompletionId, seq: Seq, met: Option<Met>) {
         let (Some(desk), Some(met)) = (&self.desk, met) else { return };
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -156,7 +156,6 @@
     outgoing: Rc<std::cell::Cell<usize>>,
     desk: Option<Desked>,
     words: failover::Words,
-    turn: u64,
 }
 
 /// Runs as long as the router does.
@@ -188,7 +187,6 @@
         outgoing: Rc::default(),
         words: failover::Words::new(&settings),
         desk,
-        turn: 0,
     };
     if let Some(desk) = &task.desk {
         task.words.recover(&mut desk.borrow_mut(), clock.now_ms());
@@ -307,7 +305,6 @@
             }
             carried
         };
-        self.turn = self.turn.wrapping_add(1);
         if !carried.asks.is_empty() {
             // A core with that many words waiting has no time for mere questions.
             let _ = self.core.try_send(Told::Look { workers: carried.asks });
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -1,5 +1,7 @@
 //! Plays events to one router and prints what it decides.
+#![allow(dead_code)] // No test uses all of them.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use paddleproxy::interface::*;
@@ -74,6 +76,53 @@
     }
 }
 
+/// A completion of workload 0 that came at 0; its client waits 4 s.
+pub fn facts(completion: u32, session: u64, prompt_tokens: f64, near: Option<ZoneId>) -> Arrival {
+    Arrival {
+        completion: CompletionId(completion),
+        workload: WorkloadId(0),
+        session: SessionId(session),
+        prefix: None,
+        customer: None,
+        client_timeout_ms: 4000.0,
+        prompt_tokens,
+        prefix_tokens: 0.0,
+        max_tokens: 10.0,
+        answer_hint_ms: None,
+        near,
+        client_retry: false,
+        resumed: false,
+    }
+}
+
+/// Where the first dispatch of so many sessions goes, each over before the next arrives.
+pub fn goes(
+    rows: Vec<Listing>,
+    settings: Settings,
+    sessions: u32,
+    prompt_tokens: f64,
+    near: Option<ZoneId>,
+) -> BTreeMap<u64, String> {
+    let mut control = Control::new(settings, 7);
+    let mut actions = Vec::new();
+    control.handle(0.0, &Event::Listed { kind: ListKind::Whole, rows: rows.into() }, &mut actions);
+    let mut goes = BTreeMap::new();
+    for id in 1..=sessions {
+        let session = u64::from(id) * 7919;
+        actions.clear();
+        control.handle(0.0, &Event::Arrived(facts(id, session, prompt_tokens, near)), &mut actions);
+        for action in &actions {
+            if let Action::Dispatch { worker, .. } = action {
+                goes.insert(session, worker.0.to_string());
+            }
+        }
+        let (completion, seq, outcome) = (CompletionId(id), Seq(0), Outcome::Finished);
+        let over = Event::Ended { completion, seq, took_ms: 1.0, over: true, outcome, kept_tokens: 0.0 };
+        control.handle(0.0, &over, &mut actions);
+    }
+    goes
+}
+
 impl Play {
     /// A router that has run for a while and whose saved list names these workers.
     pub fn new(settings: Settings, workers: &[&str]) -> Self {
@@ -104,19 +153,12 @@
 
     fn arrival(&mut self, workload: usize, id: u32, session: u64, prompt: f64) -> &mut Self {
         let facts = Arrival {
-            completion: CompletionId(id),
             workload: WorkloadId(workload),
-            session: SessionId(session),
             prefix: Some(PrefixId(9)),
-            customer: None,
             client_timeout_ms: self.now_ms + 4000.0,
-            prompt_tokens: prompt,
             prefix_tokens: 1000.0,
             max_tokens: 200.0,
-            answer_hint_ms: None,
-            near: None,
-            client_retry: false,
-            resumed: false,
+            ..facts(id, session, prompt, None)
         };
         self.play(&format!("arrive {id}, session {session}, {prompt} tokens"), Event::Arrived(facts))
     }
--- a/tests/near.rs
+++ b/tests/near.rs
@@ -1,59 +1,21 @@
 //! Sessions whose home routers agreed to move, and how far overflow goes.
-#![allow(dead_code)] // The helpers are for all tests.
 
 mod helpers;
 
 use std::collections::BTreeMap;
 
-use helpers::{row, settings};
+use helpers::{goes, row, settings};
 use paddleproxy::interface::*;
-use paddleproxy::Control;
 
-fn facts(completion: u32, session: u64, prompt_tokens: f64, near: Option<ZoneId>) -> Arrival {
-    Arrival {
-        completion: CompletionId(completion),
-        workload: WorkloadId(0),
-        session: SessionId(session),
-        prefix: None,
-        customer: None,
-        client_timeout_ms: 4000.0,
-        prompt_tokens,
-        prefix_tokens: 0.0,
-        max_tokens: 10.0,
-        answer_hint_ms: None,
-        near,
-        client_retry: false,
-        resumed: false,
-    }
-}
-
-/// Where each session's first dispatch goes; each is over before the next arrives.
-fn goes(
+/// Where each session's first dispatch goes.
+fn first(
     names: &[&str],
     settings: Settings,
     near: Option<ZoneId>,
     prompt_tokens: f64,
 ) -> BTreeMap<u64, String> {
-    let mut control = Control::new(settings, 7);
-    let mut actions = Vec::new();
-    let rows = names.iter().map(|name| row(name)).collect();
-    control.handle(0.0, &Event::Listed { kind: ListKind::Whole, rows }, &mut actions);
-    let mut goes = BTreeMap::new();
-    for id in 1..=400u32 {
-        let session = u64::from(id) * 7919;
-        actions.clear();
-        control.handle(0.0, &Event::Arrived(facts(id, session, prompt_tokens, near)), &mut actions);
-        let worker = actions.iter().find_map(|action| match action {
-            Action::Dispatch { worker, .. } => Some(worker.0.to_string()),
-            _ => None,
-        });
-        goes.insert(session, worker.unwrap_or_default());
-        control.handle(0.0, &Event::Expired { completion: CompletionId(id) }, &mut actions);
-        let (completion, seq) = (CompletionId(id), Seq(0));
-        let outcome = Outcome::Cancelled;
-        let ended = Event::Ended { completion, seq, took_ms: 1.0, over: true, outcome, kept_tokens: 0.0 };
-        control.handle(0.0, &ended, &mut actions);
-    }
+    let goes = goes(names.iter().map(|name| row(name)).collect(), settings, 400, prompt_tokens, near);
+    assert_eq!(goes.len(), 400, "some went nowhere");
     goes
 }
 
@@ -61,8 +23,8 @@
 
 #[test]
 fn a_moved_session_has_its_home_in_that_zone_and_others_keep_theirs() {
-    let by_hash = goes(&MIXED, settings(), None, 200.0);
-    let moved = goes(&MIXED, settings(), Some(ZoneId(1)), 200.0);
+    let by_hash = first(&MIXED, settings(), None, 200.0);
+    let moved = first(&MIXED, settings(), Some(ZoneId(1)), 200.0);
     let mut ranked_there = 0;
     for (session, home) in &by_hash {
         assert!(moved[session].starts_with("m1"), "session {session} went to {}", moved[session]);
@@ -80,15 +42,15 @@
 
 #[test]
 fn a_zone_without_a_usable_home_leaves_sessions_where_their_hash_says() {
-    let by_hash = goes(&MIXED, settings(), None, 200.0);
-    assert_eq!(goes(&MIXED, settings(), Some(ZoneId(7)), 200.0), by_hash);
+    let by_hash = first(&MIXED, settings(), None, 200.0);
+    assert_eq!(first(&MIXED, settings(), Some(ZoneId(7)), 200.0), by_hash);
 }
 
 /// Homes are in zone 0, where nobody reads: long prompts go to readers of other cells, nearer ones first.
 #[test]
 fn overflow_goes_to_the_nearest_zone_first() {
     let names = ["m0a", "w0a", "r1a", "r2a", "r3a", "w1a", "w2a", "w3a"];
-    let spread = goes(&names, settings(), None, 9000.0);
+    let spread = first(&names, settings(), None, 9000.0);
     let used: std::collections::BTreeSet<&str> = spread.values().map(String::as_str).collect();
     assert_eq!(
         used.into_iter().collect::<Vec<_>>(),
@@ -96,6 +58,6 @@
         "by hash alone all readers are used"
     );
     let far = vec![vec![0, 3, 1, 2], vec![1, 0, 2, 3], vec![1, 2, 0, 3], vec![1, 2, 3, 0]];
-    let near = goes(&names, Settings { far, ..settings() }, None, 9000.0);
+    let near = first(&names, Settings { far, ..settings() }, None, 9000.0);
     assert!(near.values().all(|reader| reader == "r2a"), "{near:?}");
 }
--- a/tests/turns.rs
+++ b/tests/turns.rs
@@ -1,5 +1,4 @@
 //! How many of many routers may send to a worker that just started, by what they send.
-#![allow(dead_code)] // The helpers are for all tests.
 
 mod helpers;
 
--- a/tests/weights.rs
+++ b/tests/weights.rs
@@ -1,54 +1,17 @@
 //! What weights do to homes.
-#![allow(dead_code)] // The helpers are for all tests.
 
 mod helpers;
 
-use helpers::{row, settings};
+use helpers::{goes, row, settings};
 use paddleproxy::interface::*;
-use paddleproxy::Control;
 
 /// Homes of many sessions, by worker, where each worker has its weight.
 fn homes(weights: &[(&str, f64)], weights_act: bool) -> std::collections::BTreeMap<String, Vec<u64>> {
     let rows = weights.iter().map(|(name, weight)| Listing { weight: *weight, ..row(name) });
     let settings = Settings { weights_act, ..settings() };
-    let mut control = Control::new(settings, 7);
-    let mut actions = Vec::new();
-    let rows = rows.collect();
-    control.handle(0.0, &Event::Listed { kind: ListKind::Whole, rows }, &mut actions);
     let mut homes = std::collections::BTreeMap::<String, Vec<u64>>::new();
-    for session in 1..=3000u32 {
-        let facts = Arrival {
-            completion: CompletionId(session),
-            workload: WorkloadId(0),
-            session: SessionId(u64::from(session) * 7919),
-            prefix: None,
-            customer: None,
-            client_timeout_ms: 4000.0,
-            prompt_tokens: 100.0,
-            prefix_tokens: 0.0,
-            max_tokens: 10.0,
-            answer_hint_ms: None,
-            near: None,
-            client_retry: false,
-            resumed: false,
-        };
-        actions.clear();
-        control.handle(0.0, &Event::Arrived(facts), &mut actions);
-        for action in &actions {
-            if let Action::Dispatch { worker, .. } = action {
-                homes.entry(worker.0.to_string()).or_default().push(u64::from(session));
-            }
-        }
-        let (completion, seq) = (CompletionId(session), Seq(0));
-        let over = Event::Ended {
-            completion,
-            seq,
-            took_ms: 1.0,
-            over: true,
-            outcome: Outcome::Finished,
-            kept_tokens: 0.0,
-        };
-        control.handle(0.0, &over, &mut actions);
+    for (session, worker) in goes(rows.collect(), settings, 3000, 100.0, None) {
+        homes.entry(worker).or_default().push(session);
     }
     homes
 }
