Nothing left pinned: states let go beside silent writes, by whoever can hear

(1) `Due::Pinned` in ledger.rs let go only where nothing was out by our count, while the write had reached nobody for two latency targets. (2) A writer on our side of the cut calls the state gone since it can't reach the reader; `Control::ended` and `Ledger::ended` took that for let go and told nobody. (3) Each connection that did not come up started the state's time anew.

`routing/letgo.rs` decides whom to tell: who answered of late, spread over zones and cells, by the router's seed, waves that overlap. Lists may hold 1,024 workers with the longest names (LIST_BYTES 1 MiB was 22 KB short of it), 1,024 seeds of routers.

--- a/crates/emulator/src/world/routers.rs
+++ b/crates/emulator/src/world/routers.rs
@@ -211,6 +211,7 @@
                 let at_ms = self.now_ms + in_ms;
                 self.heap.put(at_ms, Ev::Tell { router, boot, input });
             }
+            Effect::ReleaseUnclaimed { .. } => {}
             Effect::Release { worker, completion, seq } => {
                 let Some(server) = self.by_name.get(&*worker.0).copied() else { return };
                 let start = self.nodes[server].start;
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -1,7 +1,7 @@
 //! The core: one task that owns the book and where workers are reached. Everything else sends it what happened over
 //! one bounded channel; it says what the sockets do.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,7 +10,7 @@
 use paddleproxy_engine::StateReference;
 use paddleproxy_platform::{report, List, Provision};
 use paddleproxy_router::book::Book;
-use paddleproxy_router::clock::{duration, Clock};
+use paddleproxy_router::clock::Clock;
 use paddleproxy_router::duty::Duty;
 use paddleproxy_routing::{Effect, Input, Ledger, Sending, SocketEnd};
 use tokio::sync::mpsc;
@@ -20,6 +20,7 @@
 use crate::discovery::Ask as AskList;
 use crate::dispatch::{pieces, Dispatch};
 use crate::pool::Pool;
+use crate::release::{Fleet, Releases};
 use crate::words::{Ask, End, Reply, ToCore, Told, Word};
 
 pub struct Core {
@@ -29,11 +30,10 @@
     owed: BTreeMap<CompletionId, Duty<Reply>>,
     asks: BTreeMap<CompletionId, Rc<Ask>>,
     words: BTreeMap<(CompletionId, Seq), mpsc::Sender<Word>>,
-    /// Where the listed workers are reached.
-    dials: BTreeMap<WorkerId, Option<SocketAddr>>,
+    /// Where the listed workers are reached, and who answered of late.
+    fleet: Rc<RefCell<Fleet>>,
     outcomes: BTreeMap<&'static str, u64>,
-    /// Releases that no worker has taken yet.
-    releasing: Rc<Cell<usize>>,
+    releases: Rc<Releases>,
     own: ToCore,
     lists: mpsc::Sender<AskList>,
 }
@@ -48,6 +48,8 @@
         lists: mpsc::Sender<AskList>,
     ) -> Self {
         let ledger = Ledger::new(provision.settings.clone(), provision.answer_slack_ms, seed);
+        let fleet = Rc::new(RefCell::new(Fleet::new(provision.settings.zone)));
+        let releases = Rc::new(Releases::new(pool.clone(), fleet.clone(), clock, seed));
         Core {
             book: Book::new(clock, ledger),
             provision,
@@ -55,9 +57,9 @@
             owed: BTreeMap::new(),
             asks: BTreeMap::new(),
             words: BTreeMap::new(),
-            dials: BTreeMap::new(),
+            fleet,
             outcomes: BTreeMap::new(),
-            releasing: Rc::default(),
+            releases,
             own,
             lists,
         }
@@ -90,6 +92,9 @@
                 self.handle(Input::Arrived { arrival, streamed: true });
             }
             Told::Began { completion, seq, took_ms } => {
+                if let Some(worker) = self.book.worker(completion, seq) {
+                    self.fleet.borrow_mut().hearing.answered(worker, self.book.clock.now_ms());
+                }
                 self.handle(Input::Began { completion, seq, took_ms })
             }
             Told::Ended { completion, seq, took_ms, end } => self.ended(completion, seq, took_ms, end),
@@ -100,6 +105,7 @@
                 self.handle(Input::Left { completion });
             }
             Told::Probed { worker, load, answered, took_ms } => {
+                self.fleet.borrow_mut().heard(&worker, answered, self.book.clock.now_ms());
                 self.reported(&worker, load);
                 self.handle(Input::Probed { worker, answered, took_ms });
             }
@@ -123,14 +129,15 @@
             Told::LastAnswers => self.handle(Input::Stop { streams: false }),
             Told::Tell(to) => {
                 let figures = format!(
-                    "{:?}; owed {}, outcomes {:?}, connections {} held and {} opened",
+                    "{:?}; owed {}, outcomes {:?}, releases {}, connections {} held and {} opened",
                     self.book.counts(),
                     self.owed.len(),
                     self.outcomes,
+                    self.releases.figures(),
                     self.pool.held(),
                     self.pool.opened.get(),
                 );
-                let _ = to.send((self.book.open() + self.releasing.get(), figures));
+                let _ = to.send((self.book.open() + self.releases.out(), figures));
             }
         }
     }
@@ -143,19 +150,8 @@
                 "entries that name what the settings don't"
             );
         }
-        if kind != ListKind::Changes {
-            self.dials.clear();
-        }
-        for row in &list.rows {
-            let worker = row.listing.worker.clone();
-            if row.listing.readiness == Readiness::Gone {
-                self.dials.remove(&worker);
-            } else {
-                self.dials.insert(worker, row.dial);
-            }
-        }
         debug!(version = list.version, ?kind, rows = list.rows.len(), "list");
-        let rows = list.rows.into_iter().map(|row| row.listing).collect();
+        let rows = self.fleet.borrow_mut().listed(list, kind);
         self.handle(Input::Listed { kind, rows });
     }
 
@@ -175,6 +171,7 @@
         );
         *self.outcomes.entry(name(&end)).or_default() += 1;
         if let Some(worker) = worker {
+            self.fleet.borrow_mut().hearing.ended(&worker, &end, self.book.clock.now_ms());
             self.reported(&worker, load);
         }
         // Workers know a state by the id of its completion alone, so the reference has nothing to tell.
@@ -225,7 +222,13 @@
                 self.owed.remove(&completion);
                 self.asks.remove(&completion);
             }
-            Effect::Release { worker, completion, .. } => self.release(&worker, completion),
+            // What a dispatch comes for is never let go of by this word, so that it serves both.
+            Effect::Release { worker, completion, .. }
+            | Effect::ReleaseUnclaimed { worker, completion, .. } => {
+                if let Some(ask) = self.asks.get(&completion) {
+                    self.releases.begin(worker, &ask.id, self.provision.settings.pin_limit_ms);
+                }
+            }
             Effect::Hold { worker, completion, seq, .. } => self.hold(worker, completion, seq),
             Effect::Probe { worker } => self.probe(worker),
             Effect::CloseIdle { worker } => {
@@ -240,7 +243,7 @@
     }
 
     fn dial(&self, worker: &WorkerId) -> Option<SocketAddr> {
-        self.dials.get(worker).copied().flatten()
+        self.fleet.borrow().dial(worker)
     }
 
     fn send(&mut self, sending: Sending) {
@@ -263,36 +266,6 @@
         tokio::task::spawn_local(dispatch.run());
     }
 
-    /// Any worker lets go of all that is held by an id, at whichever worker: where the named one does not take the
-    /// call, the next is told, for as long as the limit on what is held allows.
-    fn release(&self, worker: &WorkerId, completion: CompletionId) {
-        let Some(ask) = self.asks.get(&completion) else { return };
-        let path = room(&ask.id);
-        let named = self.dial(worker);
-        let others = self.dials.values().copied().flatten().filter(|address| Some(*address) != named);
-        let to: Vec<_> = named.into_iter().chain(others).take(RELEASES).collect();
-        let (pool, pin_ms) = (self.pool.clone(), self.provision.settings.pin_limit_ms);
-        let releasing = self.releasing.clone();
-        releasing.set(releasing.get() + 1);
-        tokio::task::spawn_local(async move {
-            let each_ms = pin_ms / RELEASES as f64;
-            let mut heard = false;
-            for address in to {
-                let began = Instant::now();
-                let answer = pool.call(address, "DELETE", &path, each_ms).await;
-                heard = answer.is_ok_and(|(head, _)| head.status < 300);
-                if heard {
-                    break;
-                }
-                tokio::time::sleep_until(began + duration(each_ms / 2.0)).await;
-            }
-            if !heard {
-                debug!(path, "a release was not heard");
-            }
-            releasing.set(releasing.get() - 1);
-        });
-    }
-
     fn hold(&self, worker: WorkerId, completion: CompletionId, seq: Seq) {
         let Some(ask) = self.asks.get(&completion).cloned() else { return };
         let Some(address) = self.dial(&worker) else { return };
@@ -331,10 +304,7 @@
     }
 }
 
-/// Workers that are told to let go before it counts as not heard: as many as the time of the limit is cut into.
-const RELEASES: usize = 4;
-
-fn room(id: &str) -> String {
+pub fn room(id: &str) -> String {
     format!("/bootstrap/rooms/{id}")
 }
 
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use bytes::BytesMut;
-use paddleproxy_platform::{List, Provision, BODY_BYTES};
+use paddleproxy_platform::{List, Provision};
 use paddleproxy_router::clock::duration;
 use paddleproxy_routing::SocketEnd;
 use tokio::io::AsyncWriteExt;
@@ -37,20 +37,22 @@
     stream: &mut TcpStream,
     address: SocketAddr,
     path: &str,
+    most: usize,
 ) -> Result<(u16, BytesMut, bool), String> {
     let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
     stream.write_all(request.as_bytes()).await.map_err(|cause| cause.to_string())?;
     let mut bytes = BytesMut::new();
     let said = |end: SocketEnd| format!("{end:?}");
     let head = read_head(stream, &mut bytes).await.map_err(said)?;
-    let body = read_body(stream, &mut bytes, head.framing, LIST_BYTES).await.map_err(said)?;
+    let body = read_body(stream, &mut bytes, head.framing, most).await.map_err(|end| match end {
+        SocketEnd::Nonsense(why) => format!("{why}; a list may have {most} bytes"),
+        end => said(end),
+    })?;
     Ok((head.status, body, head.stays() && bytes.is_empty()))
 }
 
 /// Between an answer without news and the next watch, in ms: well within the time in which a watch goes on.
 const PACE_MS: f64 = 10.0;
-/// The most bytes of a list.
-const LIST_BYTES: usize = 4 * BODY_BYTES;
 
 /// Never returns while the core lives.
 pub async fn follow(
@@ -58,6 +60,7 @@
     core: ToCore,
     mut asked: mpsc::Receiver<Ask>,
     first: oneshot::Sender<()>,
+    list_bytes: usize,
 ) {
     let mut first = Some(first);
     let mut version: Option<u64> = None;
@@ -80,7 +83,7 @@
                     open
                 }
             };
-            let answer = call(&mut open, address, &path).await?;
+            let answer = call(&mut open, address, &path, list_bytes).await?;
             Ok::<_, String>((answer, open))
         };
         let answer = tokio::select! {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -57,8 +57,15 @@
         let until = self.clock.at(self.sending.until_ms);
         let (pool, ask, until_ms, clock) =
             (self.pool.clone(), self.ask.clone(), self.sending.until_ms, self.clock);
+        let write_by = self.clock.at(self.sending.write_by_ms);
         let exchange = async move {
-            let mut connection = pool.take(address).await?;
+            // Biased: a connection that is at hand is taken, however late it is.
+            let taken = tokio::select! {
+                biased;
+                taken = pool.take(address) => taken,
+                () = sleep_until(write_by) => Err(SocketEnd::ConnectTimedOut),
+            };
+            let mut connection = taken?;
             loop {
                 let head = request(&ask, until_ms - clock.now_ms());
                 if connection.write(&[head.as_bytes(), &ask.body]).await.is_ok() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod dispatch;
 mod limits;
 mod pool;
+mod release;
 mod words;
 
 use std::net::SocketAddr;
@@ -105,7 +106,7 @@
     let (life, lives) = watch::channel(Life::Starting);
     let gate = Rc::new(Gate::new(clock, core.clone(), provision, shares, lives));
     let (first, heard) = oneshot::channel();
-    tokio::task::spawn_local(discovery::follow(source_words, core.clone(), asked, first));
+    tokio::task::spawn_local(discovery::follow(source_words, core.clone(), asked, first, shares.list_bytes));
     let accepting = tokio::task::spawn_local(gate.clone().listen(listener));
     let swept = pool.clone();
     tokio::task::spawn_local(async move {
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -13,6 +13,13 @@
 /// Part of the memory that bodies of open completions may take.
 const BODIES: f64 = 0.2;
 
+/// Bytes that a worker may take in a list: three names of 128 bytes, each escaped and indented, its address and numbers;
+/// and how many workers a list always has room for.
+const LISTED_BYTES: usize = 4 * 1024;
+const LISTED: usize = 1024;
+/// Beyond that a list may take this part of the memory.
+const LISTS: f64 = 1.0 / 16.0;
+
 /// A client has so long, in ms, to send a whole request from when it connected or began one, of the platform's 3 s.
 pub const REQUEST_MS: f64 = 2000.0;
 /// A connection without a request may stay for so many times the workers' idle time.
@@ -63,6 +70,8 @@
     pub workers: usize,
     /// Bytes of bodies that open completions hold together.
     pub body_bytes: usize,
+    /// Bytes of one list of workers; taken only while it is read.
+    pub list_bytes: usize,
 }
 
 impl Shares {
@@ -75,6 +84,7 @@
             workers: (left as usize).saturating_sub(clients).max(1),
             // One request of the largest size always fits.
             body_bytes: body_bytes.max(2 * BODY_BYTES),
+            list_bytes: ((limits.memory_mb * LISTS * 1048576.0) as usize).max(LISTED * LISTED_BYTES),
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/release.rs
@@ -0,0 +1,183 @@
+//! Letting go: the calls by which workers are told that what is held for a completion is no longer wanted. Whom, when
+//! and how often is decided in `paddleproxy_routing::letgo`; here are the sockets, the count and the log.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use paddleproxy::control::rank;
+use paddleproxy::interface::*;
+use paddleproxy_platform::List;
+use paddleproxy_router::clock::Clock;
+use paddleproxy_routing::{Deaf, Hearing, Next, Others, SocketEnd, Telling};
+use tokio::time::sleep_until;
+use tracing::{debug, warn};
+
+use crate::core::room;
+use crate::pool::Pool;
+
+/// The listed workers: where each is reached, and who answered of late.
+pub struct Fleet {
+    dials: BTreeMap<WorkerId, Option<SocketAddr>>,
+    pub hearing: Hearing,
+}
+
+impl Fleet {
+    pub fn new(own_zone: Option<ZoneId>) -> Self {
+        Fleet { dials: BTreeMap::new(), hearing: Hearing::new(own_zone) }
+    }
+
+    /// Takes over where workers are; what is left of the list is for the decisions.
+    pub fn listed(&mut self, list: List, kind: ListKind) -> Arc<[Listing]> {
+        if kind != ListKind::Changes {
+            self.dials.clear();
+        }
+        for row in &list.rows {
+            let worker = row.listing.worker.clone();
+            if row.listing.readiness == Readiness::Gone {
+                self.dials.remove(&worker);
+            } else {
+                self.dials.insert(worker, row.dial);
+            }
+        }
+        let rows: Arc<[Listing]> = list.rows.into_iter().map(|row| row.listing).collect();
+        self.hearing.listed(kind, &rows);
+        rows
+    }
+
+    pub fn dial(&self, worker: &WorkerId) -> Option<SocketAddr> {
+        self.dials.get(worker).copied().flatten()
+    }
+
+    pub fn heard(&mut self, worker: &WorkerId, answered: bool, now_ms: f64) {
+        match answered {
+            true => self.hearing.answered(worker, now_ms),
+            false => self.hearing.silent(worker, now_ms),
+        }
+    }
+}
+
+/// Between two lines of the log on what nobody heard, in ms.
+const SAID_EVERY_MS: f64 = 1000.0;
+
+/// Counts since the start.
+#[derive(Clone, Copy, Debug, Default)]
+struct Counts {
+    heard: u64,
+    /// Calls for those, and the longest that one took, in ms.
+    calls: u64,
+    longest_ms: f64,
+    /// Given up, by the worst that their calls met.
+    no_way: u64,
+    refused: u64,
+    silent: u64,
+}
+
+/// What is being let go of.
+pub struct Releases {
+    pool: Rc<Pool>,
+    fleet: Rc<RefCell<Fleet>>,
+    clock: Clock,
+    seed: u64,
+    out: Cell<usize>,
+    counts: Cell<Counts>,
+    said_ms: Cell<f64>,
+}
+
+impl Releases {
+    pub fn new(pool: Rc<Pool>, fleet: Rc<RefCell<Fleet>>, clock: Clock, seed: u64) -> Self {
+        let said_ms = Cell::new(f64::NEG_INFINITY);
+        Releases { pool, fleet, clock, seed, out: Cell::new(0), counts: Cell::default(), said_ms }
+    }
+
+    /// Those that no worker has heard yet.
+    pub fn out(&self) -> usize {
+        self.out.get()
+    }
+
+    /// For the log.
+    pub fn figures(&self) -> String {
+        format!("{:?}", self.counts.get())
+    }
+
+    /// Tells that what is held for this id goes; beginning with who holds it.
+    pub fn begin(self: &Rc<Self>, holder: WorkerId, id: &str, limit_ms: f64) {
+        let (releases, path) = (self.clone(), room(id));
+        let seed = rank(&WorkerId(id.into()), self.seed);
+        self.out.set(self.out.get() + 1);
+        tokio::task::spawn_local(async move {
+            releases.tell(holder, path, seed, limit_ms).await;
+            releases.out.set(releases.out.get() - 1);
+        });
+    }
+
+    async fn tell(&self, holder: WorkerId, path: String, seed: u64, limit_ms: f64) {
+        let began_ms = self.clock.now_ms();
+        let mut telling = Telling::new(holder, Others::AnyWorker, seed, limit_ms, began_ms);
+        let mut calls = FuturesUnordered::new();
+        loop {
+            let next = telling.next(self.clock.now_ms(), &self.fleet.borrow().hearing);
+            let until_ms = match next {
+                Next::Tell(workers) => {
+                    calls.extend(workers.into_iter().map(|worker| self.call(worker, &path, limit_ms)));
+                    continue;
+                }
+                Next::Wait { until_ms } => until_ms,
+                Next::Unheard => return self.unheard(&path, &telling),
+            };
+            let (worker, end) = tokio::select! {
+                biased;
+                Some(ended) = calls.next() => ended,
+                () = sleep_until(self.clock.at(until_ms)) => continue,
+            };
+            let now_ms = self.clock.now_ms();
+            self.fleet.borrow_mut().heard(&worker, end.is_none(), now_ms);
+            match end {
+                Some(deaf) => telling.failed(&worker, deaf),
+                None => {
+                    let took_ms = now_ms - began_ms;
+                    debug!(path, worker = %worker.0, calls = telling.calls(), took_ms, "let go");
+                    let mut counts = self.counts.get();
+                    counts.heard += 1;
+                    counts.calls += u64::from(telling.calls());
+                    counts.longest_ms = counts.longest_ms.max(took_ms);
+                    self.counts.set(counts);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// One call; None where it was answered.
+    async fn call(&self, worker: WorkerId, path: &str, limit_ms: f64) -> (WorkerId, Option<Deaf>) {
+        let address = self.fleet.borrow().dial(&worker);
+        let Some(address) = address else { return (worker, Some(Deaf::NoWay)) };
+        let deaf = match self.pool.call(address, "DELETE", path, limit_ms).await {
+            Ok((head, _)) if head.status < 300 => None,
+            Ok(_) | Err(SocketEnd::ConnectRefused | SocketEnd::BrokeBeforeAnswer) => Some(Deaf::Refused),
+            Err(SocketEnd::NoAddress) => Some(Deaf::NoWay),
+            Err(_) => Some(Deaf::Silent),
+        };
+        (worker, deaf)
+    }
+
+    fn unheard(&self, path: &str, telling: &Telling) {
+        let mut counts = self.counts.get();
+        let cause = telling.deaf().unwrap_or(Deaf::NoWay);
+        *match cause {
+            Deaf::NoWay => &mut counts.no_way,
+            Deaf::Refused => &mut counts.refused,
+            Deaf::Silent => &mut counts.silent,
+        } += 1;
+        self.counts.set(counts);
+        let now_ms = self.clock.now_ms();
+        if now_ms >= self.said_ms.get() + SAID_EVERY_MS {
+            self.said_ms.set(now_ms);
+            let unheard = counts.no_way + counts.refused + counts.silent;
+            warn!(path, ?cause, calls = telling.calls(), unheard, "nobody heard what is let go of");
+        }
+    }
+}
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -90,6 +90,8 @@
     pub connections: Rc<Cell<usize>>,
     /// Connections that the router closed.
     pub closed: Rc<Cell<usize>>,
+    /// Takes calls on what is held and says nothing.
+    pub deaf: Cell<bool>,
     script: Rc<RefCell<Script>>,
 }
 
@@ -140,6 +142,7 @@
             seen: Rc::default(),
             connections: Rc::default(),
             closed: Rc::default(),
+            deaf: Cell::new(false),
             script: Rc::new(RefCell::new(Rc::new(script))),
         });
         let shared = worker.clone();
@@ -182,6 +185,7 @@
                 self.seen.borrow_mut().push(seen.clone());
                 match seen.method.as_str() {
                     "GET" => vec![Step::Say(plain("200 OK", "", "TEXT inflight=1, queue=0, util=0.1"))],
+                    _ if self.deaf.get() => vec![Step::Hang],
                     _ => vec![Step::Say(plain("204 No Content", "", ""))],
                 }
             };
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use hyper::Method;
 use paddleproxy::interface::*;
 use paddleproxy_engine as wire;
@@ -13,7 +14,7 @@
 use paddleproxy_membership::{Heard, Membership, Saved, SourceId};
 use paddleproxy_messages::{Answer, ApiError, ErrorKind};
 use paddleproxy_peers::Granted;
-use paddleproxy_routing::{Effect, Input, Ledger, Sending, SocketEnd};
+use paddleproxy_routing::{Deaf, Effect, Hearing, Input, Ledger, Next, Others, Sending, SocketEnd, Telling};
 use paddleproxy_settings::router::RouterSettings;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, Instant};
@@ -416,6 +417,8 @@
             // The book has set its timers.
             Effect::Arm { .. } => {}
             Effect::Release { worker, completion, seq } => self.release(worker, completion, seq),
+            // The word of this wire would take the state from under the dispatch that comes for it.
+            Effect::ReleaseUnclaimed { .. } => {}
             Effect::Hold { worker, completion, seq, tokens } => self.hold(worker, completion, seq, tokens),
             Effect::Probe { worker } => self.probe(worker),
             Effect::CloseIdle { worker } => {
@@ -467,22 +470,41 @@
     fn release(&self, worker: WorkerId, completion: CompletionId, seq: Seq) {
         let Some(address) = self.membership.address(&worker) else { return };
         let request_id = self.name(completion, seq);
-        let (engines, pin_ms) = (self.engines.clone(), self.settings.decisions.pin_limit_ms);
-        tokio::task::spawn_local(async move {
+        let (engines, clock) = (self.engines.clone(), self.book.clock);
+        let limit_ms = self.settings.decisions.pin_limit_ms;
+        let hearing = Hearing::new(None);
+        // Here only the holder can let go, so there is nobody to spread over.
+        let mut telling = Telling::new(worker.clone(), Others::None, 0, limit_ms, clock.now_ms());
+        let tell = async move {
             let body = serde_json::to_string(&wire::ReleaseRequest { request_id }).unwrap_or_default();
-            let tries = engines.settings.release_tries.max(1);
-            let each_ms = pin_ms / tries as f64;
-            for _ in 0..tries {
-                let began = tokio::time::Instant::now();
-                let answer =
-                    engines.call(address, Method::POST, wire::RELEASE, body.clone(), each_ms, 4096).await;
-                match answer {
+            let mut calls = FuturesUnordered::new();
+            loop {
+                let next = telling.next(clock.now_ms(), &hearing);
+                let until_ms = match next {
+                    Next::Tell(_) if telling.calls() as usize <= engines.settings.release_tries => {
+                        let body = body.clone();
+                        calls.push(engines.call(address, Method::POST, wire::RELEASE, body, limit_ms, 4096));
+                        continue;
+                    }
+                    Next::Wait { until_ms } => until_ms,
+                    Next::Tell(_) | Next::Unheard if calls.is_empty() => break,
+                    // The last tries may still be heard.
+                    Next::Tell(_) | Next::Unheard => f64::INFINITY,
+                };
+                let ended = tokio::select! {
+                    biased;
+                    Some(ended) = calls.next() => ended,
+                    () = sleep_until(clock.at(until_ms.min(clock.now_ms() + limit_ms))) => continue,
+                };
+                match ended {
                     Ok((status, _, _)) if status < 500 => return,
-                    _ => tokio::time::sleep_until(began + duration(each_ms / 2.0)).await,
+                    Ok(_) | Err(SocketEnd::ConnectRefused) => telling.failed(&worker, Deaf::Refused),
+                    Err(_) => telling.failed(&worker, Deaf::Silent),
                 }
             }
-            debug!(worker = %worker.0, "a release was not heard");
-        });
+            debug!(worker = %worker.0, cause = ?telling.deaf(), "a release was not heard");
+        };
+        tokio::task::spawn_local(tell);
     }
 
     fn hold(&self, worker: WorkerId, completion: CompletionId, seq: Seq, tokens: f64) {
--- a/crates/router/src/dispatch_tests.rs
+++ b/crates/router/src/dispatch_tests.rs
@@ -127,6 +127,7 @@
         until_ms: 400.0,
         state: None,
         read_kept: 0.0,
+        write_by_ms: f64::INFINITY,
     };
     let dispatch = Dispatch {
         sending,
--- a/crates/routing/src/ledger.rs
+++ b/crates/routing/src/ledger.rs
@@ -99,6 +99,9 @@
     pub state: Option<Rc<StateReference>>,
     /// Tokens that the read of that state found kept.
     pub read_kept: f64,
+    /// Clock time by which it has to be written where it takes a state: a connection that does not come up is no
+    /// dispatch to whoever holds the state, whose time runs on meanwhile.
+    pub write_by_ms: f64,
 }
 
 /// What the sockets are to do.
@@ -141,6 +144,13 @@
         completion: CompletionId,
         seq: Seq,
     },
+    /// The same for a state that a dispatch was sent for, of which nothing was heard since: it goes only if no dispatch
+    /// has come for it. Nothing where the wire knows no such word.
+    ReleaseUnclaimed {
+        worker: WorkerId,
+        completion: CompletionId,
+        seq: Seq,
+    },
     Hold {
         worker: WorkerId,
         completion: CompletionId,
@@ -199,6 +209,8 @@
     seq: Seq,
     reference: Rc<StateReference>,
     kept_tokens: f64,
+    /// Since when no dispatch that was sent is out; each that ends starts its time anew.
+    since_ms: f64,
 }
 
 /// Lives until a completion is answered and its last dispatch has ended.
@@ -341,7 +353,7 @@
             }
             Input::Began { completion, seq, took_ms } => self.began(completion, seq, took_ms, effects),
             Input::Ended { completion, seq, took_ms, end, kept_tokens, state } => {
-                self.ended(completion, seq, took_ms, &end, kept_tokens, state, effects);
+                self.ended(now_ms, completion, seq, took_ms, &end, kept_tokens, state, effects);
             }
             Input::Left { completion } => self.left(completion, effects),
             Input::Reported { worker, load } => self.events.push_back(Event::Reported { worker, load }),
@@ -387,12 +399,23 @@
                 }
             }
             Input::Due(Due::Pinned(completion)) => {
-                // Guards against a state that waits while nothing is out, whatever holds the decision up.
-                // Harm: the prompt is read anew.
-                let idle = self.open.get_mut(&completion).filter(|entry| !entry.out());
-                if let Some(state) = idle.and_then(|entry| entry.state.take()) {
+                let held_ms = self.settings.pin_limit_ms * PIN_PATIENCE;
+                let Some(entry) = self.open.get_mut(&completion) else { return };
+                let early_ms = self.settings.resolution_ms / 2.0;
+                let due = |state: &mut Waiting| now_ms >= state.since_ms + held_ms - early_ms;
+                let writing = entry.out();
+                let Some(state) = entry.state.take_if(due) else { return };
+                let (worker, seq) = (state.worker.clone(), state.seq);
+                if writing {
+                    // Guards against a dispatch that never reached anybody, as into a cut that no socket has told of:
+                    // its state waits with nobody coming. Harm: a call more for each answer that is slow to begin.
+                    entry.state = Some(state);
+                    effects.push(Effect::ReleaseUnclaimed { worker, completion, seq });
+                } else {
+                    // Guards against a state that waits while nothing is out, whatever holds the decision up.
+                    // Harm: the prompt is read anew.
                     self.counts.unpinned += 1;
-                    effects.push(Effect::Release { worker: state.worker, completion, seq: state.seq });
+                    effects.push(Effect::Release { worker, completion, seq });
                 }
             }
         }
@@ -424,6 +447,7 @@
     #[allow(clippy::too_many_arguments)]
     fn ended(
         &mut self,
+        now_ms: f64,
         completion: CompletionId,
         seq: Seq,
         took_ms: f64,
@@ -442,8 +466,13 @@
         let mut result = outcome(end);
         match (result, state) {
             (Outcome::Read, Some(reference)) => {
-                let waiting =
-                    Waiting { worker: worker.clone(), seq, reference: Rc::new(reference), kept_tokens };
+                let waiting = Waiting {
+                    worker: worker.clone(),
+                    seq,
+                    reference: Rc::new(reference),
+                    kept_tokens,
+                    since_ms: now_ms,
+                };
                 if let Some(old) = entry.state.replace(waiting) {
                     effects.push(Effect::Release { worker: old.worker, completion, seq: old.seq });
                 }
@@ -463,7 +492,12 @@
             effects.push(Effect::Release { worker: worker.clone(), completion, seq });
         }
         if matches!(result, Outcome::Finished | Outcome::NoState) && used {
-            entry.state = None;
+            let state = entry.state.take().filter(|_| result == Outcome::NoState);
+            // Guards against a writer that says a state is gone because it can't reach it: nobody fetches it any more,
+            // and it waits on. Harm: a call more where it was gone.
+            if let Some(state) = state {
+                effects.push(Effect::Release { worker: state.worker, completion, seq: state.seq });
+            }
         }
         if entry.stream == Some(seq) {
             entry.stream = None;
@@ -477,9 +511,14 @@
             self.counts.finished += 1;
             effects.push(Effect::Deliver { completion, seq });
         }
-        if entry.state.is_some() && !entry.out() && result != Outcome::Read {
-            let in_ms = self.settings.pin_limit_ms * PIN_PATIENCE;
-            effects.push(Effect::Arm { in_ms, due: Due::Pinned(completion) });
+        let writing = entry.out();
+        if let Some(state) = entry.state.as_mut().filter(|_| !writing && result != Outcome::Read) {
+            // What was never sent is no end of a dispatch to whoever holds the state: its time has run on.
+            if result != Outcome::ConnectFailed {
+                state.since_ms = now_ms;
+            }
+            let in_ms = state.since_ms + self.settings.pin_limit_ms * PIN_PATIENCE - now_ms;
+            effects.push(Effect::Arm { in_ms: in_ms.max(0.0), due: Due::Pinned(completion) });
         }
         // With one dispatch at a time its proof clears the completion; a second copy leaves it in doubt.
         if stage != Stage::Read && never_ran(result) && entry.dispatches.iter().all(|d| !d.out) {
@@ -669,7 +708,18 @@
         let (state, read_kept) =
             (used.map(|state| state.reference.clone()), used.map_or(0.0, |s| s.kept_tokens));
         let until_ms = limit_ms.min(entry.deadline_ms);
-        effects.push(Effect::Send(Sending { completion, seq, worker, stage, until_ms, state, read_kept }));
+        let held_ms = self.settings.pin_limit_ms * PIN_PATIENCE;
+        let write_by_ms = used.map_or(until_ms, |state| until_ms.min(state.since_ms + held_ms));
+        effects.push(Effect::Send(Sending {
+            completion,
+            seq,
+            worker,
+            stage,
+            until_ms,
+            state,
+            read_kept,
+            write_by_ms,
+        }));
     }
 
     fn hold(&mut self, completion: CompletionId, worker: WorkerId, effects: &mut Vec<Effect>) {
--- /dev/null
+++ b/crates/routing/src/letgo.rs
@@ -0,0 +1,246 @@
+//! Whom to tell that a state or a place is let go, when the next is told beside the first, and when it is given up.
+//!
+//! Where any worker takes the word for all others (`Others::AnyWorker`), the holder need not be reached: it may lie in
+//! a lost zone or behind a cut, and so may whole zones beside it. So the choice goes by who answered this router of
+//! late, spreads over zones and cells, and differs between routers by their seed. Tries overlap: silence never holds up
+//! the next. Each wave of tries is as large as all before it together, so that among `n` workers the only one that can
+//! be reached is told within log2(n) waves, while in the usual case one call is all. Times are ms on the caller's clock.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+
+use paddleproxy::control::rank;
+use paddleproxy::interface::*;
+
+use crate::outcomes::SocketEnd;
+
+/// Part of the limit after which silence brings the next wave: twelve waves reach all of 2,048 workers within it.
+const WAVE: f64 = 1.0 / 12.0;
+/// Part of that, where all who were told have failed already: a refusal says more than silence, but who refuses at once
+/// must not turn the list into a burst.
+const SOONER: f64 = 0.25;
+/// Once all were told, one is told again each such part of the limit, and for so many limits in all.
+const AGAIN: f64 = 0.25;
+const LIMITS: f64 = 16.0;
+/// An answer or a silence says something for so many limits.
+const LATELY: f64 = 8.0;
+
+struct Row {
+    zone: ZoneId,
+    cell: CellId,
+    answered_ms: f64,
+    silent_ms: f64,
+}
+
+/// Who answered this router of late and who did not, by worker on the list. Lives as long as the router; holds a row a
+/// listed worker.
+#[derive(Default)]
+pub struct Hearing {
+    rows: BTreeMap<WorkerId, Row>,
+    own_zone: Option<ZoneId>,
+}
+
+impl Hearing {
+    pub fn new(own_zone: Option<ZoneId>) -> Self {
+        Hearing { rows: BTreeMap::new(), own_zone }
+    }
+
+    /// Another list; what was heard of a worker stays as long as it is listed.
+    pub fn listed(&mut self, kind: ListKind, rows: &[Listing]) {
+        if kind != ListKind::Changes && kind != ListKind::Failed {
+            self.rows.retain(|worker, _| rows.iter().any(|row| row.worker == *worker));
+        }
+        for row in rows {
+            if row.readiness == Readiness::Gone {
+                self.rows.remove(&row.worker);
+                continue;
+            }
+            let never = f64::NEG_INFINITY;
+            let new = Row { zone: row.zone, cell: row.cell, answered_ms: never, silent_ms: never };
+            let known = self.rows.entry(row.worker.clone()).or_insert(new);
+            (known.zone, known.cell) = (row.zone, row.cell);
+        }
+    }
+
+    pub fn answered(&mut self, worker: &WorkerId, now_ms: f64) {
+        self.rows.entry(worker.clone()).and_modify(|row| row.answered_ms = now_ms);
+    }
+
+    pub fn silent(&mut self, worker: &WorkerId, now_ms: f64) {
+        self.rows.entry(worker.clone()).and_modify(|row| row.silent_ms = now_ms);
+    }
+
+    /// What the end of a dispatch says of its worker; nothing where we called it off or it broke under way.
+    pub fn ended(&mut self, worker: &WorkerId, end: &SocketEnd, now_ms: f64) {
+        use SocketEnd::*;
+        match end {
+            TurnedAway(_) | ErrorStatus(_) | ReadDone | AnswerDone | BrokeWithinAnswer | Nonsense(_) => {
+                self.answered(worker, now_ms);
+            }
+            ConnectRefused | Unreachable | ConnectTimedOut | NeverWritten | BrokeBeforeAnswer | Stalled
+            | TimedOut => self.silent(worker, now_ms),
+            NoAddress | BrokeAfterFirst | Stopped => {}
+        }
+    }
+
+    /// 0 for who answered of late, 1 for who is not known, 2 for who was silent since.
+    fn doubt(row: &Row, now_ms: f64, limit_ms: f64) -> u8 {
+        let last_ms = row.answered_ms.max(row.silent_ms);
+        match now_ms - last_ms > limit_ms * LATELY {
+            true => 1,
+            false if row.answered_ms > row.silent_ms => 0,
+            false => 2,
+        }
+    }
+}
+
+/// Who can take the word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Others {
+    /// Every worker lets go of what any holds.
+    AnyWorker,
+    /// Only the holder.
+    None,
+}
+
+/// What to do next about one release.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Next {
+    /// Tell these now, side by side.
+    Tell(Vec<WorkerId>),
+    /// Nothing before then, in ms on the caller's clock.
+    Wait { until_ms: f64 },
+    /// Nobody heard it; it is given up.
+    Unheard,
+}
+
+/// What became of a try that failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Deaf {
+    /// No address is known, or there was no descriptor for a connection.
+    NoWay,
+    /// A connection was refused or broke.
+    Refused,
+    /// Nothing came back.
+    Silent,
+}
+
+/// Lives from a release until a worker has heard it or it is given up.
+pub struct Telling {
+    holder: WorkerId,
+    others: Others,
+    seed: u64,
+    limit_ms: f64,
+    began_ms: f64,
+    wave_ms: f64,
+    /// Told in this round, and whether that try is still out.
+    told: BTreeMap<WorkerId, bool>,
+    first_round: bool,
+    calls: u32,
+    deaf: Cell<Option<Deaf>>,
+}
+
+impl Telling {
+    /// `seed` has to differ between routers; `limit_ms` is how long what is held may stay.
+    pub fn new(holder: WorkerId, others: Others, seed: u64, limit_ms: f64, now_ms: f64) -> Self {
+        Telling {
+            holder,
+            others,
+            seed,
+            limit_ms: limit_ms.max(1.0),
+            began_ms: now_ms,
+            wave_ms: f64::NEG_INFINITY,
+            told: BTreeMap::new(),
+            first_round: true,
+            calls: 0,
+            deaf: Cell::new(None),
+        }
+    }
+
+    /// Calls asked for so far.
+    pub fn calls(&self) -> u32 {
+        self.calls
+    }
+
+    /// The worst that a try met: by this what nobody heard is counted.
+    pub fn deaf(&self) -> Option<Deaf> {
+        self.deaf.get()
+    }
+
+    /// A try ended without an answer.
+    pub fn failed(&mut self, worker: &WorkerId, deaf: Deaf) {
+        self.told.entry(worker.clone()).and_modify(|out| *out = false);
+        self.deaf.set(self.deaf.get().max(Some(deaf)));
+    }
+
+    pub fn next(&mut self, now_ms: f64, hearing: &Hearing) -> Next {
+        if now_ms >= self.began_ms + LIMITS * self.limit_ms {
+            return Next::Unheard;
+        }
+        let all_failed = !self.told.values().any(|out| *out);
+        let pause_ms = self.limit_ms
+            * match self.first_round {
+                true if all_failed => WAVE * SOONER,
+                true => WAVE,
+                false => AGAIN,
+            };
+        let until_ms = self.wave_ms + pause_ms;
+        if now_ms < until_ms {
+            return Next::Wait { until_ms };
+        }
+        let most = if self.first_round { self.told.len().max(1) } else { 1 };
+        let wave = self.pick(most, now_ms, hearing);
+        if wave.is_empty() {
+            // All were told: from now on one at a time, whoever is likeliest to hear.
+            self.first_round = false;
+            self.told.clear();
+            self.wave_ms = self.wave_ms.max(now_ms - self.limit_ms * AGAIN);
+            let until_ms = self.wave_ms + self.limit_ms * AGAIN;
+            return Next::Wait { until_ms: until_ms.max(now_ms + self.limit_ms * WAVE * SOONER) };
+        }
+        self.wave_ms = now_ms;
+        self.calls += wave.len() as u32;
+        self.told.extend(wave.iter().map(|worker| (worker.clone(), true)));
+        Next::Tell(wave)
+    }
+
+    /// The next to be told, at most so many: who answered of late first, then zones and cells in which fewest were told,
+    /// the own zone before others.
+    fn pick(&self, most: usize, now_ms: f64, hearing: &Hearing) -> Vec<WorkerId> {
+        let doubt = |row: &Row| Hearing::doubt(row, now_ms, self.limit_ms);
+        let holder = hearing.rows.get(&self.holder);
+        let anyone = self.others == Others::AnyWorker;
+        let mut wave = Vec::new();
+        // The holder is asked first, unless it was silent of late and others can take the word.
+        let first = holder.is_none_or(|row| !anyone || doubt(row) < 2) && (holder.is_some() || !anyone);
+        if first && !self.told.contains_key(&self.holder) {
+            wave.push(self.holder.clone());
+        }
+        if !anyone {
+            return wave;
+        }
+        let (mut zones, mut cells) = (BTreeMap::<ZoneId, u32>::new(), BTreeMap::<CellId, u32>::new());
+        for row in self.told.keys().chain(&wave).filter_map(|worker| hearing.rows.get(worker)) {
+            *zones.entry(row.zone).or_default() += 1;
+            *cells.entry(row.cell).or_default() += 1;
+        }
+        let left = |worker: &WorkerId| !self.told.contains_key(worker) && !wave.contains(worker);
+        let left = hearing.rows.iter().filter(|(worker, _)| left(worker));
+        let mut left: Vec<_> =
+            left.map(|(worker, row)| (doubt(row), rank(worker, self.seed), worker, row)).collect();
+        left.sort_by_key(|(doubt, rank, ..)| (*doubt, *rank));
+        while wave.len() < most && !left.is_empty() {
+            let order = |(doubt, _, _, row): &(u8, u64, &WorkerId, &Row)| {
+                let there = zones.get(&row.zone).copied().unwrap_or(0);
+                let near = hearing.own_zone == Some(row.zone);
+                (*doubt, there, !near, cells.get(&row.cell).copied().unwrap_or(0))
+            };
+            let Some(at) = (0..left.len()).min_by_key(|at| order(&left[*at])) else { break };
+            let (_, _, worker, row) = left.remove(at);
+            *zones.entry(row.zone).or_default() += 1;
+            *cells.entry(row.cell).or_default() += 1;
+            wave.push(worker.clone());
+        }
+        wave
+    }
+}
--- a/crates/routing/tests/ledger.rs
+++ b/crates/routing/tests/ledger.rs
@@ -135,7 +135,10 @@
             let line = match effect {
                 Effect::Send(sending) => {
                     let (seq, until) = (sending.seq.0, sending.until_ms);
-                    let state = if sending.state.is_some() { " with the state" } else { "" };
+                    let state = match sending.state {
+                        Some(_) => format!(" with the state, written by {}", sending.write_by_ms),
+                        None => String::new(),
+                    };
                     format!("send {seq} to {}, {:?}{state}, until {until}", sending.worker.0, sending.stage)
                 }
                 Effect::Stop { seq, .. } => format!("stop {}", seq.0),
@@ -145,6 +148,9 @@
                 Effect::Abort { .. } => "abort".into(),
                 Effect::Forget { .. } => "forget".into(),
                 Effect::Release { worker, seq, .. } => format!("release {} at {}", seq.0, worker.0),
+                Effect::ReleaseUnclaimed { worker, seq, .. } => {
+                    format!("release {} at {} unless it is come for", seq.0, worker.0)
+                }
                 Effect::Arm { in_ms, due } => format!("arm {due:?} in {in_ms:.0}"),
                 other => format!("{other:?}"),
             };
@@ -232,3 +238,31 @@
     play.tell("a place held too late", late);
     insta::assert_snapshot!(play.trace);
 }
+
+/// From a zone that was cut off just as a read ended: the write went into a connection that stayed open and quiet.
+#[test]
+fn a_state_whose_write_is_silent_is_let_go_unless_it_is_come_for() {
+    let mut play = Play::new();
+    play.arrive(0, 9000.0, true).pass(300.0).ended(0, SocketEnd::ReadDone);
+    play.pass(400.0).due(Due::Pinned(CompletionId(1)));
+    // The same state is not let go of again; a write that did arrive still begins.
+    play.pass(200.0).began(1).pass(10.0).due(Due::Pinned(CompletionId(1)));
+    insta::assert_snapshot!(play.trace);
+    assert_eq!(play.ledger.counts().unpinned, 0);
+}
+
+#[test]
+fn a_state_that_a_writer_calls_gone_is_let_go_all_the_same() {
+    let mut play = Play::new();
+    play.arrive(0, 9000.0, true).pass(300.0).ended(0, SocketEnd::ReadDone);
+    play.pass(5.0).ended(1, SocketEnd::TurnedAway(paddleproxy_engine::Refusal::StateGone));
+    insta::assert_snapshot!(play.trace);
+}
+
+#[test]
+fn connections_that_do_not_come_up_leave_the_time_of_a_state_running() {
+    let mut play = Play::new();
+    play.arrive(0, 9000.0, true).pass(300.0).ended(0, SocketEnd::ReadDone);
+    play.pass(250.0).ended(1, SocketEnd::ConnectTimedOut).pass(150.0).ended(2, SocketEnd::ConnectTimedOut);
+    insta::assert_snapshot!(play.trace);
+}
--- a/crates/settings/src/peers.rs
+++ b/crates/settings/src/peers.rs
@@ -26,7 +26,7 @@
 /// Probes that must fit into a lease: one round has to fail and the next one to come through.
 const PROBES: f64 = 4.0;
 /// Most seeds that a document may name, and most places that a deployment may have.
-const SEEDS_MAX: usize = 64;
+const SEEDS_MAX: usize = 1024;
 const PLACES_MAX: usize = 4096;
 
 pub(crate) fn read(block: &Block, decisions: &Settings) -> PeerSettings {
--- a/src/control.rs
+++ b/src/control.rs
@@ -54,6 +54,8 @@
 const ASKED_MAX: usize = 2;
 /// Readers of other cells that a text may go to.
 const SPILL: usize = 2;
+/// Part of the limit on what is held after which a state without a dispatch is given up.
+const HELD: f64 = 0.75;
 /// Share of its memory held at which a worker that writes counts as full.
 const MEMORY_FULL: f64 = 0.75;
 /// Share of the load that topples a cold worker which all routers together may send it.
@@ -107,8 +109,11 @@
     merit: f64,
     dispatches: Vec<Dispatch>,
     avoid: Vec<WorkerId>,
-    /// The reader at which a state waits, and the final answer; `over` once that is given.
+    /// The reader at which a state waits, since when nothing sent is out, whether one is let go; the final answer,
+    /// and whether that is given.
     state_at: Option<WorkerId>,
+    idle_ms: f64,
+    let_go: bool,
     answer: Option<Action>,
     over: bool,
     /// Workers asked before the next dispatch, how many were in all, and until when an answer counts.
@@ -283,14 +288,10 @@
             actions.push(Action::Arm { in_ms, timer: Timer::Subscribe });
             return;
         }
-        if kind == ListKind::Saved && self.settings.must_subscribe {
-            actions.push(Action::Subscribe);
-        }
-        if kind != ListKind::Changes {
-            for worker in self.workers.values_mut() {
-                worker.listing.readiness = Readiness::Gone;
-            }
-        }
+        let subscribes = kind == ListKind::Saved && self.settings.must_subscribe;
+        actions.extend(subscribes.then_some(Action::Subscribe));
+        let missing = self.workers.values_mut().filter(|_| kind != ListKind::Changes);
+        missing.for_each(|w| w.listing.readiness = Readiness::Gone);
         for row in rows {
             let Some(kind) = self.settings.kinds.get(row.kind.0) else { continue };
             let worker = self.workers.entry(row.worker.clone()).or_insert_with(|| Worker {
@@ -308,13 +309,12 @@
             });
             if row.started_ms != worker.listing.started_ms {
                 // A new process has kept nothing and carries no blame.
-                worker.forgot_ms = self.now_ms;
-                worker.distrust = Stamped::default();
+                (worker.forgot_ms, worker.distrust) = (self.now_ms, Stamped::default());
             }
             worker.listing = row.clone();
         }
-        let gone = |w: &Worker| w.listing.readiness == Readiness::Gone;
-        self.workers.retain(|_, w| !gone(w) || w.streams + w.waiting.value > 0.0);
+        self.workers
+            .retain(|_, w| w.listing.readiness != Readiness::Gone || w.streams + w.waiting.value > 0.0);
     }
 
     fn arrived(&mut self, facts: &Arrival, actions: &mut Vec<Action>) {
@@ -330,6 +330,8 @@
             dispatches: Vec::new(),
             avoid: Vec::new(),
             state_at: None,
+            idle_ms: 0.0,
+            let_go: false,
             asking: Vec::new(),
             asked: 0,
             ask_until_ms: 0.0,
@@ -394,9 +396,7 @@
         let (done, left): (Vec<_>, Vec<_>) =
             c.asking.drain(..).partition(|asked| worker.is_none_or(|worker| worker == asked));
         c.asking = left;
-        if !answered {
-            c.avoid.extend(done);
-        }
+        c.avoid.extend(done.into_iter().filter(|_| !answered));
         if c.asking.is_empty() && !c.over && c.answer.is_none() {
             self.plan(id);
         }
@@ -434,10 +434,15 @@
             // What was turned away is no sign of what a worker carries.
             w.sent.value = (w.sent.value - f64::from(u8::from(outcome == Full))).max(0.0);
         }
+        // What was never sent leaves a state's time running. Guards against writers that can't be reached while
+        // it does, and that call gone what they can't reach. Harm: a prompt read anew.
+        let late = outcome == ConnectFailed && self.now_ms >= c.idle_ms + HELD * self.settings.pin_limit_ms;
+        c.let_go |= c.state_at.is_some() && (late || outcome == NoState);
+        c.idle_ms = if outcome == ConnectFailed { c.idle_ms } else { self.now_ms };
         c.state_at = match outcome {
             Read => Some(worker.clone()),
             Finished | NoState => None,
-            _ => c.state_at.take(),
+            _ => c.state_at.take().filter(|_| !late),
         };
         if matches!(outcome, Full | Error | Broken | ConnectFailed | TimedOut) {
             c.avoid.push(worker.clone());
@@ -483,11 +488,8 @@
             }
             let each_ms = self.settings.pin_limit_ms / (2.0 * self.settings.max_dispatches.max(1) as f64);
             let until_ms = self.now_ms + each_ms.min(ASKING * c.target_ms);
-            if let Some(c) = self.completions.get_mut(&id) {
-                c.ask_until_ms = until_ms;
-                c.asked += asking.len();
-                c.asking = asking;
-            }
+            let Some(c) = self.completions.get_mut(&id) else { return };
+            (c.ask_until_ms, c.asked, c.asking) = (until_ms, c.asked + asking.len(), asking);
             return;
         }
         let believed = self.believed(c, &worker);
@@ -505,9 +507,7 @@
             may_have_run: stage != Stage::Read,
             worker,
         };
-        if let Some(c) = self.completions.get_mut(&id) {
-            c.dispatches.push(dispatch);
-        }
+        self.completions.entry(id).and_modify(|c| c.dispatches.push(dispatch));
     }
 
     /// Those named that were not heard from of late.
@@ -802,11 +802,10 @@
                 .all(|d| !d.may_have_run && matches!(d.phase, Phase::Planned | Phase::Ended));
         let limit_ms = Some(self.settings.max_retry_after_ms).filter(|_| self.settings.retry_after);
         let retry_after_ms = workload.latency_target_ms.min(limit_ms.unwrap_or(0.0));
-        if let Some(c) = self.completions.get_mut(&id) {
-            let come_back = Action::RateLimit { completion: id, retry_after_ms };
-            c.answer = Some(if harmless { come_back } else { Action::Abort { completion: id } });
-            c.dispatches.iter_mut().for_each(|d| d.wanted = false);
-        }
+        let Some(c) = self.completions.get_mut(&id) else { return };
+        let come_back = Action::RateLimit { completion: id, retry_after_ms };
+        c.answer = Some(if harmless { come_back } else { Action::Abort { completion: id } });
+        c.dispatches.iter_mut().for_each(|d| d.wanted = false);
     }
 
     /// Emits what turns the present state of a completion into the wanted one.
@@ -816,6 +815,7 @@
             actions.push(answer);
             c.over = true;
         }
+        actions.extend(std::mem::take(&mut c.let_go).then_some(Action::Release { completion: id }));
         for (seq, d) in c.dispatches.iter_mut().enumerate() {
             match d.phase {
                 Phase::Planned if d.wanted && !c.over => {
