--- a/crates/day/src/fellows.rs
+++ b/crates/day/src/fellows.rs
@@ -72,6 +72,14 @@
         let stops = matches!(self.name.as_str(), "routers-paused" | "routers-starved");
         stops && self.routers.contains(&router) && self.from_ms <= to_ms && from_ms <= self.to_ms
     }
+
+    /// Whether links of that router were at fault at some time in between: it may not have reached who holds a state.
+    pub(crate) fn cut(&self, router: usize, from_ms: f64, to_ms: f64) -> bool {
+        self.name == "link"
+            && self.routers.contains(&router)
+            && self.from_ms <= to_ms
+            && from_ms <= self.to_ms
+    }
 }
 
 pub(crate) fn spans(lines: &[Line]) -> Vec<Span> {
--- a/crates/gateway/src/release.rs
+++ b/crates/gateway/src/release.rs
@@ -12,7 +12,7 @@
 use paddleproxy::interface::*;
 use paddleproxy_platform::List;
 use paddleproxy_router::clock::Clock;
-use paddleproxy_routing::{Deaf, Hearing, Next, Others, SocketEnd, Telling};
+use paddleproxy_routing::{Deaf, Hearing, Next, Others, SocketEnd, Telling, Unheard, AGAIN};
 use tokio::time::sleep_until;
 use tracing::{debug, warn};
 
@@ -70,10 +70,6 @@
     /// Calls for those, and the longest that one took, in ms.
     calls: u64,
     longest_ms: f64,
-    /// Given up, by the worst that their calls met.
-    no_way: u64,
-    refused: u64,
-    silent: u64,
 }
 
 /// What is being let go of.
@@ -84,13 +80,15 @@
     seed: u64,
     out: Cell<usize>,
     counts: Cell<Counts>,
+    unheard: Unheard,
     said_ms: Cell<f64>,
 }
 
 impl Releases {
     pub fn new(pool: Rc<Pool>, fleet: Rc<RefCell<Fleet>>, clock: Clock, seed: u64) -> Self {
         let said_ms = Cell::new(f64::NEG_INFINITY);
-        Releases { pool, fleet, clock, seed, out: Cell::new(0), counts: Cell::default(), said_ms }
+        let (out, counts, unheard) = (Cell::new(0), Cell::default(), Unheard::default());
+        Releases { pool, fleet, clock, seed, out, counts, unheard, said_ms }
     }
 
     /// Those that no worker has heard yet.
@@ -100,7 +98,7 @@
 
     /// For the log.
     pub fn figures(&self) -> String {
-        format!("{:?}", self.counts.get())
+        format!("{:?}, unheard {:?}", self.counts.get(), self.unheard.counts())
     }
 
     /// Tells that what is held for this id goes; beginning with who holds it.
@@ -116,7 +114,7 @@
 
     async fn tell(&self, holder: WorkerId, path: String, seed: u64, limit_ms: f64) {
         let began_ms = self.clock.now_ms();
-        let mut telling = Telling::new(holder, Others::AnyWorker, seed, limit_ms, began_ms);
+        let mut telling = Telling::new(holder, Others::AnyWorker, seed, limit_ms, AGAIN, began_ms);
         let mut calls = FuturesUnordered::new();
         loop {
             let next = telling.next(self.clock.now_ms(), &self.fleet.borrow().hearing);
@@ -165,19 +163,19 @@
     }
 
     fn unheard(&self, path: &str, telling: &Telling) {
-        let mut counts = self.counts.get();
         let cause = telling.deaf().unwrap_or(Deaf::NoWay);
-        *match cause {
-            Deaf::NoWay => &mut counts.no_way,
-            Deaf::Refused => &mut counts.refused,
-            Deaf::Silent => &mut counts.silent,
-        } += 1;
-        self.counts.set(counts);
+        self.unheard.count(cause);
         let now_ms = self.clock.now_ms();
         if now_ms >= self.said_ms.get() + SAID_EVERY_MS {
             self.said_ms.set(now_ms);
-            let unheard = counts.no_way + counts.refused + counts.silent;
-            warn!(path, ?cause, calls = telling.calls(), unheard, "nobody heard what is let go of");
+            let unheard = self.unheard.counts();
+            warn!(
+                path,
+                cause = cause.name(),
+                calls = telling.calls(),
+                ?unheard,
+                "nobody heard what is let go of"
+            );
         }
     }
 }
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -301,6 +301,9 @@
     ];
     let mut text: String = rows.iter().map(|(name, value)| format!("paddleproxy_{name} {value}\n")).collect();
     allocations(&mut text);
+    for (cause, count) in status.unheard {
+        text.push_str(&format!("paddleproxy_releases_unheard_total{{cause=\"{cause}\"}} {count}\n"));
+    }
     for reason in Reason::ALL {
         let (name, count) = (reason.name(), front.admission.borrow().turned_away(reason));
         text.push_str(&format!("paddleproxy_requests_turned_away_total{{reason=\"{name}\"}} {count}\n"));
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -14,7 +14,9 @@
 use paddleproxy_membership::{Heard, Membership, Saved, SourceId};
 use paddleproxy_messages::{Answer, ApiError, ErrorKind};
 use paddleproxy_peers::Granted;
-use paddleproxy_routing::{Deaf, Effect, Hearing, Input, Ledger, Next, Others, Sending, SocketEnd, Telling};
+use paddleproxy_routing::{
+    Deaf, Effect, Hearing, Input, Ledger, Next, Others, Sending, SocketEnd, Telling, Unheard,
+};
 use paddleproxy_settings::router::RouterSettings;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, Instant};
@@ -53,6 +55,7 @@
     shared: Option<Granted>,
     floor: Option<Granted>,
     lapses: Option<Instant>,
+    unheard: Rc<Unheard>,
     /// Where failover between zones is decided, and the latency targets of open completions for it.
     desk: Option<Desked>,
     targets: BTreeMap<CompletionId, f64>,
@@ -92,6 +95,7 @@
             shared: None,
             floor: None,
             lapses: None,
+            unheard: Rc::default(),
             desk: None,
             targets: BTreeMap::new(),
             settings,
@@ -273,6 +277,7 @@
                     revision: self.membership.revision(),
                     held_total: self.membership.held_total(),
                     refused: self.membership.refused_total(),
+                    unheard: self.unheard.counts(),
                     reckoned: self.shared.as_ref().map_or(self.base.routers, |granted| granted.routers),
                 });
             }
@@ -470,39 +475,41 @@
     fn release(&self, worker: WorkerId, completion: CompletionId, seq: Seq) {
         let Some(address) = self.membership.address(&worker) else { return };
         let request_id = self.name(completion, seq);
-        let (engines, clock) = (self.engines.clone(), self.book.clock);
+        let (engines, clock, unheard) = (self.engines.clone(), self.book.clock, self.unheard.clone());
         let limit_ms = self.settings.decisions.pin_limit_ms;
-        let hearing = Hearing::new(None);
+        let (hearing, tries) = (Hearing::new(None), engines.settings.release_tries);
         // Here only the holder can let go, so there is nobody to spread over.
-        let mut telling = Telling::new(worker.clone(), Others::None, 0, limit_ms, clock.now_ms());
+        let mut telling = Telling::new(worker.clone(), Others::None, 0, limit_ms, tries, clock.now_ms());
         let tell = async move {
             let body = serde_json::to_string(&wire::ReleaseRequest { request_id }).unwrap_or_default();
             let mut calls = FuturesUnordered::new();
             loop {
                 let next = telling.next(clock.now_ms(), &hearing);
                 let until_ms = match next {
-                    Next::Tell(_) if telling.calls() as usize <= engines.settings.release_tries => {
+                    Next::Tell(_) => {
                         let body = body.clone();
                         calls.push(engines.call(address, Method::POST, wire::RELEASE, body, limit_ms, 4096));
                         continue;
                     }
                     Next::Wait { until_ms } => until_ms,
-                    Next::Tell(_) | Next::Unheard if calls.is_empty() => break,
-                    // The last tries may still be heard.
-                    Next::Tell(_) | Next::Unheard => f64::INFINITY,
+                    Next::Unheard => break,
                 };
                 let ended = tokio::select! {
                     biased;
                     Some(ended) = calls.next() => ended,
-                    () = sleep_until(clock.at(until_ms.min(clock.now_ms() + limit_ms))) => continue,
+                    () = sleep_until(clock.at(until_ms)) => continue,
                 };
                 match ended {
                     Ok((status, _, _)) if status < 500 => return,
-                    Ok(_) | Err(SocketEnd::ConnectRefused) => telling.failed(&worker, Deaf::Refused),
+                    // Who refuses connections does not run, and holds nothing.
+                    Err(SocketEnd::ConnectRefused) => break telling.failed(&worker, Deaf::Refused),
+                    Ok(_) => telling.failed(&worker, Deaf::Refused),
                     Err(_) => telling.failed(&worker, Deaf::Silent),
                 }
             }
-            debug!(worker = %worker.0, cause = ?telling.deaf(), "a release was not heard");
+            let cause = telling.deaf().unwrap_or(Deaf::NoWay);
+            unheard.count(cause);
+            debug!(worker = %worker.0, cause = cause.name(), calls = telling.calls(), "a release was not heard");
         };
         tokio::task::spawn_local(tell);
     }
--- a/crates/router/src/words.rs
+++ b/crates/router/src/words.rs
@@ -123,6 +123,8 @@
     /// Versions of the list that were held, and refused.
     pub held_total: u64,
     pub refused: u64,
+    /// Releases that their server did not hear, by cause.
+    pub unheard: [(&'static str, u64); 3],
     /// Routers reckoned with.
     pub reckoned: usize,
 }
--- a/crates/routing/src/letgo.rs
+++ b/crates/routing/src/letgo.rs
@@ -19,8 +19,8 @@
 /// Part of that, where all who were told have failed already: a refusal says more than silence, but who refuses at once
 /// must not turn the list into a burst.
 const SOONER: f64 = 0.25;
-/// Once all were told, one is told again each such part of the limit, and for so many limits in all.
-const AGAIN: f64 = 0.25;
+/// Once all were told, one is told again so often in each limit, and for so many limits in all.
+pub const AGAIN: usize = 4;
 const LIMITS: f64 = 16.0;
 /// An answer or a silence says something for so many limits.
 const LATELY: f64 = 8.0;
@@ -125,12 +125,41 @@
     Silent,
 }
 
+impl Deaf {
+    pub const ALL: [Deaf; 3] = [Deaf::NoWay, Deaf::Refused, Deaf::Silent];
+
+    /// For metrics and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Deaf::NoWay => "no-way",
+            Deaf::Refused => "refused",
+            Deaf::Silent => "silent",
+        }
+    }
+}
+
+/// Releases that nobody heard, by the worst that their calls met. Lives as long as the router.
+#[derive(Default)]
+pub struct Unheard([Cell<u64>; Deaf::ALL.len()]);
+
+impl Unheard {
+    pub fn count(&self, cause: Deaf) {
+        let cell = &self.0[cause as usize];
+        cell.set(cell.get() + 1);
+    }
+
+    pub fn counts(&self) -> [(&'static str, u64); Deaf::ALL.len()] {
+        Deaf::ALL.map(|cause| (cause.name(), self.0[cause as usize].get()))
+    }
+}
+
 /// Lives from a release until a worker has heard it or it is given up.
 pub struct Telling {
     holder: WorkerId,
     others: Others,
     seed: u64,
     limit_ms: f64,
+    again_ms: f64,
     began_ms: f64,
     wave_ms: f64,
     /// Told in this round, and whether that try is still out.
@@ -141,13 +170,23 @@
 }
 
 impl Telling {
-    /// `seed` has to differ between routers; `limit_ms` is how long what is held may stay.
-    pub fn new(holder: WorkerId, others: Others, seed: u64, limit_ms: f64, now_ms: f64) -> Self {
+    /// `seed` has to differ between routers; `limit_ms` is how long what is held may stay; once all were told, one is
+    /// told `again` times in each limit.
+    pub fn new(
+        holder: WorkerId,
+        others: Others,
+        seed: u64,
+        limit_ms: f64,
+        again: usize,
+        now_ms: f64,
+    ) -> Self {
+        let limit_ms = limit_ms.max(1.0);
         Telling {
             holder,
             others,
             seed,
-            limit_ms: limit_ms.max(1.0),
+            limit_ms,
+            again_ms: limit_ms / again.max(1) as f64,
             began_ms: now_ms,
             wave_ms: f64::NEG_INFINITY,
             told: BTreeMap::new(),
@@ -178,12 +217,11 @@
             return Next::Unheard;
         }
         let all_failed = !self.told.values().any(|out| *out);
-        let pause_ms = self.limit_ms
-            * match self.first_round {
-                true if all_failed => WAVE * SOONER,
-                true => WAVE,
-                false => AGAIN,
-            };
+        let pause_ms = match self.first_round {
+            true if all_failed => self.limit_ms * WAVE * SOONER,
+            true => self.limit_ms * WAVE,
+            false => self.again_ms,
+        };
         let until_ms = self.wave_ms + pause_ms;
         if now_ms < until_ms {
             return Next::Wait { until_ms };
@@ -194,8 +232,7 @@
             // All were told: from now on one at a time, whoever is likeliest to hear.
             self.first_round = false;
             self.told.clear();
-            self.wave_ms = self.wave_ms.max(now_ms - self.limit_ms * AGAIN);
-            let until_ms = self.wave_ms + self.limit_ms * AGAIN;
+            let until_ms = self.wave_ms + self.again_ms;
             return Next::Wait { until_ms: until_ms.max(now_ms + self.limit_ms * WAVE * SOONER) };
         }
         self.wave_ms = now_ms;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -15,7 +15,7 @@
 pub use admission::{Admission, Bounds, CustomerLimits, Place, Reason, TurnedAway};
 pub use facts::{Facts, Requests};
 pub use ledger::{Counts, Decisions, Due, Effect, Input, Ledger, Sending, Stage};
-pub use letgo::{Deaf, Hearing, Next, Others, Telling};
+pub use letgo::{Deaf, Hearing, Next, Others, Telling, Unheard, AGAIN};
 pub use outcomes::{outcome, SocketEnd};
 pub use pace::Pace;
 pub use repeats::{Key, Repeats, Verdict};
--- a/src/control.rs
+++ b/src/control.rs
@@ -109,8 +109,8 @@
     merit: f64,
     dispatches: Vec<Dispatch>,
     avoid: Vec<WorkerId>,
-    /// The reader at which a state waits, since when nothing sent is out, whether one is let go; the final answer,
-    /// and whether that is given.
+    /// The reader at which a state waits, since when nothing sent is out, whether one is let go; the final
+    /// answer, and whether that is given.
     state_at: Option<WorkerId>,
     idle_ms: f64,
     let_go: bool,
@@ -434,8 +434,8 @@
             // What was turned away is no sign of what a worker carries.
             w.sent.value = (w.sent.value - f64::from(u8::from(outcome == Full))).max(0.0);
         }
-        // What was never sent leaves a state's time running. Guards against writers that can't be reached while
-        // it does, and that call gone what they can't reach. Harm: a prompt read anew.
+        // What was never sent leaves a state's time running. Guards against writers that can't be reached by
+        // its end, and that call gone what they can't reach. Harm: a prompt read anew.
         let late = outcome == ConnectFailed && self.now_ms >= c.idle_ms + HELD * self.settings.pin_limit_ms;
         c.let_go |= c.state_at.is_some() && (late || outcome == NoState);
         c.idle_ms = if outcome == ConnectFailed { c.idle_ms } else { self.now_ms };
