--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -59,24 +59,26 @@
             (self.pool.clone(), self.ask.clone(), self.sending.until_ms, self.clock);
         let write_by = self.clock.at(self.sending.write_by_ms);
         let exchange = async move {
+            let written = async {
+                let mut connection = pool.take(address).await?;
+                loop {
+                    let head = request(&ask, until_ms - clock.now_ms());
+                    if connection.write(&[head.as_bytes(), &ask.body]).await.is_ok() {
+                        return Ok(connection);
+                    }
+                    // No worker begins a request that has not come whole.
+                    if connection.rested_ms.is_none() {
+                        return Err(SocketEnd::NeverWritten);
+                    }
+                    connection = pool.connect(address).await?;
+                }
+            };
             // Biased: a connection that is at hand is taken, however late it is.
-            let taken = tokio::select! {
+            let mut connection = tokio::select! {
                 biased;
-                taken = pool.take(address) => taken,
-                () = sleep_until(write_by) => Err(SocketEnd::ConnectTimedOut),
+                written = written => written?,
+                () = sleep_until(write_by) => return Err(SocketEnd::ConnectTimedOut),
             };
-            let mut connection = taken?;
-            loop {
-                let head = request(&ask, until_ms - clock.now_ms());
-                if connection.write(&[head.as_bytes(), &ask.body]).await.is_ok() {
-                    break;
-                }
-                // No worker begins a request that has not come whole.
-                if connection.rested_ms.is_none() {
-                    return Err(SocketEnd::NeverWritten);
-                }
-                connection = pool.connect(address).await?;
-            }
             let head = pool.head(&mut connection).await?;
             Ok((connection, head))
         };
--- a/crates/settings/src/router.rs
+++ b/crates/settings/src/router.rs
@@ -174,7 +174,7 @@
     pub ping_ms: f64,
     pub line_bytes: usize,
     pub answer_bytes: usize,
-    /// Longest wait between tries at letting go of a state, and how often it is tried.
+    /// How often in each pin limit a server is told to let go of a state, for 16 limits.
     pub release_tries: usize,
 }
 
