Read once more: one carrier of releases for both routers, no scan of a list against itself

Found in the change: the loop of calls beside waiting stood in crates/gateway and crates/router (now `letgo::tell`, which both call); `Hearing::listed` compared each known worker with each row of a whole list on the core's own task (now a set); the time that a state may wait was worked out in four places of the ledger; a `Cell` and a condition in `Telling` that said no more than plain ones; the gateway's core and its releases imported each other.

--- a/crates/day/src/fellows.rs
+++ b/crates/day/src/fellows.rs
@@ -69,16 +69,17 @@
 impl Span {
     /// Whether that router's process was stopped by it at some time in between.
     pub(crate) fn stopped(&self, router: usize, from_ms: f64, to_ms: f64) -> bool {
-        let stops = matches!(self.name.as_str(), "routers-paused" | "routers-starved");
-        stops && self.routers.contains(&router) && self.from_ms <= to_ms && from_ms <= self.to_ms
+        matches!(self.name.as_str(), "routers-paused" | "routers-starved")
+            && self.touches(router, from_ms, to_ms)
     }
 
     /// Whether links of that router were at fault at some time in between: it may not have reached who holds a state.
     pub(crate) fn cut(&self, router: usize, from_ms: f64, to_ms: f64) -> bool {
-        self.name == "link"
-            && self.routers.contains(&router)
-            && self.from_ms <= to_ms
-            && from_ms <= self.to_ms
+        self.name == "link" && self.touches(router, from_ms, to_ms)
+    }
+
+    fn touches(&self, router: usize, from_ms: f64, to_ms: f64) -> bool {
+        self.routers.contains(&router) && self.from_ms <= to_ms && from_ms <= self.to_ms
     }
 }
 
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -20,7 +20,7 @@
 use crate::discovery::Ask as AskList;
 use crate::dispatch::{pieces, Dispatch};
 use crate::pool::Pool;
-use crate::release::{Fleet, Releases};
+use crate::release::{room, Fleet, Releases};
 use crate::words::{Ask, End, Reply, ToCore, Told, Word};
 
 pub struct Core {
@@ -304,10 +304,6 @@
     }
 }
 
-pub fn room(id: &str) -> String {
-    format!("/bootstrap/rooms/{id}")
-}
-
 /// For the log's figures.
 fn name(end: &SocketEnd) -> &'static str {
     match end {
--- a/crates/gateway/src/release.rs
+++ b/crates/gateway/src/release.rs
@@ -7,16 +7,14 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use futures_util::stream::{FuturesUnordered, StreamExt};
 use paddleproxy::control::rank;
 use paddleproxy::interface::*;
 use paddleproxy_platform::List;
 use paddleproxy_router::clock::Clock;
-use paddleproxy_routing::{Deaf, Hearing, Next, Others, SocketEnd, Telling, Unheard, AGAIN};
-use tokio::time::sleep_until;
+use paddleproxy_router::letgo::{self, Call};
+use paddleproxy_routing::{Deaf, Hearing, Others, SocketEnd, Telling, Unheard, AGAIN};
 use tracing::{debug, warn};
 
-use crate::core::room;
 use crate::pool::Pool;
 
 /// The listed workers: where each is reached, and who answered of late.
@@ -60,6 +58,11 @@
     }
 }
 
+/// Where a place is held and let go of, by the request's id.
+pub fn room(id: &str) -> String {
+    format!("/bootstrap/rooms/{id}")
+}
+
 /// Between two lines of the log on what nobody heard, in ms.
 const SAID_EVERY_MS: f64 = 1000.0;
 
@@ -115,51 +118,36 @@
     async fn tell(&self, holder: WorkerId, path: String, seed: u64, limit_ms: f64) {
         let began_ms = self.clock.now_ms();
         let mut telling = Telling::new(holder, Others::AnyWorker, seed, limit_ms, AGAIN, began_ms);
-        let mut calls = FuturesUnordered::new();
-        loop {
-            let next = telling.next(self.clock.now_ms(), &self.fleet.borrow().hearing);
-            let until_ms = match next {
-                Next::Tell(workers) => {
-                    calls.extend(workers.into_iter().map(|worker| self.call(worker, &path, limit_ms)));
-                    continue;
-                }
-                Next::Wait { until_ms } => until_ms,
-                Next::Unheard => return self.unheard(&path, &telling),
-            };
-            let (worker, end) = tokio::select! {
-                biased;
-                Some(ended) = calls.next() => ended,
-                () = sleep_until(self.clock.at(until_ms)) => continue,
-            };
-            let now_ms = self.clock.now_ms();
-            self.fleet.borrow_mut().heard(&worker, end.is_none(), now_ms);
-            match end {
-                Some(deaf) => telling.failed(&worker, deaf),
-                None => {
-                    let took_ms = now_ms - began_ms;
-                    debug!(path, worker = %worker.0, calls = telling.calls(), took_ms, "let go");
-                    let mut counts = self.counts.get();
-                    counts.heard += 1;
-                    counts.calls += u64::from(telling.calls());
-                    counts.longest_ms = counts.longest_ms.max(took_ms);
-                    self.counts.set(counts);
-                    return;
-                }
-            }
-        }
+        let next = |telling: &mut Telling, now_ms| telling.next(now_ms, &self.fleet.borrow().hearing);
+        let call = |worker| self.call(worker, &path, limit_ms);
+        let Some(worker) = letgo::tell(&mut telling, self.clock, next, call).await else {
+            return self.unheard(&path, &telling);
+        };
+        let took_ms = self.clock.now_ms() - began_ms;
+        debug!(path, worker = %worker.0, calls = telling.calls(), took_ms, "let go");
+        let mut counts = self.counts.get();
+        counts.heard += 1;
+        counts.calls += u64::from(telling.calls());
+        counts.longest_ms = counts.longest_ms.max(took_ms);
+        self.counts.set(counts);
     }
 
-    /// One call; None where it was answered.
-    async fn call(&self, worker: WorkerId, path: &str, limit_ms: f64) -> (WorkerId, Option<Deaf>) {
+    async fn call(&self, worker: WorkerId, path: &str, limit_ms: f64) -> (WorkerId, Call) {
         let address = self.fleet.borrow().dial(&worker);
-        let Some(address) = address else { return (worker, Some(Deaf::NoWay)) };
-        let deaf = match self.pool.call(address, "DELETE", path, limit_ms).await {
-            Ok((head, _)) if head.status < 300 => None,
-            Ok(_) | Err(SocketEnd::ConnectRefused | SocketEnd::BrokeBeforeAnswer) => Some(Deaf::Refused),
-            Err(SocketEnd::NoAddress) => Some(Deaf::NoWay),
-            Err(_) => Some(Deaf::Silent),
+        let answer = match address {
+            None => Call::Failed(Deaf::NoWay),
+            Some(address) => match self.pool.call(address, "DELETE", path, limit_ms).await {
+                Ok((head, _)) if head.status < 300 => Call::Heard,
+                Ok(_) | Err(SocketEnd::ConnectRefused | SocketEnd::BrokeBeforeAnswer) => {
+                    Call::Failed(Deaf::Refused)
+                }
+                Err(SocketEnd::NoAddress) => Call::Failed(Deaf::NoWay),
+                Err(_) => Call::Failed(Deaf::Silent),
+            },
         };
-        (worker, deaf)
+        let heard = matches!(answer, Call::Heard);
+        self.fleet.borrow_mut().heard(&worker, heard, self.clock.now_ms());
+        (worker, answer)
     }
 
     fn unheard(&self, path: &str, telling: &Telling) {
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use futures_util::stream::{FuturesUnordered, StreamExt};
+use futures_util::FutureExt;
 use hyper::Method;
 use paddleproxy::interface::*;
 use paddleproxy_engine as wire;
@@ -15,7 +15,7 @@
 use paddleproxy_messages::{Answer, ApiError, ErrorKind};
 use paddleproxy_peers::Granted;
 use paddleproxy_routing::{
-    Deaf, Effect, Hearing, Input, Ledger, Next, Others, Sending, SocketEnd, Telling, Unheard,
+    Deaf, Effect, Hearing, Input, Ledger, Others, Sending, SocketEnd, Telling, Unheard,
 };
 use paddleproxy_settings::router::RouterSettings;
 use tokio::sync::{mpsc, watch};
@@ -28,6 +28,7 @@
 use crate::dispatch::{request_id, Dispatch};
 use crate::engines::Engines;
 use crate::failover::{self, Desked};
+use crate::letgo::{self, Call};
 use crate::list::ListWord;
 use crate::peers;
 use crate::state::{Left, State};
@@ -477,41 +478,31 @@
         let request_id = self.name(completion, seq);
         let (engines, clock, unheard) = (self.engines.clone(), self.book.clock, self.unheard.clone());
         let limit_ms = self.settings.decisions.pin_limit_ms;
-        let (hearing, tries) = (Hearing::new(None), engines.settings.release_tries);
-        // Here only the holder can let go, so there is nobody to spread over.
-        let mut telling = Telling::new(worker.clone(), Others::None, 0, limit_ms, tries, clock.now_ms());
-        let tell = async move {
+        let tries = engines.settings.release_tries;
+        tokio::task::spawn_local(async move {
             let body = serde_json::to_string(&wire::ReleaseRequest { request_id }).unwrap_or_default();
-            let mut calls = FuturesUnordered::new();
-            loop {
-                let next = telling.next(clock.now_ms(), &hearing);
-                let until_ms = match next {
-                    Next::Tell(_) => {
-                        let body = body.clone();
-                        calls.push(engines.call(address, Method::POST, wire::RELEASE, body, limit_ms, 4096));
-                        continue;
-                    }
-                    Next::Wait { until_ms } => until_ms,
-                    Next::Unheard => break,
-                };
-                let ended = tokio::select! {
-                    biased;
-                    Some(ended) = calls.next() => ended,
-                    () = sleep_until(clock.at(until_ms)) => continue,
-                };
-                match ended {
-                    Ok((status, _, _)) if status < 500 => return,
+            let call = |worker| {
+                let answer = engines.call(address, Method::POST, wire::RELEASE, body.clone(), limit_ms, 4096);
+                answer.map(|answer| match answer {
+                    Ok((status, _, _)) if status < 500 => (worker, Call::Heard),
                     // Who refuses connections does not run, and holds nothing.
-                    Err(SocketEnd::ConnectRefused) => break telling.failed(&worker, Deaf::Refused),
-                    Ok(_) => telling.failed(&worker, Deaf::Refused),
-                    Err(_) => telling.failed(&worker, Deaf::Silent),
-                }
+                    Err(SocketEnd::ConnectRefused) => (worker, Call::Over(Deaf::Refused)),
+                    Ok(_) => (worker, Call::Failed(Deaf::Refused)),
+                    Err(_) => (worker, Call::Failed(Deaf::Silent)),
+                })
+            };
+            // Here only the holder can let go, so there is nobody to spread over.
+            let hearing = Hearing::new(None);
+            let now_ms = clock.now_ms();
+            let mut telling = Telling::new(worker.clone(), Others::None, 0, limit_ms, tries, now_ms);
+            let next = |telling: &mut Telling, now_ms| telling.next(now_ms, &hearing);
+            if letgo::tell(&mut telling, clock, next, call).await.is_none() {
+                let cause = telling.deaf().unwrap_or(Deaf::NoWay);
+                unheard.count(cause);
+                let calls = telling.calls();
+                debug!(worker = %worker.0, cause = cause.name(), calls, "a release was not heard");
             }
-            let cause = telling.deaf().unwrap_or(Deaf::NoWay);
-            unheard.count(cause);
-            debug!(worker = %worker.0, cause = cause.name(), calls = telling.calls(), "a release was not heard");
-        };
-        tokio::task::spawn_local(tell);
+        });
     }
 
     fn hold(&self, worker: WorkerId, completion: CompletionId, seq: Seq, tokens: f64) {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,6 +12,7 @@
 mod failover;
 mod files;
 mod front;
+pub mod letgo;
 mod list;
 mod peers;
 mod polite;
--- a/crates/routing/src/ledger.rs
+++ b/crates/routing/src/ledger.rs
@@ -399,21 +399,21 @@
                 }
             }
             Input::Due(Due::Pinned(completion)) => {
-                let held_ms = self.settings.pin_limit_ms * PIN_PATIENCE;
-                let Some(entry) = self.open.get_mut(&completion) else { return };
                 let early_ms = self.settings.resolution_ms / 2.0;
-                let due = |state: &mut Waiting| now_ms >= state.since_ms + held_ms - early_ms;
-                let writing = entry.out();
-                let Some(state) = entry.state.take_if(due) else { return };
+                let since_ms = now_ms - self.held_ms() + early_ms;
+                let Some(entry) = self.open.get_mut(&completion) else { return };
+                let Some(state) = entry.state.as_ref().filter(|state| state.since_ms <= since_ms) else {
+                    return;
+                };
                 let (worker, seq) = (state.worker.clone(), state.seq);
-                if writing {
+                if entry.out() {
                     // Guards against a dispatch that never reached anybody, as into a cut that no socket has told of:
                     // its state waits with nobody coming. Harm: a call more for each answer that is slow to begin.
-                    entry.state = Some(state);
                     effects.push(Effect::ReleaseUnclaimed { worker, completion, seq });
                 } else {
                     // Guards against a state that waits while nothing is out, whatever holds the decision up.
                     // Harm: the prompt is read anew.
+                    entry.state = None;
                     self.counts.unpinned += 1;
                     effects.push(Effect::Release { worker, completion, seq });
                 }
@@ -421,6 +421,11 @@
         }
     }
 
+    /// How long a state may wait before this book lets go of it, in ms.
+    fn held_ms(&self) -> f64 {
+        self.settings.pin_limit_ms * PIN_PATIENCE
+    }
+
     fn began(&mut self, completion: CompletionId, seq: Seq, took_ms: f64, effects: &mut Vec<Effect>) {
         let entry = self.open.get_mut(&completion);
         let out = |entry: &&mut Entry| entry.dispatches.get(seq.0 as usize).is_some_and(|sent| sent.out);
@@ -456,6 +461,7 @@
         state: Option<StateReference>,
         effects: &mut Vec<Effect>,
     ) {
+        let held_ms = self.held_ms();
         let Some(entry) = self.open.get_mut(&completion) else { return };
         let Some(dispatch) = entry.dispatches.get_mut(seq.0 as usize).filter(|dispatch| dispatch.out) else {
             self.counts.ended_twice += 1;
@@ -476,8 +482,7 @@
                 if let Some(old) = entry.state.replace(waiting) {
                     effects.push(Effect::Release { worker: old.worker, completion, seq: old.seq });
                 }
-                let in_ms = self.settings.pin_limit_ms * PIN_PATIENCE;
-                effects.push(Effect::Arm { in_ms, due: Due::Pinned(completion) });
+                effects.push(Effect::Arm { in_ms: held_ms, due: Due::Pinned(completion) });
             }
             // Without a reference there is nothing that a writer could fetch.
             (Outcome::Read, None) => result = Outcome::Error,
@@ -517,7 +522,7 @@
             if result != Outcome::ConnectFailed {
                 state.since_ms = now_ms;
             }
-            let in_ms = state.since_ms + self.settings.pin_limit_ms * PIN_PATIENCE - now_ms;
+            let in_ms = state.since_ms + held_ms - now_ms;
             effects.push(Effect::Arm { in_ms: in_ms.max(0.0), due: Due::Pinned(completion) });
         }
         // With one dispatch at a time its proof clears the completion; a second copy leaves it in doubt.
@@ -665,6 +670,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let role = self.roles.get(&worker).copied();
+        let held_ms = self.held_ms();
         let Some(entry) = self.open.get_mut(&completion) else {
             self.counts.moot += 1;
             let (seq, outcome) = (Seq(0), Outcome::Moot);
@@ -708,7 +714,6 @@
         let (state, read_kept) =
             (used.map(|state| state.reference.clone()), used.map_or(0.0, |s| s.kept_tokens));
         let until_ms = limit_ms.min(entry.deadline_ms);
-        let held_ms = self.settings.pin_limit_ms * PIN_PATIENCE;
         let write_by_ms = used.map_or(until_ms, |state| until_ms.min(state.since_ms + held_ms));
         effects.push(Effect::Send(Sending {
             completion,
--- a/crates/routing/src/letgo.rs
+++ b/crates/routing/src/letgo.rs
@@ -7,7 +7,7 @@
 //! be reached is told within log2(n) waves, while in the usual case one call is all. Times are ms on the caller's clock.
 
 use std::cell::Cell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use paddleproxy::control::rank;
 use paddleproxy::interface::*;
@@ -48,7 +48,8 @@
     /// Another list; what was heard of a worker stays as long as it is listed.
     pub fn listed(&mut self, kind: ListKind, rows: &[Listing]) {
         if kind != ListKind::Changes && kind != ListKind::Failed {
-            self.rows.retain(|worker, _| rows.iter().any(|row| row.worker == *worker));
+            let listed: BTreeSet<_> = rows.iter().map(|row| &row.worker).collect();
+            self.rows.retain(|worker, _| listed.contains(worker));
         }
         for row in rows {
             if row.readiness == Readiness::Gone {
@@ -166,7 +167,7 @@
     told: BTreeMap<WorkerId, bool>,
     first_round: bool,
     calls: u32,
-    deaf: Cell<Option<Deaf>>,
+    deaf: Option<Deaf>,
 }
 
 impl Telling {
@@ -192,7 +193,7 @@
             told: BTreeMap::new(),
             first_round: true,
             calls: 0,
-            deaf: Cell::new(None),
+            deaf: None,
         }
     }
 
@@ -203,13 +204,13 @@
 
     /// The worst that a try met: by this what nobody heard is counted.
     pub fn deaf(&self) -> Option<Deaf> {
-        self.deaf.get()
+        self.deaf
     }
 
     /// A try ended without an answer.
     pub fn failed(&mut self, worker: &WorkerId, deaf: Deaf) {
         self.told.entry(worker.clone()).and_modify(|out| *out = false);
-        self.deaf.set(self.deaf.get().max(Some(deaf)));
+        self.deaf = self.deaf.max(Some(deaf));
     }
 
     pub fn next(&mut self, now_ms: f64, hearing: &Hearing) -> Next {
@@ -249,7 +250,7 @@
         let anyone = self.others == Others::AnyWorker;
         let mut wave = Vec::new();
         // The holder is asked first, unless it was silent of late and others can take the word.
-        let first = holder.is_none_or(|row| !anyone || doubt(row) < 2) && (holder.is_some() || !anyone);
+        let first = !anyone || holder.is_some_and(|row| doubt(row) < 2);
         if first && !self.told.contains_key(&self.holder) {
             wave.push(self.holder.clone());
         }
