What nobody heard is said at warn by `serve` too, at most once a second

Need: the issue asks for a metric by cause and a limited line at warn; `serve` had the metric and a line at debug for each. Change: when the log is to say it is decided beside the count, for both routers; the gateway's own copy of that is gone.

--- a/crates/gateway/src/release.rs
+++ b/crates/gateway/src/release.rs
@@ -63,9 +63,6 @@
     format!("/bootstrap/rooms/{id}")
 }
 
-/// Between two lines of the log on what nobody heard, in ms.
-const SAID_EVERY_MS: f64 = 1000.0;
-
 /// Counts since the start.
 #[derive(Clone, Copy, Debug, Default)]
 struct Counts {
@@ -84,14 +81,12 @@
     out: Cell<usize>,
     counts: Cell<Counts>,
     unheard: Unheard,
-    said_ms: Cell<f64>,
 }
 
 impl Releases {
     pub fn new(pool: Rc<Pool>, fleet: Rc<RefCell<Fleet>>, clock: Clock, seed: u64) -> Self {
-        let said_ms = Cell::new(f64::NEG_INFINITY);
         let (out, counts, unheard) = (Cell::new(0), Cell::default(), Unheard::default());
-        Releases { pool, fleet, clock, seed, out, counts, unheard, said_ms }
+        Releases { pool, fleet, clock, seed, out, counts, unheard }
     }
 
     /// Those that no worker has heard yet.
@@ -152,10 +147,7 @@
 
     fn unheard(&self, path: &str, telling: &Telling) {
         let cause = telling.deaf().unwrap_or(Deaf::NoWay);
-        self.unheard.count(cause);
-        let now_ms = self.clock.now_ms();
-        if now_ms >= self.said_ms.get() + SAID_EVERY_MS {
-            self.said_ms.set(now_ms);
+        if self.unheard.count(cause, self.clock.now_ms()) {
             let unheard = self.unheard.counts();
             warn!(
                 path,
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -498,9 +498,10 @@
             let next = |telling: &mut Telling, now_ms| telling.next(now_ms, &hearing);
             if letgo::tell(&mut telling, clock, next, call).await.is_none() {
                 let cause = telling.deaf().unwrap_or(Deaf::NoWay);
-                unheard.count(cause);
-                let calls = telling.calls();
-                debug!(worker = %worker.0, cause = cause.name(), calls, "a release was not heard");
+                if unheard.count(cause, clock.now_ms()) {
+                    let (cause, calls, unheard) = (cause.name(), telling.calls(), unheard.counts());
+                    warn!(worker = %worker.0, cause, calls, ?unheard, "nobody heard what is let go of");
+                }
             }
         });
     }
--- a/crates/routing/src/letgo.rs
+++ b/crates/routing/src/letgo.rs
@@ -25,6 +25,9 @@
 /// An answer or a silence says something for so many limits.
 const LATELY: f64 = 8.0;
 
+/// Between two lines of the log on what nobody heard, in ms.
+const SAID_EVERY_MS: f64 = 1000.0;
+
 struct Row {
     zone: ZoneId,
     cell: CellId,
@@ -141,16 +144,25 @@
 
 /// Releases that nobody heard, by the worst that their calls met. Lives as long as the router.
 #[derive(Default)]
-pub struct Unheard([Cell<u64>; Deaf::ALL.len()]);
+pub struct Unheard {
+    counts: [Cell<u64>; Deaf::ALL.len()],
+    said_ms: Cell<Option<f64>>,
+}
 
 impl Unheard {
-    pub fn count(&self, cause: Deaf) {
-        let cell = &self.0[cause as usize];
-        cell.set(cell.get() + 1);
+    /// Counts one; whether the log is to say it, which it does once in a while however many there are.
+    pub fn count(&self, cause: Deaf, now_ms: f64) -> bool {
+        let count = &self.counts[cause as usize];
+        count.set(count.get() + 1);
+        let due = self.said_ms.get().is_none_or(|said_ms| now_ms >= said_ms + SAID_EVERY_MS);
+        if due {
+            self.said_ms.set(Some(now_ms));
+        }
+        due
     }
 
     pub fn counts(&self) -> [(&'static str, u64); Deaf::ALL.len()] {
-        Deaf::ALL.map(|cause| (cause.name(), self.0[cause as usize].get()))
+        Deaf::ALL.map(|cause| (cause.name(), self.counts[cause as usize].get()))
     }
 }
 
