Reads beyond the part of home's readers go elsewhere at a router that sends little

Cause: read_at offers home's cell's readers first and passes one by only by our own counts (busy), which are empty there. Change: a router that sent under one dispatch of late gives the sessions beyond its home readers' even part, by hash, to readers of other cells first. A test in tests/near.rs fails without it (306 of 400 sessions at one reader of four) and passes with it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -15,8 +15,7 @@
 
 use crate::interface::*;
 
-/// Of the design: the share of a prompt that must be kept at home for it to be read and written there, and
-/// the uncovered tokens below which home reads by itself.
+/// Of the design: the share kept at home for which it reads and writes, the uncovered tokens that it reads.
 const COVERED: f64 = 0.95;
 const SHORT_READ_TOKENS: f64 = 2000.0;
 /// Life of an entry in the table, of the design, and how many it holds at most.
@@ -34,8 +33,7 @@
 const FORGIVEN: f64 = 0.8;
 /// Latency targets that a dispatch may take before another worker is tried.
 const PATIENCE: f64 = 2.0;
-/// Share of the latency target after which a dispatch counts as lost at a worker that says it is idle, and
-/// the share of its slots in use below which it is.
+/// Share of the target after which a dispatch is lost at an idle worker; slots in use below which it is idle.
 const HUNG: f64 = 0.5;
 const IDLE_SHARE: f64 = 0.5;
 /// Share of the way to full capacity that time alone is trusted to bring; some workers warm by work.
@@ -48,8 +46,7 @@
 const MEAN_OVER: f64 = 4.0;
 /// The bound at a worker that writes, as a share of a reader's: it reads and fetches among its streams.
 const WRITER_BOUND: f64 = 0.25;
-/// Share of the latency target that an answer to a probe may take, and times the most dispatches that a
-/// completion may ask.
+/// Share of the latency target that a probe may take; probes of a completion for each of its dispatches.
 const ASKING: f64 = 0.04;
 const ASKED_MAX: usize = 2;
 /// Readers of other cells that a text may go to.
@@ -459,9 +456,11 @@
         let none_out = c.dispatches.iter().all(|d| d.phase == Phase::Ended);
         let facts = Some(c.facts.clone()).filter(|_| outcome == Read);
         facts.into_iter().for_each(|facts| self.remember(&facts, &worker));
-        if outcome == Read || outcome == Finished && stage == Stage::Whole {
-            self.check_kept(&worker, kept, believed, sent_ms);
-        }
+        // Guards against a flush, whatever emptied the worker: what else we hold as kept there is void.
+        // Harm: a single text pushed out of a full memory voids the others too.
+        let read = outcome == Read || outcome == Finished && stage == Stage::Whole;
+        let void = self.workers.get_mut(&worker).filter(|_| read && kept < believed / 2.0);
+        void.into_iter().for_each(|w| w.forgot_ms = w.forgot_ms.max(sent_ms));
         self.judge(&worker, blame, matches!(outcome, Read | Finished));
         if owed && lost {
             self.give_up(id);
@@ -552,7 +551,19 @@
         let home_cell = home.as_ref().and_then(|home| self.cell(home));
         let zone = |id: &WorkerId| self.workers[id].listing.zone.0;
         let far = |id: &WorkerId| self.settings.far.get(zone(home.as_ref()?))?.get(zone(id));
-        all.sort_by_key(|reader| (self.cell(reader) != home_cell, far(reader), !own(reader)));
+        // Guards against few readers beside many homes, unseen by who sent under one dispatch of late: what
+        // is beyond their even part goes elsewhere, by session. Harm: the history is kept there.
+        let count = |role, cell: Option<CellId>| {
+            let of = |w: &&Worker| w.role == role && cell.is_none_or(|cell| cell == w.listing.cell);
+            let ready = self.workers.values().filter(|w| w.listing.readiness == Readiness::Ready);
+            ready.filter(of).count() as f64
+        };
+        let homes = count(Role::Mixed, home_cell) * count(Role::Reader, None);
+        let part = count(Role::Reader, home_cell) * count(Role::Mixed, None) / homes.max(1.0);
+        let drawn = home.as_ref().map_or(0.0, |id| rank(id, !c.facts.session.0) as f64 / u64::MAX as f64);
+        let sent: f64 = self.workers.values().map(|w| w.sent.at(self.now_ms, self.settings.fall_ms)).sum();
+        let away = sent < 1.0 && drawn > part;
+        all.sort_by_key(|reader| (away == (self.cell(reader) == home_cell), far(reader), !own(reader)));
         // Guards against thrashing: in a jam each text would spill everywhere, pushing out what readers keep.
         // Harm: a completion can be refused while a reader elsewhere is idle.
         let near = all.iter().filter(|reader| self.cell(reader) == home_cell).count();
@@ -601,7 +612,7 @@
         let home = home.filter(|home| !c.avoid.contains(home) && !self.strained(c, home, false));
         cells.into_iter().flatten().find_map(|cell| {
             let home = home.as_ref().filter(|home| self.cell(home) == Some(cell));
-            let first = home.filter(|home| self.streams(home) <= self.median_streams()).cloned();
+            let first = home.filter(|home| self.workers[*home].streams <= self.median_streams()).cloned();
             let easy = |worker: &WorkerId| !self.strained(c, worker, fits);
             let of = |role| self.fewest(c, |w| w.role == role && w.listing.cell == cell).filter(easy);
             first.or_else(|| of(Role::Writer)).or_else(|| home.cloned()).or_else(|| of(Role::Mixed))
@@ -611,7 +622,7 @@
     fn fewest(&self, c: &Completion, of: impl Fn(&Worker) -> bool) -> Option<WorkerId> {
         let mut found = self.by_hash(c, c.facts.session.0, of);
         found.retain(|id| !c.avoid.contains(id));
-        let order = |id: &WorkerId| (self.strained(c, id, true), self.streams(id));
+        let order = |id: &WorkerId| (self.strained(c, id, true), self.workers[id].streams);
         found.into_iter().min_by(|a, b| order(a).partial_cmp(&order(b)).unwrap_or(Ordering::Equal))
     }
 
@@ -619,10 +630,6 @@
         self.workers.get(id).map(|w| w.listing.cell)
     }
 
-    fn streams(&self, id: &WorkerId) -> f64 {
-        self.workers.get(id).map_or(f64::INFINITY, |w| w.streams)
-    }
-
     /// Guards against a writer that jams, whatever the cause: it holds more of our streams than the median
     /// and one, or is busy. Harm: histories spread. Crowded only compares: it is no reason to refuse.
     fn strained(&self, c: &Completion, id: &WorkerId, crowded_fits: bool) -> bool {
@@ -665,13 +672,6 @@
         session.max(prefix).min(c.facts.prompt_tokens)
     }
 
-    /// Guards against a flush, whatever emptied the worker: what else we hold as kept there is void.
-    /// Harm: a single text pushed out of a full memory voids the others too.
-    fn check_kept(&mut self, worker: &WorkerId, kept: f64, believed: f64, sent_ms: f64) {
-        let void = self.workers.get_mut(worker).filter(|_| kept < believed / 2.0);
-        void.into_iter().for_each(|w| w.forgot_ms = w.forgot_ms.max(sent_ms));
-    }
-
     /// An entry of an earlier run; it never counts as newer than what this one saw of the worker.
     fn recover(&mut self, kept: &Kept) {
         let text = kept.session.map(Text::Session).or(kept.prefix.map(Text::Prefix));
--- a/tests/helpers/mod.rs
+++ b/tests/helpers/mod.rs
@@ -95,13 +95,14 @@
     }
 }
 
-/// Where the first dispatch of so many sessions goes, each over before the next arrives.
+/// Where the first dispatch of so many sessions goes, each over before the next arrives, so many ms apart.
 pub fn goes(
     rows: Vec<Listing>,
     settings: Settings,
     sessions: u32,
     prompt_tokens: f64,
     near: Option<ZoneId>,
+    apart_ms: f64,
 ) -> BTreeMap<u64, String> {
     let mut control = Control::new(settings, 7);
     let mut actions = Vec::new();
@@ -110,7 +111,10 @@
     for id in 1..=sessions {
         let session = u64::from(id) * 7919;
         actions.clear();
-        control.handle(0.0, &Event::Arrived(facts(id, session, prompt_tokens, near)), &mut actions);
+        let now_ms = f64::from(id) * apart_ms;
+        let mut facts = facts(id, session, prompt_tokens, near);
+        facts.client_timeout_ms += now_ms;
+        control.handle(now_ms, &Event::Arrived(facts), &mut actions);
         for action in &actions {
             if let Action::Dispatch { worker, .. } = action {
                 goes.insert(session, worker.0.to_string());
@@ -118,7 +122,7 @@
         }
         let (completion, seq, outcome) = (CompletionId(id), Seq(0), Outcome::Finished);
         let over = Event::Ended { completion, seq, took_ms: 1.0, over: true, outcome, kept_tokens: 0.0 };
-        control.handle(0.0, &over, &mut actions);
+        control.handle(now_ms, &over, &mut actions);
     }
     goes
 }
--- a/tests/near.rs
+++ b/tests/near.rs
@@ -14,7 +14,7 @@
     near: Option<ZoneId>,
     prompt_tokens: f64,
 ) -> BTreeMap<u64, String> {
-    let goes = goes(names.iter().map(|name| row(name)).collect(), settings, 400, prompt_tokens, near);
+    let goes = goes(names.iter().map(|name| row(name)).collect(), settings, 400, prompt_tokens, near, 0.0);
     assert_eq!(goes.len(), 400, "some went nowhere");
     goes
 }
@@ -61,3 +61,17 @@
     let near = first(&names, Settings { far, ..settings() }, None, 9000.0);
     assert!(near.values().all(|reader| reader == "r2a"), "{near:?}");
 }
+
+/// Three homes and one reader in cell 0, one home and three readers in cell 1: each reader could take a quarter of all.
+#[test]
+fn who_sends_little_leaves_what_is_beyond_a_readers_part_to_others() {
+    let names = ["m0a", "m0b", "m0c", "r0a", "w0a", "m1a", "r1a", "r1b", "r1c", "w1a"];
+    let at_r0a = |apart_ms| {
+        let rows = names.iter().map(|name| row(name)).collect();
+        let goes = goes(rows, settings(), 400, 9000.0, None, apart_ms);
+        goes.values().filter(|reader| *reader == "r0a").count()
+    };
+    let (often, seldom) = (at_r0a(0.0), at_r0a(60_000.0));
+    assert!((250..=350).contains(&often), "{often}: whoever sees its own load keeps to home's cell");
+    assert!((60..=140).contains(&seldom), "{seldom} of 400 at one reader of four");
+}
