Read once more: workers are counted by cell only at a router that sends little

Need: read_at counted readers and homes by cell, four passes over the list, for each prompt that is read, though a router that sends one dispatch or more of late never uses them. Change: they are counted where they decide; one constant's line says again what it bounds.

--- a/src/control.rs
+++ b/src/control.rs
@@ -46,7 +46,7 @@
 const MEAN_OVER: f64 = 4.0;
 /// The bound at a worker that writes, as a share of a reader's: it reads and fetches among its streams.
 const WRITER_BOUND: f64 = 0.25;
-/// Share of the latency target that a probe may take; probes of a completion for each of its dispatches.
+/// Share of the latency target that a probe may take; probes of a completion for each dispatch it may have.
 const ASKING: f64 = 0.04;
 const ASKED_MAX: usize = 2;
 /// Readers of other cells that a text may go to.
@@ -558,11 +558,11 @@
             let ready = self.workers.values().filter(|w| w.listing.readiness == Readiness::Ready);
             ready.filter(of).count() as f64
         };
-        let homes = count(Role::Mixed, home_cell) * count(Role::Reader, None);
-        let part = count(Role::Reader, home_cell) * count(Role::Mixed, None) / homes.max(1.0);
+        let homes = || count(Role::Mixed, home_cell) * count(Role::Reader, None);
+        let part = || count(Role::Reader, home_cell) * count(Role::Mixed, None) / homes().max(1.0);
         let drawn = home.as_ref().map_or(0.0, |id| rank(id, !c.facts.session.0) as f64 / u64::MAX as f64);
         let sent: f64 = self.workers.values().map(|w| w.sent.at(self.now_ms, self.settings.fall_ms)).sum();
-        let away = sent < 1.0 && drawn > part;
+        let away = sent < 1.0 && drawn > part();
         all.sort_by_key(|reader| (away == (self.cell(reader) == home_cell), far(reader), !own(reader)));
         // Guards against thrashing: in a jam each text would spill everywhere, pushing out what readers keep.
         // Harm: a completion can be refused while a reader elsewhere is idle.
