Judge: silence after healing counts only where there was time to ask everybody

Cause: the rule looks at what was asked from 5.0 s after a start or a fault until the next fault. Ruled out: routers that did not answer, or of another view (all nine answer 6 to 7 times a second around it, with one digest).

Change: `FellowsFacts::asks_ms`, the time of a round of the rig's questions; shorter stretches tell nothing of who was not asked. Who was asked is judged as before. A test has both sides; it fails without the condition.

--- a/crates/day/src/audit.rs
+++ b/crates/day/src/audit.rs
@@ -96,6 +96,7 @@
             fellows: day.router.peers.as_ref().map(|peers| FellowsFacts {
                 routers: day.routers,
                 heals_ms: 5000.0,
+                asks_ms: crate::rig::ROUND_MS,
                 blamed_ms: 5000.0 + peers.lease_ms,
                 limits: day
                     .router
--- a/crates/day/src/fellows.rs
+++ b/crates/day/src/fellows.rs
@@ -13,6 +13,9 @@
     pub routers: usize,
     /// Time in which all are of one view after the last fault, in ms.
     pub heals_ms: f64,
+    /// Time in which each running router has been asked once and has answered, in ms.
+    #[serde(default)]
+    pub asks_ms: f64,
     /// How long after a fault somebody may still be thought gone for it, in ms.
     pub blamed_ms: f64,
     /// Customers' limits: requests a second, and the time of it that may come at once, in ms.
@@ -193,7 +196,8 @@
         let displaced = first.values().filter(|said| said.mind == "displaced").count();
         first.retain(|_, said| said.mind != "displaced");
         let wanted = facts.routers - displaced;
-        if first.len() < wanted {
+        // Silence tells something only where there was time to ask everybody: the next fault may come at once.
+        if first.len() < wanted && until_ms - healed_ms >= facts.asks_ms {
             broken(format!("{} of {wanted} routers say anything", first.len()));
         }
         let digests: BTreeSet<u32> = first.values().map(|said| said.digest).collect();
--- a/crates/day/src/rig.rs
+++ b/crates/day/src/rig.rs
@@ -22,6 +22,8 @@
 /// How often each router is asked, and how long an answer may take, in ms.
 const ASKS_MS: f64 = 150.0;
 const WITHIN_MS: f64 = 400.0;
+/// In which each router is asked and answers, however late in its round the time begins: two questions and an answer.
+pub const ROUND_MS: f64 = 3.0 * WITHIN_MS;
 /// How long an operator tries to say something to anybody, in ms.
 const TOLD_WITHIN_MS: f64 = 5000.0;
 
--- a/crates/day/tests/judge.rs
+++ b/crates/day/tests/judge.rs
@@ -1,6 +1,7 @@
 //! The judge is judged: for each rule a small record that breaks it is caught, and one just inside is not.
 
 use paddleproxy_day::audit::{rules, Facts, Rule, WorkloadFacts};
+use paddleproxy_day::fellows::FellowsFacts;
 use paddleproxy_fleet::record::{Line, What};
 
 fn facts() -> Facts {
@@ -242,3 +243,43 @@
     let before = [down(0.0), (1.0, read), (10.0, state), over, (5000.0, gone)];
     assert_eq!(verdict(5, &before), "BROKEN");
 }
+
+/// What a router of three says when it is asked at that time.
+fn says(router: usize, asked_ms: f64, digest: u32) -> (f64, What) {
+    let others = (0..3).filter(|other| *other != router).collect();
+    let said = What::Fellows {
+        router,
+        asked_ms,
+        life: 1,
+        mind: "whole".into(),
+        shares: Vec::new(),
+        page: 1,
+        digest,
+        alive: others,
+        failed: Vec::new(),
+        deaf_to: Vec::new(),
+        unheard_by: Vec::new(),
+    };
+    (asked_ms + 1.0, said)
+}
+
+#[test]
+fn silence_after_healing_counts_where_there_was_time_to_ask() {
+    let fellows =
+        FellowsFacts { routers: 3, heals_ms: 5000.0, asks_ms: 1200.0, blamed_ms: 5000.0, limits: Vec::new() };
+    let facts = Facts { fellows: Some(fellows), ..facts() };
+    let verdict = |fault_ms: f64, lines: &[(f64, What)]| {
+        let fault = What::Fault { name: "link".into(), routers: vec![0], begins: true };
+        let lines = lines.iter().cloned().chain([(fault_ms, fault)]);
+        let lines: Vec<_> = lines.map(|(at_ms, what)| Line { at_ms, what }).collect();
+        let rules = rules(&facts, &lines);
+        rules.iter().find(|rule| rule.name == "one view after healing").unwrap().verdict()
+    };
+    let all = [says(0, 5001.0, 7), says(1, 5002.0, 7), says(2, 5003.0, 7)];
+    assert_eq!(verdict(7000.0, &all), "kept");
+    // A fault 10 ms after the time to heal leaves no time to ask the third; 2 s do.
+    assert_eq!(verdict(5010.0, &all[..2]), "kept");
+    assert_eq!(verdict(7000.0, &all[..2]), "BROKEN");
+    // Who was asked is judged however short the time was.
+    assert_eq!(verdict(5010.0, &[says(0, 5001.0, 7), says(1, 5002.0, 8)]), "BROKEN");
+}
