A zone in which nobody answers this router is passed by for a completion

Cause: a router that has heard nothing of a worker asks it first, the reader and the writer near it, and passes by who gives no answer within 4% of the target; after twice the most dispatches, ten probes in five rounds of 52 ms, the completion is rate-limited (`plan`). Two thirds of the workers are behind the cut, and hash order names them pair by pair, so the tries end before a worker of the own zone is named. Ruled out: strain (none of these was refused at once; all had five rounds), distrust (a probe's blame comes with its own time-out, 250 ms, when the completion is over), routers whose zone was lost (they hold no sockets then).

Change: `Control::dark`: two workers of a zone that this completion passed by still owe an answer or are to blame, nobody of that zone was heard of within the time in which nobody is asked anew, and another zone has a usable worker: the rest of the zone is passed by for this completion.

--- a/src/control.rs
+++ b/src/control.rs
@@ -1,7 +1,6 @@
-//! Decides where each completion is read and written. A caller (`crates/drill` behind the simulator's wire)
-//! gives every event of one router to `Control::handle` with the clock and carries out the actions in order;
-//! `src/interface.rs` defines both. The design (docs/design.md) decides the ordinary path: `plan`, `read_at`
-//! and `write_at`. Beside it stand these mechanisms:
+//! Decides where each completion is read and written. A caller gives every event of one router to
+//! `Control::handle` with the clock and carries out the actions in order (`src/interface.rs`). The design
+//! decides the ordinary path: `plan`, `read_at` and `write_at`. Beside it stand (docs/design.md):
 //! 1. distrust: a fading score per worker; the share of sessions that pass it by follows the score.
 //! 2. turns: routers take turns at a fresh worker by their own number, within a budget by its age.
 //! 3. strain: a crowded or busy worker, by our own counts and by what it says, is passed by; where all are,
@@ -26,11 +25,12 @@
 /// Factor of a reader's bounds: the first for a prompt of which it keeps nothing, the sum for one it keeps.
 const EASE_COLD: f64 = 0.5;
 const EASE_KEPT: f64 = 1.5;
-/// Distrust halves in this share of the time in which a cold worker warms, never grows past the second, and
-/// the third part of it is left by a good answer.
+/// Distrust halves in this share of the time in which a cold worker warms, never grows past the second, the
+/// third part of it is left by a good answer, and beyond the fourth, one blame, it is held to be silent.
 const DISTRUST_HALVES: f64 = 0.33;
 const DISTRUST_MAX: f64 = 2.0;
 const FORGIVEN: f64 = 0.8;
+const SILENT: f64 = 0.5;
 /// Latency targets that a dispatch may take before another worker is tried.
 const PATIENCE: f64 = 2.0;
 /// Share of the target after which a dispatch is lost at an idle worker; slots in use below which it is idle.
@@ -68,12 +68,6 @@
     Whole,
 }
 
-impl Stage {
-    fn streams(self) -> f64 {
-        f64::from(u8::from(self != Stage::Read))
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     Planned,
@@ -179,8 +173,8 @@
     }
 
     fn add(&mut self, change: f64, now_ms: f64, over_ms: f64) {
-        let mean = self.mean(now_ms, over_ms);
-        *self = Averaged { value: (self.value + change).max(0.0), mean, at_ms: now_ms };
+        let (value, mean) = ((self.value + change).max(0.0), self.mean(now_ms, over_ms));
+        *self = Averaged { value, mean, at_ms: now_ms };
     }
 }
 
@@ -220,14 +214,8 @@
 
 impl Control {
     pub fn new(settings: Settings, seed: u64) -> Self {
-        Control {
-            settings,
-            rng: fastrand::Rng::with_seed(seed),
-            now_ms: 0.0,
-            workers: BTreeMap::new(),
-            completions: BTreeMap::new(),
-            table: BTreeMap::new(),
-        }
+        let (workers, completions, table) = Default::default();
+        Control { settings, rng: fastrand::Rng::with_seed(seed), now_ms: 0.0, workers, completions, table }
     }
 
     pub fn handle(&mut self, now_ms: f64, event: &Event, actions: &mut Vec<Action>) {
@@ -358,10 +346,8 @@
     /// said that it is idle while a dispatch of ours is out there. Harm: a late report calls back what runs.
     fn call_back(&mut self, id: &WorkerId, actions: &mut Vec<Action>) {
         let now_ms = self.now_ms;
-        let fresh_ms = now_ms - self.settings.resolution_ms;
-        if !self.workers.get(id).is_some_and(|w| w.idle && w.said.at_ms >= fresh_ms) {
-            return;
-        }
+        let idle = |w: &Worker| w.idle && w.said.at_ms >= now_ms - self.settings.resolution_ms;
+        let Some(true) = self.workers.get(id).map(idle) else { return };
         let mut hung = Vec::new();
         for (completion, c) in self.completions.iter_mut().filter(|(_, c)| !c.over && c.answer.is_none()) {
             let late_ms = now_ms - HUNG * c.target_ms;
@@ -427,9 +413,10 @@
         let tokens = std::mem::take(&mut d.tokens);
         c.over |= over;
         if let Some(w) = self.workers.get_mut(&worker) {
-            w.count(&self.settings, self.now_ms, -tokens, -stage.streams(), c.facts.prompt_tokens);
+            let streams = f64::from(stage != Stage::Read);
+            w.count(&self.settings, self.now_ms, -tokens, -streams, c.facts.prompt_tokens);
             // What was turned away is no sign of what a worker carries.
-            w.sent.value = (w.sent.value - f64::from(u8::from(outcome == Full))).max(0.0);
+            w.sent.value = (w.sent.value - f64::from(outcome == Full)).max(0.0);
         }
         // What was never sent leaves a state's time running. Guards against writers that can't be reached by
         // its end, and that call gone what they can't reach. Harm: a prompt read anew.
@@ -471,15 +458,15 @@
 
     /// What should be out next for a completion that has nothing out.
     fn plan(&mut self, id: CompletionId) {
+        let dark = self.completions.get(&id).map_or(Vec::new(), |c| self.dark(c));
+        self.completions.entry(id).and_modify(|c| c.avoid.extend(dark));
         let Some(c) = self.completions.get(&id) else { return };
         let next = match c.state_at {
             Some(_) => self.write_at(c).map(|worker| (worker, Stage::Write)),
             None => self.read_at(c),
         };
         let tries_left = c.dispatches.len() < self.settings.max_dispatches;
-        let Some((worker, stage)) = next.filter(|_| tries_left) else {
-            return self.give_up(id);
-        };
+        let Some((worker, stage)) = next.filter(|_| tries_left) else { return self.give_up(id) };
         let asking = self.to_ask(c, &worker, stage);
         if !asking.is_empty() {
             if c.asked >= ASKED_MAX * self.settings.max_dispatches {
@@ -509,6 +496,23 @@
         self.completions.entry(id).and_modify(|c| c.dispatches.push(dispatch));
     }
 
+    /// Zones that a completion passes by while another is left: two workers there that it passed by owe an
+    /// answer or are to blame, and nobody of it was heard of late. Guards against asking one by one in a zone
+    /// that is cut off until no try is left. Harm: two that hang together send it out of its zone.
+    fn dark(&self, c: &Completion) -> Vec<WorkerId> {
+        let owes = |w: &Worker| w.probed || self.distrust(w) > SILENT;
+        let mut zones = BTreeMap::<ZoneId, (usize, bool)>::new();
+        for (id, w) in self.workers.iter().filter(|_| !c.avoid.is_empty()) {
+            let (silent, heard) = zones.entry(w.listing.zone).or_default();
+            *silent += usize::from(owes(w) && c.avoid.contains(id));
+            *heard |= self.heard(w) >= ASK_BELOW;
+        }
+        let dark = |w: &Worker| matches!(zones.get(&w.listing.zone), Some((2.., false)));
+        let left = self.workers.values().any(|w| !dark(w) && w.listing.readiness == Readiness::Ready);
+        let dark = self.workers.iter().filter(|(id, w)| left && dark(w) && !c.avoid.contains(id));
+        dark.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Those named that were not heard from of late.
     fn to_ask(&self, c: &Completion, worker: &WorkerId, stage: Stage) -> Vec<WorkerId> {
         if !self.settings.probes_allowed || stage == Stage::Write && c.asked > self.settings.max_dispatches {
@@ -537,10 +541,9 @@
         let home = self.home(c);
         let home_easy = home.clone().filter(|home| !c.avoid.contains(home) && !self.strained(c, home, false));
         let uncovered = c.facts.prompt_tokens - home.as_ref().map_or(0.0, |home| self.believed(c, home));
-        if let Some(home) = &home_easy {
-            if uncovered < (1.0 - COVERED) * c.facts.prompt_tokens || uncovered < SHORT_READ_TOKENS {
-                return Some((home.clone(), Stage::Whole));
-            }
+        let short = uncovered < (1.0 - COVERED) * c.facts.prompt_tokens || uncovered < SHORT_READ_TOKENS;
+        if let Some(home) = home_easy.clone().filter(|_| short) {
+            return Some((home, Stage::Whole));
         }
         let key = c.facts.prefix.map_or(c.facts.session.0, |prefix| prefix.0);
         let mut all = self.by_hash(c, key, |w| w.role == Role::Reader);
@@ -585,10 +588,9 @@
             return home_easy.map(|home| (home, Stage::Whole));
         }
         // No reader, no home: any worker that reads by itself.
-        let reads =
-            |w: &Worker| w.role == Role::Mixed || w.role == Role::Writer && self.settings.writers_read;
-        let alone = self.fewest(c, reads).filter(|worker| !self.strained(c, worker, true));
-        alone.map(|worker| (worker, Stage::Whole))
+        let reads = |role| role == Role::Mixed || role == Role::Writer && self.settings.writers_read;
+        let alone = self.fewest(c, |w| reads(w.role)).filter(|worker| !self.strained(c, worker, true));
+        alone.zip(Some(Stage::Whole))
     }
 
     /// Write at home; if it answered full or holds more of our streams than the median, at the pure writer
@@ -605,8 +607,8 @@
     fn writer_near(&self, c: &Completion, at: &WorkerId, fits: bool) -> Option<WorkerId> {
         let home = self.home(c);
         let home_cell = home.as_ref().and_then(|home| self.cell(home));
-        let mut readers = self.workers.values().filter(|w| w.role == Role::Reader);
-        let has_reader = readers.any(|w| Some(w.listing.cell) == home_cell);
+        let reads = |w: &Worker| w.role == Role::Reader && Some(w.listing.cell) == home_cell;
+        let has_reader = self.workers.values().any(reads);
         // Last: guards against refusing what home's cell could write, read elsewhere. Harm: far moves.
         let cells = [home_cell.filter(|_| !has_reader), self.cell(at), home_cell];
         let home = home.filter(|home| !c.avoid.contains(home) && !self.strained(c, home, false));
@@ -695,9 +697,8 @@
     /// Usable workers in hash order. Where distrust leaves none, the distrusted ones.
     fn by_hash(&self, c: &Completion, key: u64, of: impl Fn(&Worker) -> bool) -> Vec<WorkerId> {
         let usable = |trusted: bool| {
-            let fits =
-                |id: &WorkerId, w: &Worker| of(w) && self.open(c, w) && (!trusted || self.trusted(c, id, w));
-            let found = self.workers.iter().filter(|(id, w)| fits(id, w));
+            let fits = |id: &WorkerId, w: &Worker| !trusted || self.trusted(c, id, w);
+            let found = self.workers.iter().filter(|(id, w)| of(w) && self.open(c, w) && fits(id, w));
             let mut found: Vec<_> = found.map(|(id, w)| (Reverse(rank(id, key)), id.clone(), w)).collect();
             found.sort_by(|a, b| (&a.0, &a.1).cmp(&(&b.0, &b.1)));
             // Weighted rendezvous: each gets its weight's share of sessions. Equal weights change nothing.
@@ -730,8 +731,8 @@
         let turn = (self.now_ms / s.fall_ms.max(1.0)) as usize;
         let warm = |o: &&Worker| self.fresh_share(o).is_none() && o.listing.readiness == Readiness::Ready;
         let of = |same: bool| {
-            let all =
-                self.workers.values().filter(|o| warm(o) && (!same || o.listing.kind == w.listing.kind));
+            let fits = |o: &&Worker| !same || o.listing.kind == w.listing.kind;
+            let all = self.workers.values().filter(warm).filter(fits);
             all.map(|o| o.sent.at(self.now_ms, s.fall_ms)).collect::<Vec<_>>()
         };
         let sent = Some(of(true)).filter(|sent| !sent.is_empty()).unwrap_or_else(|| of(false));
@@ -795,11 +796,10 @@
     fn give_up(&mut self, id: CompletionId) {
         let Some(c) = self.completions.get(&id) else { return };
         let workload = &self.settings.workloads[c.facts.workload.0];
+        let harmless = |d: &Dispatch| !d.may_have_run && matches!(d.phase, Phase::Planned | Phase::Ended);
         let harmless = workload.effect == Effect::Idempotent
             || workload.effect == Effect::Tokened && workload.group == Group::All
-            || c.dispatches
-                .iter()
-                .all(|d| !d.may_have_run && matches!(d.phase, Phase::Planned | Phase::Ended));
+            || c.dispatches.iter().all(harmless);
         let limit_ms = Some(self.settings.max_retry_after_ms).filter(|_| self.settings.retry_after);
         let retry_after_ms = workload.latency_target_ms.min(limit_ms.unwrap_or(0.0));
         let Some(c) = self.completions.get_mut(&id) else { return };
@@ -825,8 +825,8 @@
                     if let Some(w) = self.workers.get_mut(&d.worker) {
                         let value = w.sent.at(self.now_ms, self.settings.fall_ms) + 1.0;
                         w.sent = Stamped { value, at_ms: self.now_ms };
-                        let prompt_tokens = c.facts.prompt_tokens;
-                        w.count(&self.settings, self.now_ms, d.tokens, d.stage.streams(), prompt_tokens);
+                        let (streams, prompt) = (f64::from(d.stage != Stage::Read), c.facts.prompt_tokens);
+                        w.count(&self.settings, self.now_ms, d.tokens, streams, prompt);
                     }
                 }
                 Phase::Planned => d.phase = Phase::Ended,
