A router that ends no longer invites again what a reader still has

The log of n140:

Cause: `Ledger::stop` rate-limited whatever `may_have_run` did not name, and a read never sets that. The module's own rule (`Control::give_up`) lets nobody come again while anything is out, at a reader either, unless the workload may run again anywhere; the ledger's copy of it did not know that part. Ruled out: the module's answers (none in that log), a connection taken for never written (no end at all).

Change: with a read out the last answer invites again only idempotent work and what is tokened for all; else it is an abort. A test of the ledger has all cases; without the change it fails ("rate-limit" for "abort").

--- a/crates/routing/src/ledger.rs
+++ b/crates/routing/src/ledger.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use paddleproxy::interface::*;
+use paddleproxy::interface::{self, *};
 use paddleproxy::Control;
 use paddleproxy_engine::StateReference;
 
@@ -217,6 +217,7 @@
 struct Entry {
     streamed: bool,
     deadline_ms: f64,
+    workload: WorkloadId,
     prompt_tokens: f64,
     session: SessionId,
     prefix: Option<(PrefixId, f64)>,
@@ -334,6 +335,7 @@
                 let entry = Entry {
                     streamed,
                     deadline_ms: arrival.client_timeout_ms,
+                    workload: arrival.workload,
                     prompt_tokens: arrival.prompt_tokens,
                     session: arrival.session,
                     prefix: arrival.prefix.map(|prefix| (prefix, arrival.prefix_tokens)),
@@ -535,18 +537,25 @@
         self.touched.insert(completion);
     }
 
-    /// Each completion is answered by what is known of it: one that surely never ran may be tried at another router.
+    /// Each completion is answered by what is known of it: one that surely never ran may be tried at another router. With
+    /// a read out that is sure only of a workload that may run again anywhere.
     fn stop(&mut self, streams: bool, effects: &mut Vec<Effect>) {
         for (completion, entry) in &mut self.open {
             let completion = *completion;
             if entry.owed {
                 entry.owed = false;
-                if entry.may_have_run {
-                    self.counts.aborted += 1;
-                    effects.push(Effect::Abort { completion });
-                } else {
+                let workload = self.settings.workloads.get(entry.workload.0);
+                let anywhere = workload.is_some_and(|workload| match workload.effect {
+                    interface::Effect::Idempotent => true,
+                    interface::Effect::Tokened => workload.group == Group::All,
+                    interface::Effect::NonIdempotent => false,
+                });
+                if !entry.may_have_run && (anywhere || !entry.out()) {
                     self.counts.rate_limited += 1;
                     effects.push(Effect::RateLimit { completion, retry_after_ms: 0.0 });
+                } else {
+                    self.counts.aborted += 1;
+                    effects.push(Effect::Abort { completion });
                 }
                 self.events.push_back(Event::Expired { completion });
             }
--- a/crates/routing/tests/ledger.rs
+++ b/crates/routing/tests/ledger.rs
@@ -212,6 +212,30 @@
     assert_eq!((play.ledger.open(), play.ledger.counts().aborted), (0, 1));
 }
 
+/// The last answers of a router that ends, by workload (0 idempotent, 1 non-idempotent) and what is out. Met on
+/// roll+mass: a read that hung was out at a router that ended, and its non-idempotent completion was told to come again.
+#[test]
+fn a_router_that_ends_invites_again_only_what_surely_never_ran() {
+    let last = |workload, tokens, ends: &[(u32, SocketEnd)]| {
+        let mut play = Play::new();
+        play.arrive(workload, tokens, true).pass(100.0);
+        for (seq, end) in ends {
+            play.ended(*seq, end.clone());
+        }
+        play.tell("the router ends", Input::Stop { streams: false });
+        let answers = play.trace.lines().filter_map(|line| line.trim_start().strip_prefix("-> "));
+        let answers: Vec<_> = answers.filter(|line| line.starts_with("rate") || *line == "abort").collect();
+        answers.join(", ")
+    };
+    let (again, abort) = ("rate-limit, back in 0", "abort");
+    // A read out.
+    assert_eq!((last(0, 9000.0, &[]).as_str(), last(1, 9000.0, &[]).as_str()), (again, abort));
+    // Read, and its write out; read and written in one.
+    for (tokens, ends) in [(9000.0, vec![(0, SocketEnd::ReadDone)]), (900.0, vec![])] {
+        assert_eq!((last(0, tokens, &ends).as_str(), last(1, tokens, &ends).as_str()), (abort, abort));
+    }
+}
+
 #[test]
 fn an_overdue_answer_is_an_abort_and_counted() {
     let mut play = Play::new();
