A read that ran out of patience is late and is not read anew

Cause: `Control::ended` planned anew after every time-out. After twice the target the answer is late from whichever worker, and the second read takes from prompts that can still be in time; a reader that was let go reads on.

Change: a read that timed out is answered with a rate-limit at once, with a time to come back; what broke, was turned away or never connected is read anew as before, and a write's time-out too. A test (`a_read_that_ran_out_of_patience_...`) fails without it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -420,13 +420,13 @@
         }
         // What was never sent leaves a state's time running. Guards against writers that can't be reached by
         // its end, and that call gone what they can't reach. Harm: a prompt read anew.
-        let late = outcome == ConnectFailed && self.now_ms >= c.idle_ms + HELD * self.settings.pin_limit_ms;
-        c.let_go |= c.state_at.is_some() && (late || outcome == NoState);
+        let unsent = outcome == ConnectFailed && self.now_ms >= c.idle_ms + HELD * self.settings.pin_limit_ms;
+        c.let_go |= c.state_at.is_some() && (unsent || outcome == NoState);
         c.idle_ms = if outcome == ConnectFailed { c.idle_ms } else { self.now_ms };
         c.state_at = match outcome {
             Read => Some(worker.clone()),
             Finished | NoState => None,
-            _ => c.state_at.take().filter(|_| !late),
+            _ => c.state_at.take().filter(|_| !unsent),
         };
         if matches!(outcome, Full | Error | Broken | ConnectFailed | TimedOut) {
             c.avoid.push(worker.clone());
@@ -439,7 +439,9 @@
             _ => 0.0,
         };
         let owed = !c.over && c.answer.is_none();
-        let lost = began || outcome == Moot || self.now_ms >= c.wake_ms;
+        // A read that ran out of patience is late wherever it is done anew, and takes what others still need.
+        let late = outcome == TimedOut && stage == Stage::Read;
+        let lost = began || late || outcome == Moot || self.now_ms >= c.wake_ms;
         let none_out = c.dispatches.iter().all(|d| d.phase == Phase::Ended);
         let facts = Some(c.facts.clone()).filter(|_| outcome == Read);
         facts.into_iter().for_each(|facts| self.remember(&facts, &worker));
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -36,6 +36,22 @@
     assert_snapshot!(play.trace());
 }
 
+/// Twice its target over, the answer can only be late: another reader's time goes to what can still be in time. What broke
+/// at once is read anew.
+#[test]
+fn a_read_that_ran_out_of_patience_is_not_read_anew() {
+    let goes = |ms: f64, outcome| {
+        let mut play = fleet(&ONE_CELL);
+        play.arrive(1, 5, 9000.0).pass(ms).ended(1, 0, outcome, 0.0);
+        let (before, after) =
+            play.trace().split_once("ended 1.0").map(|(a, b)| (a.to_owned(), b.to_owned())).unwrap();
+        assert!(before.contains("to r0"), "{before}");
+        (after.contains("to r0"), after.contains("rate-limit"))
+    };
+    assert_eq!(goes(2000.0, TimedOut), (false, true));
+    assert_eq!(goes(20.0, Broken), (true, false));
+}
+
 #[test]
 fn home_full_or_above_the_median_goes_to_the_relay() {
     let mut play = fleet(&["m0a", "r0a", "w0a", "w0b"]);
