Read once more: zones are looked at only once a worker was passed by

Need: `Control::dark` ran through all workers twice at every plan, though it can say something only after a worker was passed by, and hid that in a filter that left its map empty.

--- a/src/control.rs
+++ b/src/control.rs
@@ -460,7 +460,8 @@
 
     /// What should be out next for a completion that has nothing out.
     fn plan(&mut self, id: CompletionId) {
-        let dark = self.completions.get(&id).map_or(Vec::new(), |c| self.dark(c));
+        let turned_away = self.completions.get(&id).filter(|c| !c.avoid.is_empty());
+        let dark = turned_away.map_or(Vec::new(), |c| self.dark(c));
         self.completions.entry(id).and_modify(|c| c.avoid.extend(dark));
         let Some(c) = self.completions.get(&id) else { return };
         let next = match c.state_at {
@@ -504,12 +505,12 @@
     fn dark(&self, c: &Completion) -> Vec<WorkerId> {
         let owes = |w: &Worker| w.probed || self.distrust(w) > SILENT;
         let mut zones = BTreeMap::<ZoneId, (usize, bool)>::new();
-        for (id, w) in self.workers.iter().filter(|_| !c.avoid.is_empty()) {
+        for (id, w) in &self.workers {
             let (silent, heard) = zones.entry(w.listing.zone).or_default();
             *silent += usize::from(owes(w) && c.avoid.contains(id));
             *heard |= self.heard(w) >= ASK_BELOW;
         }
-        let dark = |w: &Worker| matches!(zones.get(&w.listing.zone), Some((2.., false)));
+        let dark = |w: &Worker| matches!(zones[&w.listing.zone], (2.., false));
         let left = self.workers.values().any(|w| !dark(w) && w.listing.readiness == Readiness::Ready);
         let dark = self.workers.iter().filter(|(id, w)| left && dark(w) && !c.avoid.contains(id));
         dark.map(|(id, _)| id.clone()).collect()
