Home reads what alone does not strain it: its bound follows its memory, not 2,000 tokens

Ruled out: memory (held at most 0.42), links (far moves cost 0.0001), eviction (a text that the same server had read before was found kept in 60 of 63 reads after 10 s). At fault: `SHORT_READ_TOKENS` in `read_at`, 2,000 for every kind of server; prompts there have 5,000 shared tokens and the median home memory of 880,000.

Change: the bound is the one at which home counts as strained (1/64 of its memory), which is 2,300 to 4,000 tokens at the first deployment and 13,700 at the new one. The arithmetic of fading values moves to `src/decay.rs`, which decides nothing.

Four tests had prompts between the two bounds; they have longer or shorter ones, and `a_home_of_more_memory_reads_longer_prompts` fails without the change.

--- a/crates/cli/tests/restarts.rs
+++ b/crates/cli/tests/restarts.rs
@@ -183,7 +183,7 @@
 fn a_turn_finds_its_home_after_a_kill_with_the_store_and_a_reader_without() {
     local(async {
         let stage = Stage::start().await;
-        let text = |turn: usize| format!("turn {turn} {}", "abc ".repeat(3000));
+        let text = |turn: usize| format!("turn {turn} {}", "abc ".repeat(4000));
         let mut turns = vec![text(0)];
         let mut router = stage.router().await;
         assert!(finished(&asked(&router, &asking("t0", "t0", "chat-large", "s", &turns)).await));
--- a/src/control.rs
+++ b/src/control.rs
@@ -12,11 +12,13 @@
 use std::cmp::{Ordering, Reverse};
 use std::collections::BTreeMap;
 
+use crate::decay::{Decaying, SmoothedCount};
 use crate::interface::*;
 
-/// Of the design: the share kept at home for which it reads and writes, the uncovered tokens that it reads.
+/// Of the design: the share kept at home for which it reads and writes.
 const COVERED: f64 = 0.95;
-const SHORT_READ_TOKENS: f64 = 2000.0;
+/// Tokens that a completion in a reported queue counts for.
+const QUEUED_TOKENS: f64 = 2000.0;
 /// Life of an entry in the table, of the design, and how many it holds at most.
 const ENTRY_LIFE_MS: f64 = 120_000.0;
 const ENTRIES_MAX: usize = 1 << 16;
@@ -120,16 +122,16 @@
 struct Worker {
     listing: Listing,
     role: Role,
-    distrust: Stamped,
+    distrust: Decaying,
     /// Our dispatches of late, those turned away left out.
-    sent: Stamped,
+    sent: Decaying,
     /// Of our dispatches out: tokens not yet read, tokens of those that write or wait to, and their number.
-    waiting: Averaged,
-    held: Averaged,
+    waiting: SmoothedCount,
+    held: SmoothedCount,
     streams: f64,
     /// What it last said of its load, as a share of the bound, whether that was little and nothing waited,
     /// and whether a probe is out.
-    said: Stamped,
+    said: Decaying,
     idle: bool,
     probed: bool,
     /// What the table held of this worker before then is void.
@@ -146,38 +148,6 @@
     }
 }
 
-/// A value and when it was set; most halve as time passes.
-#[derive(Clone, Copy, Default)]
-struct Stamped {
-    value: f64,
-    at_ms: f64,
-}
-
-impl Stamped {
-    fn at(&self, now_ms: f64, half_ms: f64) -> f64 {
-        self.value * 0.5f64.powf((now_ms - self.at_ms) / half_ms.max(1.0))
-    }
-}
-
-/// A count of ours and its fading mean, by which the other routers' is judged.
-#[derive(Clone, Copy, Default)]
-struct Averaged {
-    value: f64,
-    mean: f64,
-    at_ms: f64,
-}
-
-impl Averaged {
-    fn mean(&self, now_ms: f64, over_ms: f64) -> f64 {
-        self.value + (self.mean - self.value) * (-(now_ms - self.at_ms) / over_ms.max(1.0)).exp()
-    }
-
-    fn add(&mut self, change: f64, now_ms: f64, over_ms: f64) {
-        let (value, mean) = ((self.value + change).max(0.0), self.mean(now_ms, over_ms));
-        *self = Averaged { value, mean, at_ms: now_ms };
-    }
-}
-
 /// A text that workers keep: what a session has said so far, or a beginning that sessions share.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Text {
@@ -193,7 +163,7 @@
     workers: BTreeMap<WorkerId, Worker>,
     completions: BTreeMap<CompletionId, Completion>,
     /// Tokens of a text kept at a worker.
-    table: BTreeMap<(Text, WorkerId), Stamped>,
+    table: BTreeMap<(Text, WorkerId), Decaying>,
 }
 
 /// Stable in every process: FNV-1a over the name, mixed with the key.
@@ -282,19 +252,19 @@
             let worker = self.workers.entry(row.worker.clone()).or_insert_with(|| Worker {
                 listing: row.clone(),
                 role: kind.role,
-                distrust: Stamped::default(),
-                sent: Stamped::default(),
-                waiting: Averaged::default(),
-                held: Averaged::default(),
+                distrust: Decaying::default(),
+                sent: Decaying::default(),
+                waiting: SmoothedCount::default(),
+                held: SmoothedCount::default(),
                 streams: 0.0,
-                said: Stamped { value: 0.0, at_ms: f64::NEG_INFINITY },
+                said: Decaying { value: 0.0, at_ms: f64::NEG_INFINITY },
                 idle: false,
                 probed: false,
                 forgot_ms: 0.0,
             });
             if row.started_ms != worker.listing.started_ms {
                 // A new process has kept nothing and carries no blame.
-                (worker.forgot_ms, worker.distrust) = (self.now_ms, Stamped::default());
+                (worker.forgot_ms, worker.distrust) = (self.now_ms, Decaying::default());
             }
             worker.listing = row.clone();
         }
@@ -334,10 +304,10 @@
     fn reported(&mut self, id: &WorkerId, load: &LoadReport) {
         let Some(w) = self.workers.get(id) else { return };
         let memory = self.settings.kinds[w.listing.kind.0].memory_tokens;
-        let queued = load.queue.map(|queue| queue * SHORT_READ_TOKENS);
+        let queued = load.queue.map(|queue| queue * QUEUED_TOKENS);
         let tokens = load.waiting_kilotokens.map(|thousands| thousands * 1e3).or(queued).unwrap_or(0.0);
         let held = load.memory_share.filter(|_| w.role != Role::Reader).unwrap_or(0.0) * memory;
-        let said = Stamped { value: self.strain(w, tokens, held), at_ms: self.now_ms };
+        let said = Decaying { value: self.strain(w, tokens, held), at_ms: self.now_ms };
         let idle = load.queue == Some(0.0) && load.slots_share.is_some_and(|share| share < IDLE_SHARE);
         self.workers.entry(id.clone()).and_modify(|w| (w.said, w.idle) = (said, idle));
     }
@@ -368,9 +338,13 @@
     /// it strained.
     fn strain(&self, w: &Worker, waiting: f64, held: f64) -> f64 {
         let memory = self.settings.kinds[w.listing.kind.0].memory_tokens;
+        (waiting / self.bound(w)).max(held / (memory * MEMORY_FULL).max(1.0))
+    }
+
+    /// Tokens waiting to be read or fetched beyond which a worker is strained.
+    fn bound(&self, w: &Worker) -> f64 {
         let part = if w.role == Role::Reader { 1.0 } else { WRITER_BOUND };
-        let waiting = waiting / (memory * READER_BOUND * part).max(1.0);
-        waiting.max(held / (memory * MEMORY_FULL).max(1.0))
+        (self.settings.kinds[w.listing.kind.0].memory_tokens * READER_BOUND * part).max(1.0)
     }
 
     /// Who gave no answer in time is passed by; with the last one the decision goes on.
@@ -527,7 +501,7 @@
     }
 
     fn heard(&self, w: &Worker) -> f64 {
-        Stamped { value: 1.0, at_ms: w.said.at_ms }.at(self.now_ms, self.settings.fall_ms * SAID_HALVES)
+        Decaying { value: 1.0, at_ms: w.said.at_ms }.at(self.now_ms, self.settings.fall_ms * SAID_HALVES)
     }
 
     /// Home: a mixed server by session hash; the next in hash order stands in for one that can't be used. The
@@ -544,7 +518,9 @@
         let home = self.home(c);
         let home_easy = home.clone().filter(|home| !c.avoid.contains(home) && !self.strained(c, home, false));
         let uncovered = c.facts.prompt_tokens - home.as_ref().map_or(0.0, |home| self.believed(c, home));
-        let short = uncovered < (1.0 - COVERED) * c.facts.prompt_tokens || uncovered < SHORT_READ_TOKENS;
+        // What alone would not strain home is short there: figures of one kind of server do not fit another.
+        let own_bound = home.as_ref().map_or(0.0, |home| self.bound(&self.workers[home]));
+        let short = uncovered < (1.0 - COVERED) * c.facts.prompt_tokens || uncovered < own_bound;
         if let Some(home) = home_easy.clone().filter(|_| short) {
             return Some((home, Stage::Whole));
         }
@@ -649,7 +625,7 @@
     fn busy(&self, c: &Completion, w: &Worker, ease: f64) -> bool {
         let over_ms = self.settings.fall_ms * MEAN_OVER;
         let others = self.settings.routers.max(1) as f64 - 1.0;
-        let all = |ours: &Averaged| ours.value + others * ours.mean(self.now_ms, over_ms);
+        let all = |ours: &SmoothedCount| ours.value + others * ours.mean(self.now_ms, over_ms);
         let excused = if w.role == Role::Writer { c.facts.prompt_tokens } else { 0.0 };
         let waiting = all(&w.waiting) - w.waiting.value.min(excused);
         let heard = self.heard(w);
@@ -682,7 +658,7 @@
         let text = kept.session.map(Text::Session).or(kept.prefix.map(Text::Prefix));
         let Some((text, w)) = text.zip(self.workers.get(&kept.worker)) else { return };
         let at_ms = (self.now_ms - kept.age_ms).max(w.forgot_ms);
-        self.table.entry((text, kept.worker.clone())).or_insert(Stamped { value: kept.tokens, at_ms });
+        self.table.entry((text, kept.worker.clone())).or_insert(Decaying { value: kept.tokens, at_ms });
     }
 
     fn remember(&mut self, facts: &Arrival, worker: &WorkerId) {
@@ -693,7 +669,7 @@
         let session = (Text::Session(facts.session), facts.prompt_tokens);
         let prefix = facts.prefix.map(|prefix| (Text::Prefix(prefix), facts.prefix_tokens));
         for (text, tokens) in [Some(session), prefix].into_iter().flatten() {
-            self.table.insert((text, worker.clone()), Stamped { value: tokens, at_ms });
+            self.table.insert((text, worker.clone()), Decaying { value: tokens, at_ms });
         }
     }
 
@@ -771,7 +747,7 @@
     /// Blame adds to distrust; a good answer takes of it.
     fn judge(&mut self, id: &WorkerId, blame: f64, good: bool) {
         let value = self.workers.get(id).map_or(0.0, |w| (self.distrust(w) + blame).min(DISTRUST_MAX));
-        let distrust = Stamped { value: value * if good { FORGIVEN } else { 1.0 }, at_ms: self.now_ms };
+        let distrust = Decaying { value: value * if good { FORGIVEN } else { 1.0 }, at_ms: self.now_ms };
         self.workers.entry(id.clone()).and_modify(|w| w.distrust = distrust);
     }
 
@@ -824,7 +800,7 @@
                     d.phase = Phase::Out;
                     if let Some(w) = self.workers.get_mut(&d.worker) {
                         let value = w.sent.at(self.now_ms, self.settings.fall_ms) + 1.0;
-                        w.sent = Stamped { value, at_ms: self.now_ms };
+                        w.sent = Decaying { value, at_ms: self.now_ms };
                         let (streams, prompt) = (f64::from(d.stage != Stage::Read), c.facts.prompt_tokens);
                         w.count(&self.settings, self.now_ms, d.tokens, streams, prompt);
                     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! `interface` holds what a caller tells the decisions and what they ask for; `control` decides.
 
 pub mod control;
+mod decay;
 pub mod interface;
 
 pub use control::Control;
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -24,7 +24,19 @@
 
 #[test]
 fn short_uncovered_part_is_read_at_home() {
-    assert_snapshot!(fleet(&FLEET).arrive(1, 5, 1900.0).arrive(2, 6, 2100.0).trace());
+    assert_snapshot!(fleet(&FLEET).arrive(1, 5, 2400.0).arrive(2, 6, 2600.0).trace());
+}
+
+/// What is short at a home follows from its memory: a fixed figure left large homes idle while readers jammed.
+#[test]
+fn a_home_of_more_memory_reads_longer_prompts() {
+    let reads_at_home = |memory_tokens: f64, prompt_tokens: f64| {
+        let mut settings = settings();
+        settings.kinds.iter_mut().for_each(|kind| kind.memory_tokens = memory_tokens);
+        Play::new(settings, &ONE_CELL).arrive(1, 5, prompt_tokens).trace().contains("to m0a")
+    };
+    assert_eq!((reads_at_home(200_000.0, 3000.0), reads_at_home(200_000.0, 8000.0)), (true, false));
+    assert_eq!((reads_at_home(100_000.0, 3000.0), reads_at_home(600_000.0, 8000.0)), (false, true));
 }
 
 #[test]
@@ -84,10 +96,10 @@
 fn flushed_home_is_no_longer_believed() {
     let mut play = fleet(&ONE_CELL);
     for id in [1, 2] {
-        play.arrive(id, id.into(), 1900.0).began(id, 0).ended(id, 0, Finished, 0.0);
+        play.arrive(id, id.into(), 2300.0).began(id, 0).ended(id, 0, Finished, 0.0);
     }
-    play.pass(2000.0).arrive(3, 1, 1950.0).began(3, 0).ended(3, 0, Finished, 0.0).pass(50.0);
-    play.arrive(4, 2, 2050.0);
+    play.pass(2000.0).arrive(3, 1, 2350.0).began(3, 0).ended(3, 0, Finished, 0.0).pass(50.0);
+    play.arrive(4, 2, 2600.0);
     assert_snapshot!(play.trace());
 }
 
--- a/tests/turns.rs
+++ b/tests/turns.rs
@@ -86,7 +86,7 @@
             play(Event::Probed { worker: worker(name), answered: true, took_ms: 1.0 });
         }
         let arrives = |id: u32| {
-            let facts = facts(id, 1000 + u64::from(id), 2100.0, None);
+            let facts = facts(id, 1000 + u64::from(id), 2600.0, None);
             Event::Arrived(Arrival { client_timeout_ms: 104_000.0, ..facts })
         };
         (0..4).for_each(|id| drop(play(arrives(id))));
