Sessions that begin alike share homes; a queue weighs what reads of late found uncovered

So texts are not evicted, they are read anew at every server that a session's hash names. Second: a reader said 2 to 4 waiting while reads took 2 to 3 s; each counted for 2,000 tokens and was 4,000 to 8,000.

At fault: `home` ranked by the session alone, `reported` counted a constant for each that waits. Now the homes of a text are as many as its part of the arrivals fills, and a waiting completion counts for the mean of what reads found uncovered. No new constant of a deployment; the hash is one of the points that the design leaves open.

`rank` moves to `src/hash.rs`, where others use it too.

--- a/crates/failover/src/homes.rs
+++ b/crates/failover/src/homes.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use paddleproxy::control::rank;
+use paddleproxy::hash::rank;
 use paddleproxy::interface::{KindId, ListKind, Listing, Readiness, SessionId, WorkerId};
 
 use crate::Zone;
--- a/crates/gateway/src/release.rs
+++ b/crates/gateway/src/release.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use paddleproxy::control::rank;
+use paddleproxy::hash::rank;
 use paddleproxy::interface::*;
 use paddleproxy_platform::List;
 use paddleproxy_router::clock::Clock;
--- a/crates/routing/src/letgo.rs
+++ b/crates/routing/src/letgo.rs
@@ -9,7 +9,7 @@
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 
-use paddleproxy::control::rank;
+use paddleproxy::hash::rank;
 use paddleproxy::interface::*;
 
 use crate::outcomes::SocketEnd;
--- a/src/control.rs
+++ b/src/control.rs
@@ -13,12 +13,15 @@
 use std::collections::BTreeMap;
 
 use crate::decay::{Decaying, SmoothedCount};
+use crate::hash::rank;
 use crate::interface::*;
 
 /// Of the design: the share kept at home for which it reads and writes.
 const COVERED: f64 = 0.95;
-/// Tokens that a completion in a reported queue counts for.
+/// Tokens that a completion in a reported queue counts for before any read is known, and the part by which each
+/// read moves that to what it found uncovered.
 const QUEUED_TOKENS: f64 = 2000.0;
+const READ_WEIGHT: f64 = 0.1;
 /// Life of an entry in the table, of the design, and how many it holds at most.
 const ENTRY_LIFE_MS: f64 = 120_000.0;
 const ENTRIES_MAX: usize = 1 << 16;
@@ -164,17 +167,10 @@
     completions: BTreeMap<CompletionId, Completion>,
     /// Tokens of a text kept at a worker.
     table: BTreeMap<(Text, WorkerId), Decaying>,
-}
-
-/// Stable in every process: FNV-1a over the name, mixed with the key.
-pub fn rank(worker: &WorkerId, key: u64) -> u64 {
-    let name = worker.0.bytes().fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
-    });
-    let mut mixed = name ^ key.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    mixed ^ (mixed >> 31)
+    /// Arrivals of late, in all and by shared beginning, and the mean of tokens that reads found uncovered.
+    arrivals: Decaying,
+    beginnings: BTreeMap<PrefixId, Decaying>,
+    read_tokens: f64,
 }
 
 /// Routers that may send to a worker that just started at the same time, of so many.
@@ -184,8 +180,9 @@
 
 impl Control {
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let (workers, completions, table) = Default::default();
-        Control { settings, rng: fastrand::Rng::with_seed(seed), now_ms: 0.0, workers, completions, table }
+        let (rng, read_tokens) = (fastrand::Rng::with_seed(seed), QUEUED_TOKENS);
+        let (now_ms, workers, completions, table, arrivals, beginnings) = Default::default();
+        Control { settings, rng, now_ms, workers, completions, table, arrivals, beginnings, read_tokens }
     }
 
     pub fn handle(&mut self, now_ms: f64, event: &Event, actions: &mut Vec<Action>) {
@@ -297,6 +294,13 @@
             armed_ms: 0.0,
         };
         self.completions.insert(facts.completion, completion);
+        self.arrivals.count(self.now_ms, ENTRY_LIFE_MS);
+        if self.beginnings.len() >= ENTRIES_MAX {
+            self.beginnings.clear();
+        }
+        if let Some(prefix) = facts.prefix {
+            self.beginnings.entry(prefix).or_default().count(self.now_ms, ENTRY_LIFE_MS);
+        }
         self.plan(facts.completion);
         self.reconcile(facts.completion, actions);
     }
@@ -304,7 +308,7 @@
     fn reported(&mut self, id: &WorkerId, load: &LoadReport) {
         let Some(w) = self.workers.get(id) else { return };
         let memory = self.settings.kinds[w.listing.kind.0].memory_tokens;
-        let queued = load.queue.map(|queue| queue * QUEUED_TOKENS);
+        let queued = load.queue.map(|queue| queue * self.read_tokens);
         let tokens = load.waiting_kilotokens.map(|thousands| thousands * 1e3).or(queued).unwrap_or(0.0);
         let held = load.memory_share.filter(|_| w.role != Role::Reader).unwrap_or(0.0) * memory;
         let said = Decaying { value: self.strain(w, tokens, held), at_ms: self.now_ms };
@@ -417,11 +421,13 @@
         let late = outcome == TimedOut && stage == Stage::Read;
         let lost = began || late || outcome == Moot || self.now_ms >= c.wake_ms;
         let none_out = c.dispatches.iter().all(|d| d.phase == Phase::Ended);
+        let prompt_tokens = c.facts.prompt_tokens;
         let facts = Some(c.facts.clone()).filter(|_| outcome == Read);
         facts.into_iter().for_each(|facts| self.remember(&facts, &worker));
         // Guards against a flush, whatever emptied the worker: what else we hold as kept there is void.
         // Harm: a single text pushed out of a full memory voids the others too.
         let read = outcome == Read || outcome == Finished && stage == Stage::Whole;
+        self.read_tokens += if read { READ_WEIGHT * (prompt_tokens - kept - self.read_tokens) } else { 0.0 };
         let void = self.workers.get_mut(&worker).filter(|_| read && kept < believed / 2.0);
         void.into_iter().for_each(|w| w.forgot_ms = w.forgot_ms.max(sent_ms));
         self.judge(&worker, blame, matches!(outcome, Read | Finished));
@@ -508,7 +514,22 @@
     /// exception: a session that routers agreed to move has it in that zone while the zone has a usable one.
     fn home(&self, c: &Completion) -> Option<WorkerId> {
         let off = |id: &WorkerId| c.facts.near.is_some_and(|near| near != self.workers[id].listing.zone);
-        self.by_hash(c, c.facts.session.0, |w| w.role == Role::Mixed).into_iter().min_by_key(off)
+        let few = self.homes_of_beginning(c);
+        let homes = self.by_hash(c, c.facts.session.0, |w| w.role == Role::Mixed).into_iter();
+        homes.min_by_key(|id| (off(id), !few.contains(id)))
+    }
+
+    /// Sessions that begin alike share homes: the first by hash of the beginning, as many as its part of the
+    /// arrivals fills. Guards against texts read anew everywhere, where none stays kept. Harm: uneven homes.
+    fn homes_of_beginning(&self, c: &Completion) -> Vec<WorkerId> {
+        let Some(prefix) = c.facts.prefix else { return Vec::new() };
+        let mut homes = self.by_hash(c, prefix.0, |w| w.role == Role::Mixed);
+        let seen = self.beginnings.get(&prefix).map_or(0.0, |seen| seen.at(self.now_ms, ENTRY_LIFE_MS));
+        // This arrival is left out of both, so that a text seen once is not held to be a large part of few.
+        let others = (self.arrivals.at(self.now_ms, ENTRY_LIFE_MS) - 1.0).max(1.0);
+        let part = ((seen - 1.0) / others).clamp(0.0, 1.0);
+        homes.truncate((part * homes.len() as f64).ceil().max(1.0) as usize);
+        homes
     }
 
     /// Read at home what it keeps for the most part, or what is short; else at a reader of home's cell, and
@@ -799,8 +820,7 @@
                     actions.push(Action::Dispatch { completion: id, worker, timeout_ms });
                     d.phase = Phase::Out;
                     if let Some(w) = self.workers.get_mut(&d.worker) {
-                        let value = w.sent.at(self.now_ms, self.settings.fall_ms) + 1.0;
-                        w.sent = Decaying { value, at_ms: self.now_ms };
+                        w.sent.count(self.now_ms, self.settings.fall_ms);
                         let (streams, prompt) = (f64::from(d.stage != Stage::Read), c.facts.prompt_tokens);
                         w.count(&self.settings, self.now_ms, d.tokens, streams, prompt);
                     }
--- a/src/decay.rs
+++ b/src/decay.rs
@@ -12,6 +12,11 @@
     pub fn at(&self, now_ms: f64, half_ms: f64) -> f64 {
         self.value * 0.5f64.powf((now_ms - self.at_ms) / half_ms.max(1.0))
     }
+
+    /// Counts one more at `now_ms`.
+    pub fn count(&mut self, now_ms: f64, half_ms: f64) {
+        *self = Decaying { value: self.at(now_ms, half_ms) + 1.0, at_ms: now_ms };
+    }
 }
 
 /// A count that goes up and down, with its exponentially weighted mean over time.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod control;
 mod decay;
+pub mod hash;
 pub mod interface;
 
 pub use control::Control;
