Debug logs of the platform tell sessions, common beginnings and first tokens

Cause: to see why prompts were read anew, which text each began with and which server had read it before had to be known, and the logs had neither. Change: `arrived` names session, beginning and its length; a line `began` has the time to the first event. Info logs stay as they are.

--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -85,6 +85,9 @@
                     completion = arrival.completion.0,
                     id = %ask.id,
                     prompt = arrival.prompt_tokens,
+                    session = arrival.session.0,
+                    prefix = arrival.prefix.map(|prefix| prefix.0),
+                    prefix_tokens = arrival.prefix_tokens,
                     "arrived"
                 );
                 self.owed.insert(arrival.completion, duty);
@@ -92,6 +95,7 @@
                 self.handle(Input::Arrived { arrival, streamed: true });
             }
             Told::Began { completion, seq, took_ms } => {
+                debug!(completion = completion.0, seq = seq.0, took_ms, "began");
                 if let Some(worker) = self.book.worker(completion, seq) {
                     self.fleet.borrow_mut().hearing.answered(worker, self.book.clock.now_ms());
                 }
