Tests leave the source files: 22 test modules move to files of their own

Cause: 22 test modules stood inside source files. Change: each is the file `tests.rs` in a folder named for its module, with the lines as they were; no assertion is changed. A comment of `src/control.rs` was 112 columns wide and is broken.

--- a/crates/emulator/src/heap.rs
+++ b/crates/emulator/src/heap.rs
@@ -62,19 +62,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn ties_keep_their_order_and_the_past_comes_at_once() {
-        let mut heap = Heap::default();
-        for (at, what) in [(5.0, 'b'), (1.0, 'a'), (5.0, 'c')] {
-            heap.put(at, what);
-        }
-        assert_eq!(heap.take(), Some((1.0, 'a')));
-        heap.put(0.5, 'x');
-        heap.put(f64::NAN, 'y');
-        let rest: Vec<_> = std::iter::from_fn(|| heap.take()).collect();
-        assert_eq!(rest, [(1.0, 'x'), (1.0, 'y'), (5.0, 'b'), (5.0, 'c')]);
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/engine/src/sse/tests.rs
@@ -0,0 +1,26 @@
+//! Tests of the module `sse`.
+
+use super::*;
+
+#[test]
+fn events_arrive_whole_however_the_bytes_are_cut() {
+    let text = b"data: {\"a\":1}\r\n\r\n: remark\n\ndata: [DONE]\n\n";
+    for cut in 0..text.len() {
+        let mut reader = SseReader::new(64);
+        let mut seen = Vec::new();
+        for part in [&text[..cut], &text[cut..]] {
+            reader.push(part);
+            while let Some(data) = reader.next_event().unwrap() {
+                seen.push(data);
+            }
+        }
+        assert_eq!(seen, [Data::Json("{\"a\":1}".into()), Data::Done], "cut at {cut}");
+    }
+}
+
+#[test]
+fn an_endless_line_is_an_error() {
+    let mut reader = SseReader::new(16);
+    reader.push(&[b'x'; 64]);
+    assert_eq!(reader.next_event().unwrap_err(), "a line longer than 16 bytes");
+}
--- /dev/null
+++ b/crates/platform/src/head/tests.rs
@@ -0,0 +1,83 @@
+//! Tests of the module `head`.
+
+use super::*;
+use proptest::prelude::*;
+
+fn status(text: &str) -> u16 {
+    request(text.as_bytes()).unwrap_err().status
+}
+
+#[test]
+fn a_head_is_read_with_its_fields() {
+    let text =
+        "POST /v1/chat/completions?a=1 HTTP/1.1\r\nHost: backend.local\r\nreq-id: 9b1f\r\nReq-Kind: chat\r\n\
+                Req-Deadline: 4.800\r\nContent-Length: 2\r\nConnection: keep-alive, Close\r\n\r\n{}";
+    let head = request(text.as_bytes()).unwrap().unwrap();
+    assert_eq!((head.method.as_str(), head.target.as_str()), ("POST", "/v1/chat/completions?a=1"));
+    assert_eq!((head.framing, head.close, head.bytes), (Framing::Length(2), true, text.len() - 2));
+    assert_eq!(head.fields.id.as_deref(), Some("9b1f"));
+    assert_eq!(head.fields.deadline.as_deref(), Some("4.800"));
+    for cut in 0..text.len() - 2 {
+        assert_eq!(request(&text.as_bytes()[..cut]), Ok(None), "cut at {cut}");
+    }
+}
+
+#[test]
+fn what_could_be_read_in_two_ways_is_refused() {
+    let with = |fields: &str| format!("POST / HTTP/1.1\r\n{fields}\r\n\r\n");
+    for fields in [
+        "Content-Length: 5\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5",
+        "Content-Length: 5\r\nContent-Length: 5",
+        "Content-Length: 5, 5",
+        "Content-Length: -1",
+        "Content-Length: +5",
+        "Content-Length: 0x10",
+        "Content-Length:",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding : chunked",
+        "Req-Id: a\r\nReq-Id: b",
+        "Req-Id: \u{e9}\r\n folded: x",
+    ] {
+        assert_eq!(status(&with(fields)), 400, "{fields}");
+    }
+    assert_eq!(status(&with("Content-Length: 62914560")), 413);
+    assert_eq!(status(&with("Content-Length: 99999999999999999999999")), 413);
+    assert_eq!(status("\u{1}\u{2}noise\r\n\r\n"), 400);
+    assert_eq!(status("GET / HTTP/1.0\r\n\r\n"), 505);
+    assert_eq!(status(&with(&"X: y\r\n".repeat(80))), 431);
+    assert_eq!(status(&format!("GET / HTTP/1.1\r\nX: {}", "y".repeat(HEAD_BYTES))), 431);
+}
+
+#[test]
+fn answers_are_read_past_interim_ones() {
+    let mut bytes = bytes::BytesMut::from(
+        &b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 503 No\r\nSrv-Declined: 1\r\n\
+           Srv-Load: TEXT queue=2\r\nContent-Length: 0\r\n\r\nrest"[..],
+    );
+    let head = answer(&mut bytes).unwrap().unwrap();
+    assert_eq!((head.status, head.declined, head.framing), (503, true, Framing::Length(0)));
+    assert_eq!(head.load.unwrap().queue, Some(2.0));
+    assert_eq!(&bytes[..], b"rest");
+    let mut bad = bytes::BytesMut::from(&b"HTTP/1.1 200 OK\r\nSrv-Load: \x80 \x01\x7f what\r\n\r\n"[..]);
+    assert_eq!(answer(&mut bad).unwrap().unwrap().load, None, "a report that can't be read spoils nothing");
+}
+
+#[test]
+fn heads_that_never_end_are_given_up() {
+    let mut bytes = bytes::BytesMut::from(&b"HTTP/1.1 100 Continue\r\n\r\n".repeat(1000)[..]);
+    assert!(answer(&mut bytes).is_err());
+    assert!(answer(&mut bytes::BytesMut::from(&[7u8; 40][..])).is_err());
+}
+
+proptest! {
+    #[test]
+    fn no_head_panics(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let _ = request(&bytes);
+        let _ = answer(&mut bytes::BytesMut::from(&bytes[..]));
+        let mut long = b"POST / HTTP/1.1\r\n".to_vec();
+        long.extend(&bytes);
+        let _ = request(&long);
+    }
+}
--- a/crates/routing/src/pace.rs
+++ b/crates/routing/src/pace.rs
@@ -38,20 +38,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_fast_stream_is_given_up_sooner_than_a_slow_one() {
-        let mut fast = Pace::new(0.0, 2000.0);
-        let mut slow = Pace::new(0.0, 2000.0);
-        assert_eq!(fast.until_ms(), 2000.0);
-        for step in 1..=10 {
-            fast.event(f64::from(step) * 10.0);
-            slow.event(f64::from(step) * 25.0);
-        }
-        assert_eq!((fast.until_ms(), slow.until_ms()), (100.0 + 1000.0, 250.0 + 1500.0));
-        slow.event(1700.0);
-        assert_eq!(slow.until_ms(), 1700.0 + 2000.0);
-    }
-}
+mod tests;
--- a/crates/store/src/format.rs
+++ b/crates/store/src/format.rs
@@ -223,31 +223,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn no_flipped_bit_goes_unseen() {
-        let op = Op::Put { key: Key::new(Kind::Kept, b"key"), value: b"value".to_vec() };
-        let mut bytes = Vec::new();
-        assert!(encode(7, &op, &mut bytes));
-        let whole = Decoded::Record { seq: 7, op, bytes: bytes.len() };
-        assert_eq!(decode(&bytes), whole);
-        for bit in 0..bytes.len() * 8 {
-            let mut flipped = bytes.clone();
-            flipped[bit / 8] ^= 1 << (bit % 8);
-            assert!(!matches!(decode(&flipped), Decoded::Record { .. }), "bit {bit}");
-        }
-        for cut in 1..bytes.len() {
-            assert_eq!(decode(&bytes[..cut]), Decoded::Short, "cut at {cut}");
-        }
-        let head = Head { version: VERSION, snapshot: true, router: 3, number: 9 };
-        let bytes = head.encode();
-        assert_eq!(Head::decode(&bytes), Ok(head));
-        for bit in 0..bytes.len() * 8 {
-            let mut flipped = bytes;
-            flipped[bit / 8] ^= 1 << (bit % 8);
-            assert!(Head::decode(&flipped).is_err(), "bit {bit}");
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/store/src/retention/tests.rs
@@ -0,0 +1,48 @@
+//! Tests of the module `retention`.
+
+use super::*;
+
+const TRUST: Trust = Trust { life_ms: 600_000.0, half_ms: 120_000.0, most: 3 };
+
+fn entry(text: Text, server: &str, tokens: f64, at_ms: f64, start: u64) -> (Box<[u8]>, Vec<u8>) {
+    let value = serde_json::to_vec(&Kept { tokens, at_ms, start }).unwrap();
+    (kept_key(text, server).bytes, value)
+}
+
+#[test]
+fn age_and_a_new_process_take_belief_away() {
+    let now_ms = 1e9;
+    let entries = [
+        entry(Text::Session(1), "a", 800.0, now_ms, 5),
+        entry(Text::Session(2), "a", 800.0, now_ms - 120_000.0, 5),
+        entry(Text::Prefix(3), "a", 800.0, now_ms - 700_000.0, 5),
+        entry(Text::Session(4), "b", 800.0, now_ms, 5),
+        entry(Text::Session(5), "gone", 800.0, now_ms, 5),
+        entry(Text::Session(6), "a", f64::NAN, now_ms, 5),
+        // The clock went back since.
+        entry(Text::Session(7), "a", 100.0, now_ms + 5e6, 5),
+        (Box::from(&b"rubbish"[..]), b"{".to_vec()),
+    ];
+    let starts = [("a".to_owned(), 5), ("b".to_owned(), 6)].into();
+    let believed =
+        believe(now_ms, &TRUST, &starts, stored(entries.iter().map(|(key, value)| (&**key, &**value))));
+    let seen: Vec<_> = believed.iter().map(|row| (row.text, row.tokens.round(), row.age_ms)).collect();
+    let wanted = [
+        (Text::Session(1), 800.0, 0.0),
+        (Text::Session(7), 100.0, 0.0),
+        (Text::Session(2), 400.0, 120_000.0),
+    ];
+    assert_eq!(seen, wanted);
+}
+
+#[test]
+fn what_is_over_goes() {
+    let tokened = |until_ms| serde_json::to_vec(&Tokened { wish: 7, until_ms }).unwrap();
+    let rows = [
+        (Key::new(Kind::Tokened, b"old"), tokened(99.0)),
+        (Key::new(Kind::Tokened, b"new"), tokened(101.0)),
+        (Key::new(Kind::Word, b"a"), b"anything".to_vec()),
+    ];
+    let gone = outdated(100.0, &TRUST, rows.iter().map(|(key, value)| (key, value.as_slice())));
+    assert_eq!(gone, [Op::Delete { key: rows[0].0.clone() }]);
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -18,8 +18,8 @@
 
 /// Of the design: the share kept at home for which it reads and writes.
 const COVERED: f64 = 0.95;
-/// Tokens that a completion in a reported queue counts for before any read is known, and the part by which each
-/// read moves that to what it found uncovered.
+/// Tokens that a completion in a reported queue counts for before any read is known, and the part by which
+/// each read moves that to what it found uncovered.
 const QUEUED_TOKENS: f64 = 2000.0;
 const READ_WEIGHT: f64 = 0.1;
 /// Life of an entry in the table, of the design, and how many it holds at most.
