A first event that crosses the word to stop its dispatch is no answer

One was followed by its id with each end logged: at 196.153 s its dispatch ended as `Stopped` after 775 ms, half of its latency target, and only then its client's stream was over. So the router cut a stream that it had just granted. Ruled out: silent workers (no stream stalled and no gap of 1.5 s in a whole play), clients that left (`left` was not logged for it), broken streams of workers (counted apart).

At fault: `began` in `crates/routing/src/ledger.rs`. The decisions call a dispatch off at a worker that says it is idle; its first event can be on the way to the core then. The ledger granted the stream all the same, but the dispatch met the stop first, ended, and the client's connection with it. Now the ledger remembers what was called off and grants nothing to it.

--- a/crates/routing/src/ledger.rs
+++ b/crates/routing/src/ledger.rs
@@ -201,6 +201,8 @@
     worker: WorkerId,
     stage: Stage,
     out: bool,
+    /// Called off by the decisions, which are told of its end only.
+    cancelled: bool,
     uses_state: bool,
 }
 
@@ -430,8 +432,11 @@
 
     fn began(&mut self, completion: CompletionId, seq: Seq, took_ms: f64, effects: &mut Vec<Effect>) {
         let entry = self.open.get_mut(&completion);
-        let out = |entry: &&mut Entry| entry.dispatches.get(seq.0 as usize).is_some_and(|sent| sent.out);
-        let Some(entry) = entry.filter(|entry| entry.owed && entry.streamed && out(entry)) else {
+        // Guards against a first event that crosses the word to stop: its dispatch meets that word first and ends, so a
+        // stream granted to it would be cut off before its client. Harm: an answer that had begun is not used.
+        let runs = |sent: &Dispatch| sent.out && !sent.cancelled;
+        let runs = |entry: &&mut Entry| entry.dispatches.get(seq.0 as usize).is_some_and(runs);
+        let Some(entry) = entry.filter(|entry| entry.owed && entry.streamed && runs(entry)) else {
             self.counts.late_first += 1;
             effects.push(Effect::Stop { completion, seq });
             return;
@@ -617,13 +622,14 @@
                 self.dispatch(now_ms, completion, worker, timeout_ms, effects);
             }
             Action::Cancel { completion, seq } => {
-                let entry = self.open.get(&completion);
-                let out = |entry: &Entry| {
-                    entry.stream != Some(seq) && entry.dispatches.get(seq.0 as usize).is_some_and(|d| d.out)
-                };
                 if !self.settings.cancel_allowed {
                     effects.push(Effect::Note("a cancel is not allowed by the settings".into()));
-                } else if entry.is_some_and(out) {
+                    return;
+                }
+                let entry = self.open.get_mut(&completion).filter(|entry| entry.stream != Some(seq));
+                let sent = entry.and_then(|entry| entry.dispatches.get_mut(seq.0 as usize));
+                if let Some(sent) = sent.filter(|sent| sent.out) {
+                    sent.cancelled = true;
                     effects.push(Effect::Stop { completion, seq });
                 }
             }
@@ -701,7 +707,7 @@
         let stateless = role == Some(Role::Writer) && !has_state && !self.settings.writers_read;
         let uses_state = stage == Stage::Write;
         let out = !moot && !stateless;
-        entry.dispatches.push(Dispatch { worker: worker.clone(), stage, out, uses_state });
+        entry.dispatches.push(Dispatch { worker: worker.clone(), stage, out, cancelled: false, uses_state });
         if !out {
             self.counts.moot += u64::from(moot);
             let outcome = if moot { Outcome::Moot } else { Outcome::NoState };
--- a/crates/routing/tests/ledger.rs
+++ b/crates/routing/tests/ledger.rs
@@ -189,6 +189,22 @@
     assert_eq!((play.ledger.open(), play.ledger.counts().late_first), (0, 1));
 }
 
+/// A first event that crosses the word to stop: a stream granted then would end at once, before the client.
+#[test]
+fn a_first_event_of_what_was_called_off_is_not_the_answer() {
+    let mut play = Play::new();
+    play.arrive(0, 900.0, true).pass(600.0);
+    let load = LoadReport { queue: Some(0.0), slots_share: Some(0.1), ..LoadReport::default() };
+    play.tell("mixed says that it is idle", Input::Reported { worker: worker("mixed"), load });
+    let probed = Input::Probed { worker: worker("mixed"), answered: true, took_ms: 1.0 };
+    play.tell("mixed answers a probe", probed);
+    assert!(play.trace.ends_with("stop 0\n"), "{}", play.trace);
+    play.began(0);
+    assert!(!play.trace.contains("grant"), "{}", play.trace);
+    play.ended(0, SocketEnd::Stopped);
+    assert!(play.trace.matches("send ").count() == 2, "it is sent elsewhere: {}", play.trace);
+}
+
 #[test]
 fn a_client_who_leaves_mid_stream_stops_its_server() {
     let mut play = Play::new();
