--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -380,7 +380,9 @@
         let _open = OpenId { gate: gate.clone(), id: id.clone() };
         gate.next.set(completion.0.wrapping_add(1));
         let (duty, mut reply) = Duty::new(gate.dropped.clone());
-        let ask = Rc::new(Ask { id, method: head.method, target: head.target, body, _held: held });
+        let RequestHead { method, target, fields, .. } = head;
+        let idempotency_key = fields.idempotency_key;
+        let ask = Rc::new(Ask { id, method, target, idempotency_key, body, _held: held });
         if gate.core.send(Told::Arrived { arrival, ask, duty }).await.is_err() {
             return Ok(Err(Fault::new(503, "the router stops")));
         }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -202,10 +202,11 @@
 
 /// The head of a dispatch; `wait_ms` is how long we shall still wait.
 fn request(ask: &Ask, wait_ms: f64) -> String {
-    let Ask { id, method, target, body, .. } = ask;
+    let Ask { id, method, target, idempotency_key, body, .. } = ask;
+    let key = idempotency_key.as_ref().map_or(String::new(), |key| format!("Idempotency-Key: {key}\r\n"));
     let wait_s = wait_ms.max(1.0) / 1e3;
     format!(
-        "{method} {target} HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {id}\r\nReq-Deadline: {wait_s:.3}\r\n\
+        "{method} {target} HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {id}\r\nReq-Deadline: {wait_s:.3}\r\n{key}\
          Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
         body.len()
     )
--- a/crates/gateway/src/words.rs
+++ b/crates/gateway/src/words.rs
@@ -61,6 +61,7 @@
     pub id: Rc<str>,
     pub method: String,
     pub target: String,
+    pub idempotency_key: Option<String>,
     pub body: Bytes,
     /// Gives the bytes back to the total when it ends.
     pub _held: Held,
--- a/crates/gateway/tests/workers.rs
+++ b/crates/gateway/tests/workers.rs
@@ -49,6 +49,37 @@
     });
 }
 
+/// Servers drop repeats by the key that the client chose: every attempt has to carry it, a read too.
+#[test]
+fn every_attempt_carries_the_clients_idempotency_key() {
+    local(async {
+        let read = plain("202 Read", "", "{\"cached_tokens\":4096}");
+        let reader = Worker::start("r-1", "prefill", move |_, _| say(read.clone())).await;
+        let first = Worker::start("w-1", "combined", |_, _| say(plain("500 Oh", "", "{}"))).await;
+        let second = Worker::start("w-2", "decode", |_, _| say(good())).await;
+        let platform = Platform::with(&[&reader, &first, &second], |config| {
+            config["settings"]["services"][0]["idempotency"] = "by_key".into();
+        })
+        .await;
+        let key = "Idempotency-Key: 77dc93c96d75e358\r\n";
+        let long = prompt("a1", 9000, &format!("{key}Connection: close\r\n"), "{}");
+        let answer = raw(platform.clients, long.as_bytes()).await;
+        assert_eq!(body(&answer), (format!("{FIRST}{LAST}"), true), "{answer}");
+        let asked = [&reader, &first, &second].map(|worker| worker.asked()).concat();
+        assert!(asked.len() >= 3, "a read, an attempt that failed and its repeat: {asked:?}");
+        for seen in asked {
+            let fields: Vec<_> = seen.head.lines().filter(|line| line.starts_with("Idempotency")).collect();
+            assert_eq!(fields, [key.trim_end()], "{}", seen.head);
+        }
+        // A class without keys is sent none.
+        assert!(body(&platform.ask("a2").await).1);
+        let keyless = [&reader, &first, &second].map(|worker| worker.asked()).concat();
+        let keyless = keyless.iter().filter(|seen| seen.id == "a2");
+        assert!(keyless.clone().count() > 0);
+        assert!(keyless.into_iter().all(|seen| !seen.head.contains("Idempotency-Key")));
+    });
+}
+
 /// What ends a dispatch before its first event, and is tried elsewhere.
 #[test]
 fn what_fails_before_the_first_event_is_tried_elsewhere() {
--- a/crates/platform/src/head.rs
+++ b/crates/platform/src/head.rs
@@ -26,7 +26,7 @@
     Close,
 }
 
-/// The platform's own fields, as they were sent.
+/// The platform's own fields and the key for repeats, as they were sent.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Fields {
     pub id: Option<String>,
@@ -37,6 +37,8 @@
     pub extra: Option<String>,
     pub retry: Option<String>,
     pub cost: Option<String>,
+    /// By which servers drop repeats of a keyed class.
+    pub idempotency_key: Option<String>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -129,6 +131,7 @@
             "req-extra" => &mut own.extra,
             "req-retry" => &mut own.retry,
             "req-cost" => &mut own.cost,
+            "idempotency-key" => &mut own.idempotency_key,
             _ => continue,
         };
         let text = std::str::from_utf8(field.value).map_err(|_| NO_HEAD)?;
