--- a/src/control.rs
+++ b/src/control.rs
@@ -696,8 +696,8 @@
 
     /// Usable workers in hash order. Where distrust leaves none, the distrusted ones.
     fn by_hash(&self, c: &Completion, key: u64, of: impl Fn(&Worker) -> bool) -> Vec<WorkerId> {
-        let runs = |w: &Worker| w.role == Role::Reader || self.may_run_again(c, w);
-        let open = |w: &Worker| w.listing.readiness == Readiness::Ready && self.our_turn(w) && runs(w);
+        let ready = |w: &Worker| w.listing.readiness == Readiness::Ready;
+        let open = |w: &Worker| ready(w) && self.our_turn(w) && self.may_run_again(c, w);
         let usable = |trusted: bool| {
             let fits = |id: &WorkerId, w: &Worker| !trusted || self.trusted(c, id, w);
             let found = self.workers.iter().filter(|(id, w)| of(w) && open(w) && fits(id, w));
