--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -1,102 +1,23 @@
 //! Clients' connections: each request is read whole and checked, answered once, and its connection kept or closed.
 
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use bytes::{Buf, Bytes, BytesMut};
 use paddleproxy::interface::CompletionId;
 use paddleproxy_platform::head::{self, Fault, Framing, RequestHead};
-use paddleproxy_platform::{request, Chunks, Provision, BODY_BYTES};
-use paddleproxy_router::clock::{duration, Clock};
-use paddleproxy_router::duty::{Dropped, Duty};
-use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, watch, Notify};
+use paddleproxy_platform::{request, Chunks, BODY_BYTES};
+use paddleproxy_router::clock::duration;
+use paddleproxy_router::duty::Duty;
+use tokio::io::{AsyncWriteExt, Interest};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
-use crate::limits::{Shares, AHEAD_BYTES, CLIENT_IDLE, LINGER_MS, REQUEST_MS, SLOW_CLIENT_MS};
-use crate::pool::read;
-use crate::words::{Ask, Held, Piece, Reply};
-use crate::words::{ToCore, Told};
-
-/// Where a router is in its life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Life {
-    Starting,
-    Ready,
-    /// Told to stop, and no connections come any more: each closes after its answer, and at once where it rests.
-    Closing,
-}
-
-/// What a connection is doing, in the order in which descriptors that run short are taken back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Doing {
-    /// No whole request has ever come on it, or it is about to close.
-    Nothing,
-    /// Between two requests.
-    Resting,
-    Busy,
-}
-
-struct Row {
-    doing: Doing,
-    since: Instant,
-    close: Rc<Notify>,
-}
-
-/// What all connections of clients share.
-pub struct Gate {
-    pub clock: Clock,
-    pub core: ToCore,
-    pub provision: RefCell<Rc<Provision>>,
-    pub shares: Shares,
-    pub life: watch::Receiver<Life>,
-    pub dropped: Dropped,
-    next: Cell<u32>,
-    next_row: Cell<u64>,
-    rows: RefCell<BTreeMap<u64, Row>>,
-    /// Connections that stand, those about to close included.
-    pub standing: Cell<usize>,
-    open_ids: RefCell<BTreeSet<Rc<str>>>,
-    body_bytes: Rc<Cell<usize>>,
-    pub faults: RefCell<BTreeMap<u16, u64>>,
-    pub given_up: Cell<u64>,
-}
-
-/// An id that is open, for as long as its request is.
-struct OpenId {
-    gate: Rc<Gate>,
-    id: Rc<str>,
-}
-
-impl Drop for OpenId {
-    fn drop(&mut self) {
-        self.gate.open_ids.borrow_mut().remove(&self.id);
-    }
-}
-
-/// A client's place among the connections.
-struct Place {
-    gate: Rc<Gate>,
-    row: u64,
-    close: Rc<Notify>,
-}
-
-impl Place {
-    fn doing(&self, doing: Doing) {
-        if let Some(row) = self.gate.rows.borrow_mut().get_mut(&self.row) {
-            (row.doing, row.since) = (doing, Instant::now());
-        }
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.gate.rows.borrow_mut().remove(&self.row);
-        self.gate.standing.set(self.gate.standing.get() - 1);
-    }
-}
+use crate::gate::{reached, Doing, Life, Place};
+use crate::inbound::Inbound;
+use crate::limits::{AHEAD_BYTES, CLIENT_IDLE, LINGER_MS, REQUEST_MS, SLOW_CLIENT_MS};
+use crate::sockets::{bytes_wait, read};
+use crate::words::{Ask, Held, Piece, Presence, Reply, Told};
 
 /// Why a connection ends.
 enum Over {
@@ -106,131 +27,51 @@
     Left,
 }
 
-const OVERLOADED: Fault = Fault::new(503, "more bytes are open than memory allows; come again");
+/// Between two looks for the end of a connection that has something else to say, in ms.
+const LOOK_AGAIN_MS: f64 = 50.0;
 
-impl Gate {
-    pub fn new(
-        clock: Clock,
-        core: ToCore,
-        provision: Rc<Provision>,
-        shares: Shares,
-        life: watch::Receiver<Life>,
-    ) -> Self {
-        Gate {
-            clock,
-            core,
-            provision: RefCell::new(provision),
-            shares,
-            life,
-            dropped: Rc::default(),
-            next: Cell::new(0),
-            next_row: Cell::new(0),
-            rows: RefCell::default(),
-            standing: Cell::new(0),
-            open_ids: RefCell::default(),
-            body_bytes: Rc::default(),
-            faults: RefCell::default(),
-            given_up: Cell::new(0),
-        }
-    }
+const OVERLOADED: Fault = Fault::new(503, "more bytes are open than memory allows; come again");
 
-    /// Takes connections for as long as the task lives.
-    pub async fn listen(self: Rc<Self>, listener: TcpListener) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    let _ = stream.set_nodelay(true);
-                    // The one that says least gives way to the one that has just come.
-                    if self.standing.get() >= self.shares.clients && !self.give_up_one() {
-                        drop(stream);
-                        continue;
-                    }
-                    tokio::task::spawn_local(self.place().serve(stream));
-                    if self.standing.get() >= self.shares.clients {
-                        // Who was given up closes before the next one is taken.
-                        tokio::task::yield_now().await;
-                    }
-                }
-                Err(_) => {
-                    // Out of descriptors, or the client was gone already.
-                    self.give_up_one();
-                    sleep(duration(ACCEPT_AGAIN_MS)).await;
-                }
+const STOPS: Fault = Fault::new(503, "the router stops");
+
+/// Serves one connection until it closes.
+pub async fn serve(place: Place, mut stream: TcpStream) {
+    let mut inbound = Inbound::new(place.gate.clock);
+    loop {
+        match place.one(&mut stream, &mut inbound).await {
+            Ok(()) => {
+                // An idle connection holds no buffer.
+                inbound.rest();
+                place.doing(Doing::Resting);
             }
+            Err(Over::Close) => break,
+            Err(Over::Left) => return,
         }
     }
-
-    fn place(self: &Rc<Self>) -> Place {
-        let (row, close) = (self.next_row.get(), Rc::new(Notify::new()));
-        self.next_row.set(row + 1);
-        self.standing.set(self.standing.get() + 1);
-        let entry = Row { doing: Doing::Nothing, since: Instant::now(), close: close.clone() };
-        self.rows.borrow_mut().insert(row, entry);
-        Place { gate: self.clone(), row, close }
-    }
-
-    fn give_up_one(&self) -> bool {
-        let mut rows = self.rows.borrow_mut();
-        let waiting = rows.iter().filter(|(_, row)| row.doing != Doing::Busy);
-        let least = waiting.min_by_key(|(_, row)| (row.doing, row.since)).map(|(id, _)| *id);
-        let Some(row) = least.and_then(|least| rows.remove(&least)) else { return false };
-        row.close.notify_one();
-        self.given_up.set(self.given_up.get() + 1);
-        true
-    }
-
-    fn life(&self) -> Life {
-        *self.life.borrow()
+    place.doing(Doing::Nothing);
+    // Unread bytes would turn the close into a reset, and the client might never read its answer.
+    let _ = stream.shutdown().await;
+    let linger = async {
+        let mut rest = BytesMut::new();
+        while read(&stream, &mut rest).await.is_ok_and(|read| read > 0) {
+            rest.clear();
+        }
+    };
+    tokio::select! {
+        _ = timeout(duration(LINGER_MS), linger) => {}
+        () = place.close.notified() => {}
     }
 }
 
-/// After a connect that could not be taken, in ms.
-const ACCEPT_AGAIN_MS: f64 = 5.0;
-
 impl Place {
-    /// Since when it has been doing this, if it is.
-    fn since(&self, doing: Doing) -> Option<Instant> {
-        self.gate.rows.borrow().get(&self.row).filter(|row| row.doing == doing).map(|row| row.since)
-    }
-
-    async fn serve(self, mut stream: TcpStream) {
-        let mut bytes = BytesMut::new();
-        loop {
-            match self.one(&mut stream, &mut bytes).await {
-                Ok(()) => {
-                    if bytes.is_empty() {
-                        // An idle connection holds no buffer.
-                        bytes = BytesMut::new();
-                    }
-                    self.doing(Doing::Resting);
-                }
-                Err(Over::Close) => break,
-                Err(Over::Left) => return,
-            }
-        }
-        self.doing(Doing::Nothing);
-        // Unread bytes would turn the close into a reset, and the client might never read its answer.
-        let _ = stream.shutdown().await;
-        let linger = async {
-            let mut rest = BytesMut::new();
-            while read(&stream, &mut rest).await.is_ok_and(|read| read > 0) {
-                rest.clear();
-            }
-        };
-        tokio::select! {
-            _ = timeout(duration(LINGER_MS), linger) => {}
-            () = self.close.notified() => {}
-        }
-    }
-
     /// One request and its answer.
-    async fn one(&self, stream: &mut TcpStream, bytes: &mut BytesMut) -> Result<(), Over> {
+    async fn one(&self, stream: &mut TcpStream, inbound: &mut Inbound) -> Result<(), Over> {
         let first = self.since(Doing::Nothing);
-        self.begun(stream, bytes, first).await?;
+        self.begun(stream, inbound, first).await?;
         let by = first.unwrap_or_else(Instant::now) + duration(REQUEST_MS);
         let taken = tokio::select! {
             biased;
-            taken = self.request(stream, bytes) => taken?,
+            taken = self.request(stream, inbound) => taken?,
             () = sleep_until(by) => Err(Fault::new(408, "the request did not come whole in time")),
             () = self.close.notified() => return Err(Over::Left),
         };
@@ -242,85 +83,96 @@
             }
         };
         self.doing(Doing::Busy);
-        let received_ms = self.gate.clock.now_ms();
+        let received_ms = inbound.taken_came_ms();
         let close = head.close;
         let answered = match (head.method.as_str(), path(&head.target)) {
             ("GET", "/_health") => match self.gate.life() {
                 Life::Starting => Err(Fault::new(503, "not ready yet")),
-                _ => Ok(self.say(stream, 200, "OK", "", "{\"ready\":true}").await?),
+                _ => {
+                    let closes = close || self.closes(stream, inbound);
+                    Ok(self.say(stream, 200, "OK", "", "{\"ready\":true}", closes).await?)
+                }
             },
             ("POST", "/v1/chat/completions") => {
-                self.completion(stream, bytes, head, body, held, received_ms).await?
+                self.completion(stream, inbound, head, body, held, received_ms).await?
             }
             (_, "/_health" | "/v1/chat/completions") => Err(Fault::new(405, "not with this method")),
             _ => Err(Fault::new(404, "nothing is served here")),
         };
         match answered {
             Ok(()) => {}
-            Err(fault) => self.refuse(stream, fault, close).await?,
+            Err(fault) => self.refuse(stream, fault, close || self.closes(stream, inbound)).await?,
         }
-        if close || self.gate.life() == Life::Closing {
+        if close || self.closes(stream, inbound) {
             return Err(Over::Close);
         }
         Ok(())
     }
 
+    /// Whether the connection closes after an answer. What has come on it already is answered first: a request that
+    /// was read must not go without an answer. Once that is said it stays so.
+    fn closes(&self, stream: &TcpStream, inbound: &Inbound) -> bool {
+        let wanted = self.gate.life() >= Life::Closing || self.given_up();
+        let closes = self.closing.get() || wanted && inbound.is_empty() && !bytes_wait(stream);
+        self.closing.set(closes);
+        closes
+    }
+
     /// Waits for the first byte of a request.
     async fn begun(
         &self,
         stream: &mut TcpStream,
-        bytes: &mut BytesMut,
+        inbound: &mut Inbound,
         first: Option<Instant>,
     ) -> Result<(), Over> {
-        if !bytes.is_empty() {
+        if !inbound.is_empty() {
             return Ok(());
         }
         let idle_ms = self.gate.provision.borrow().idle_ms * CLIENT_IDLE;
         let until = first.map_or(Instant::now() + duration(idle_ms), |since| since + duration(REQUEST_MS));
-        let first = first.is_some();
+        // A connection that rests closes at once; one that has just come may still bring its request.
+        let stage = if first.is_some() { Life::Refusing } else { Life::Closing };
         let mut life = self.gate.life.clone();
-        let stopping = async {
-            // A connection that rests closes at once; one that has just come may still bring its request.
-            while first || *life.borrow_and_update() != Life::Closing {
-                if life.changed().await.is_err() {
-                    std::future::pending::<()>().await;
-                }
-            }
-        };
-        tokio::select! {
+        let over = tokio::select! {
             biased;
-            more = read(stream, bytes) => match more {
+            more = inbound.read(stream) => return match more {
                 Ok(more) if more > 0 => Ok(()),
                 _ => Err(Over::Left),
             },
-            () = sleep_until(until) => Err(Over::Close),
-            () = self.close.notified() => Err(Over::Left),
-            () = stopping => Err(Over::Close),
+            () = sleep_until(until) => Over::Close,
+            () = self.close.notified() => Over::Left,
+            () = reached(&mut life, stage) => Over::Close,
+        };
+        // A request that has come in this very moment is answered rather than closed upon.
+        if bytes_wait(stream) {
+            return Ok(());
         }
+        Err(over)
     }
 
     /// Reads one whole request.
     async fn request(
         &self,
         stream: &mut TcpStream,
-        bytes: &mut BytesMut,
+        inbound: &mut Inbound,
     ) -> Result<Result<(RequestHead, Bytes, Held), Fault>, Over> {
         let head = loop {
-            match head::request(bytes) {
+            match head::request(inbound) {
                 Ok(Some(head)) => break head,
                 Ok(None) => {}
                 Err(fault) => return Ok(Err(fault)),
             }
-            if !read(stream, bytes).await.is_ok_and(|more| more > 0) {
+            if !inbound.read(stream).await.is_ok_and(|more| more > 0) {
                 return Err(Over::Left);
             }
         };
-        bytes.advance(head.bytes);
+        inbound.advance(head.bytes);
         let room = match head.framing {
             Framing::Length(length) => length,
             _ => BODY_BYTES,
         };
-        let Some(mut held) = Held::take(&self.gate.body_bytes, room, self.gate.shares.body_bytes) else {
+        let Some(mut held) = Held::take(&self.gate.body_bytes, room, self.gate.shares.get().body_bytes)
+        else {
             return Ok(Err(OVERLOADED));
         };
         if head.expects {
@@ -329,14 +181,14 @@
         let (mut body, mut chunks) = (BytesMut::new(), Chunks::new(BODY_BYTES));
         loop {
             match head.framing {
-                Framing::Length(length) if bytes.len() >= length => {
+                Framing::Length(length) if inbound.len() >= length => {
                     // A copy of its own size: the buffer may be much larger, and stays with the connection.
-                    let body = Bytes::copy_from_slice(&bytes[..length]);
-                    bytes.advance(length);
+                    let body = Bytes::copy_from_slice(&inbound[..length]);
+                    inbound.advance(length);
                     return Ok(Ok((head, body, held)));
                 }
                 Framing::Length(_) => {}
-                _ => match chunks.take(bytes, &mut body) {
+                _ => match chunks.take(inbound, &mut body) {
                     Ok(_) if body.len() > BODY_BYTES => {
                         return Ok(Err(Fault::new(413, "the body is too long")))
                     }
@@ -348,7 +200,7 @@
                     Err(_) => return Ok(Err(Fault::new(400, "the body's chunks can't be read"))),
                 },
             }
-            if !read(stream, bytes).await.is_ok_and(|more| more > 0) {
+            if !inbound.read(stream).await.is_ok_and(|more| more > 0) {
                 return Err(Over::Left);
             }
         }
@@ -357,13 +209,17 @@
     async fn completion(
         &self,
         stream: &mut TcpStream,
-        bytes: &mut BytesMut,
+        inbound: &mut Inbound,
         head: RequestHead,
         body: Bytes,
         held: Held,
         received_ms: f64,
     ) -> Result<Result<(), Fault>, Over> {
         let gate = &self.gate;
+        if gate.life() == Life::Refusing {
+            return Ok(Err(STOPS));
+        }
+        let close = head.close;
         let id: Rc<str> = match request::id(&head.fields) {
             Ok(id) => id.into(),
             Err(fault) => return Ok(Err(fault)),
@@ -374,22 +230,23 @@
             Ok(arrival) => arrival,
             Err(fault) => return Ok(Err(fault)),
         };
-        if !gate.open_ids.borrow_mut().insert(id.clone()) {
+        let Some(_open) = gate.open_id(&id) else {
             return Ok(Err(Fault::new(400, "Req-Id is that of a request that is open")));
-        }
-        let _open = OpenId { gate: gate.clone(), id: id.clone() };
+        };
         gate.next.set(completion.0.wrapping_add(1));
         let (duty, mut reply) = Duty::new(gate.dropped.clone());
+        let client = Rc::new(Presence::default());
         let RequestHead { method, target, fields, .. } = head;
         let idempotency_key = fields.idempotency_key;
-        let ask = Rc::new(Ask { id, method, target, idempotency_key, body, _held: held });
-        if gate.core.send(Told::Arrived { arrival, ask, duty }).await.is_err() {
-            return Ok(Err(Fault::new(503, "the router stops")));
+        let ask = Ask { id, method, target, idempotency_key, body, client: client.clone(), _held: held };
+        if gate.core.send(Told::Arrived { arrival, ask: Rc::new(ask), duty }).await.is_err() {
+            return Ok(Err(STOPS));
         }
         let reply = tokio::select! {
             biased;
             reply = &mut reply => reply.unwrap_or(Reply::Aborted),
-            () = left(stream, bytes) => {
+            () = left(stream, inbound) => {
+                client.leave();
                 let _ = gate.core.send(Told::Left { completion }).await;
                 return Err(Over::Left);
             }
@@ -401,16 +258,25 @@
                     false => String::new(),
                 };
                 let body = error("no worker can take this now; trying again is harmless");
-                self.say(stream, 429, "Too Many Requests", &after, &body).await?;
+                self.say(
+                    stream,
+                    429,
+                    "Too Many Requests",
+                    &after,
+                    &body,
+                    close || self.closes(stream, inbound),
+                )
+                .await?;
                 Ok(Ok(()))
             }
             Reply::Aborted => {
                 let body = error("the answer was lost; it may have run");
-                self.say(stream, 502, "Bad Gateway", "", &body).await?;
+                self.say(stream, 502, "Bad Gateway", "", &body, close || self.closes(stream, inbound))
+                    .await?;
                 Ok(Ok(()))
             }
             Reply::Stream(pieces) => {
-                let streamed = self.stream(stream, bytes, pieces).await;
+                let streamed = self.stream(stream, inbound, pieces).await;
                 if streamed.is_err() {
                     let _ = gate.core.send(Told::Left { completion }).await;
                 }
@@ -422,7 +288,7 @@
     async fn stream(
         &self,
         stream: &mut TcpStream,
-        bytes: &mut BytesMut,
+        inbound: &mut Inbound,
         mut pieces: mpsc::Receiver<Piece>,
     ) -> Result<(), Over> {
         let mut out = BytesMut::from(
@@ -433,7 +299,7 @@
             let piece = tokio::select! {
                 biased;
                 piece = pieces.recv() => piece,
-                () = left(stream, bytes) => return Err(Over::Left),
+                () = left(stream, inbound) => return Err(Over::Left),
             };
             match piece {
                 Some(Piece::Events(events)) => {
@@ -444,16 +310,15 @@
                     out.clear();
                 }
                 Some(Piece::End) => return self.write(stream, b"0\r\n\r\n").await,
-                // Broken off: no last chunk.
-                None => return Err(Over::Left),
+                // Broken off: the connection ends without the last chunk, and with all that was written before.
+                None => return Err(Over::Close),
             }
         }
     }
 
     async fn refuse(&self, stream: &mut TcpStream, fault: Fault, close: bool) -> Result<(), Over> {
         *self.gate.faults.borrow_mut().entry(fault.status).or_default() += 1;
-        let fields = if close { "Connection: close\r\n" } else { "" };
-        self.say(stream, fault.status, "Refused", fields, &error(fault.why)).await
+        self.say(stream, fault.status, "Refused", "", &error(fault.why), close).await
     }
 
     async fn say(
@@ -463,12 +328,9 @@
         reason: &str,
         fields: &str,
         body: &str,
+        close: bool,
     ) -> Result<(), Over> {
-        let close = if self.gate.life() == Life::Closing && !fields.contains("Connection") {
-            "Connection: close\r\n"
-        } else {
-            ""
-        };
+        let close = if close { "Connection: close\r\n" } else { "" };
         let length = body.len();
         let answer = format!(
             "HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n{fields}{close}\r\n{body}"
@@ -484,14 +346,18 @@
     }
 }
 
-/// Returns when the client has closed. What it sends ahead is kept up to a bound, and past that not read.
-async fn left(stream: &TcpStream, bytes: &mut BytesMut) {
-    while bytes.len() < AHEAD_BYTES {
-        if !read(stream, bytes).await.is_ok_and(|more| more > 0) {
+/// Returns when the client has closed. What it sends ahead is kept up to a bound and past that not read, but the end of
+/// its connection shows all the same.
+async fn left(stream: &TcpStream, inbound: &mut Inbound) {
+    while inbound.len() < AHEAD_BYTES {
+        if !inbound.read(stream).await.is_ok_and(|more| more > 0) {
             return;
         }
     }
-    std::future::pending().await
+    // Ready for this are the end of the connection and urgent data, which is not asked for here.
+    while stream.ready(Interest::PRIORITY).await.is_ok_and(|ready| !ready.is_read_closed()) {
+        sleep(duration(LOOK_AGAIN_MS)).await;
+    }
 }
 
 fn path(target: &str) -> &str {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -12,7 +12,7 @@
 use paddleproxy_router::book::Book;
 use paddleproxy_router::clock::Clock;
 use paddleproxy_router::duty::Duty;
-use paddleproxy_routing::{Effect, Input, Ledger, Sending, SocketEnd};
+use paddleproxy_routing::{Effect, Input, Ledger, Sending, SocketEnd, Withdrawal};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tracing::{debug, info, warn};
@@ -84,6 +84,7 @@
                 debug!(
                     completion = arrival.completion.0,
                     id = %ask.id,
+                    workload = arrival.workload.0,
                     prompt = arrival.prompt_tokens,
                     session = arrival.session.0,
                     prefix = arrival.prefix.map(|prefix| prefix.0),
@@ -128,7 +129,10 @@
             }
             Told::Settings(provision) => {
                 self.provision = provision;
-                self.handle(Input::Settings(Box::new(self.provision.settings.clone())));
+                self.fleet.borrow_mut().hearing.moved(self.provision.settings.zone);
+                let settings = Box::new(self.provision.settings.clone());
+                let answer_slack_ms = self.provision.answer_slack_ms;
+                self.handle(Input::Settings { settings, answer_slack_ms });
             }
             Told::LastAnswers => self.handle(Input::Stop { streams: false }),
             Told::Tell(to) => {
@@ -156,6 +160,10 @@
         }
         debug!(version = list.version, ?kind, rows = list.rows.len(), "list");
         let rows = self.fleet.borrow_mut().listed(list, kind);
+        for row in rows.iter() {
+            let Listing { worker, zone, kind, cell, readiness, .. } = row;
+            debug!(worker = %worker.0, zone = zone.0, kind = kind.0, cell = cell.0, ?readiness, "listed");
+        }
         self.handle(Input::Listed { kind, rows });
     }
 
@@ -260,6 +268,7 @@
             address: self.dial(&sending.worker),
             sending,
             ask,
+            fleet: self.fleet.clone(),
             words,
             pool: self.pool.clone(),
             clock: self.book.clock,
@@ -316,6 +325,10 @@
         SocketEnd::ConnectTimedOut => "connect-timed-out",
         SocketEnd::NoAddress => "no-address",
         SocketEnd::NeverWritten => "never-written",
+        SocketEnd::Withdrawn(Withdrawal::ClientGone) => "withdrawn-client-gone",
+        SocketEnd::Withdrawn(Withdrawal::OutOfTime) => "withdrawn-out-of-time",
+        SocketEnd::Withdrawn(Withdrawal::RepeatTooLate) => "withdrawn-repeat-too-late",
+        SocketEnd::Withdrawn(Withdrawal::ServerNotReady) => "withdrawn-server-not-ready",
         SocketEnd::TurnedAway(paddleproxy_engine::Refusal::StateGone) => "state-gone",
         SocketEnd::TurnedAway(_) => "full",
         SocketEnd::ErrorStatus(_) => "error",
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -28,6 +28,8 @@
 pub struct Source {
     pub address: SocketAddr,
     pub provision: Rc<Provision>,
+    /// Bytes that one list may have.
+    pub list_bytes: usize,
     /// Unix time at which the router's clock showed 0, in ms.
     pub zero_ms: f64,
 }
@@ -60,7 +62,6 @@
     core: ToCore,
     mut asked: mpsc::Receiver<Ask>,
     first: oneshot::Sender<()>,
-    list_bytes: usize,
 ) {
     let mut first = Some(first);
     let mut version: Option<u64> = None;
@@ -83,7 +84,7 @@
                     open
                 }
             };
-            let answer = call(&mut open, address, &path, list_bytes).await?;
+            let answer = call(&mut open, address, &path, source.list_bytes).await?;
             Ok::<_, String>((answer, open))
         };
         let answer = tokio::select! {
@@ -93,10 +94,11 @@
                     return;
                 }
                 if sources.borrow().address != address {
-                    // Versions of one address say nothing of another's.
                     info!(from = %address, to = %sources.borrow().address, "discovery moves");
-                    version = None;
                 }
+                // Versions of one address say nothing of another's, and the rows of a list are read by the settings:
+                // what was read by others is read anew.
+                version = None;
                 stream = None;
                 continue;
             }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! One dispatch: a task that sends a completion to a worker and tells the core how it ended.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -8,18 +9,20 @@
 use paddleproxy_platform::request::refusal;
 use paddleproxy_platform::{Chunks, Events, BODY_BYTES};
 use paddleproxy_router::clock::{duration, Clock};
-use paddleproxy_routing::{Pace, Sending, SocketEnd, Stage};
+use paddleproxy_routing::{Pace, Sending, SocketEnd, Stage, Withdrawal, WriteCheck};
 use tokio::sync::mpsc;
 use tokio::time::{sleep_until, timeout, Instant};
 
 use crate::limits::{DRAIN_MS, PIECES, SILENT_MS};
 use crate::pool::{Connection, Pool};
+use crate::release::Fleet;
 use crate::words::{Ask, End, Piece, ToCore, Told, Word};
 
 pub struct Dispatch {
     pub sending: Sending,
     pub address: Option<SocketAddr>,
     pub ask: Rc<Ask>,
+    pub fleet: Rc<RefCell<Fleet>>,
     pub words: mpsc::Receiver<Word>,
     pub pool: Rc<Pool>,
     pub clock: Clock,
@@ -55,14 +58,16 @@
     async fn carry(&mut self, sent: Instant) -> Result<(SocketEnd, Rest), SocketEnd> {
         let address = self.address.ok_or(SocketEnd::NoAddress)?;
         let until = self.clock.at(self.sending.until_ms);
-        let (pool, ask, until_ms, clock) =
-            (self.pool.clone(), self.ask.clone(), self.sending.until_ms, self.clock);
-        let write_by = self.clock.at(self.sending.write_by_ms);
+        let (pool, ask) = (self.pool.clone(), self.ask.clone());
+        let write_by = self.clock.at(self.sending.write_by_ms.min(self.sending.repeat_by_ms));
+        let check = self.write_check(address);
         let exchange = async move {
             let written = async {
                 let mut connection = pool.take(address).await?;
                 loop {
-                    let head = request(&ask, until_ms - clock.now_ms());
+                    // Lets the sockets be looked at: the client's end, or a list, may have come meanwhile.
+                    tokio::task::yield_now().await;
+                    let head = request(&ask, check().time_left_ms().map_err(SocketEnd::Withdrawn)?);
                     if connection.write(&[head.as_bytes(), &ask.body]).await.is_ok() {
                         return Ok(connection);
                     }
@@ -76,6 +81,7 @@
             // Biased: a connection that is at hand is taken, however late it is.
             let mut connection = tokio::select! {
                 biased;
+                () = ask.client.left() => return Err(SocketEnd::Withdrawn(Withdrawal::ClientGone)),
                 written = written => written?,
                 () = sleep_until(write_by) => return Err(SocketEnd::ConnectTimedOut),
             };
@@ -100,6 +106,19 @@
         }
     }
 
+    /// What has to hold at the write itself.
+    fn write_check(&self, address: SocketAddr) -> impl Fn() -> WriteCheck {
+        let (fleet, clock) = (self.fleet.clone(), self.clock);
+        let Sending { until_ms, repeat_by_ms, .. } = self.sending;
+        let worker = self.sending.worker.clone();
+        move || WriteCheck {
+            now_ms: clock.now_ms(),
+            until_ms,
+            repeat_by_ms,
+            server_ready: fleet.borrow().is_ready(&worker, address),
+        }
+    }
+
     async fn read(
         &mut self,
         mut connection: Connection,
@@ -200,14 +219,22 @@
     mpsc::channel(PIECES)
 }
 
-/// The head of a dispatch; `wait_ms` is how long we shall still wait.
-fn request(ask: &Ask, wait_ms: f64) -> String {
+/// The head of a dispatch; `left_ms` is how long we shall still wait.
+fn request(ask: &Ask, left_ms: f64) -> String {
     let Ask { id, method, target, idempotency_key, body, .. } = ask;
-    let key = idempotency_key.as_ref().map_or(String::new(), |key| format!("Idempotency-Key: {key}\r\n"));
-    let wait_s = wait_ms.max(1.0) / 1e3;
+    let key = idempotency_key.as_ref().map_or(String::new(), |key| {
+        format!(
+            "Idempotency-Key: {key}
+"
+        )
+    });
+    let wait_s = left_ms / 1e3;
     format!(
         "{method} {target} HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {id}\r\nReq-Deadline: {wait_s:.3}\r\n{key}\
          Content-Type: application/json\r\nContent-Length: {}\r\n\r\n",
         body.len()
     )
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/gate.rs
@@ -0,0 +1,229 @@
+//! The listener, and what the connections of all clients share: their number, who gives way when descriptors run
+//! short, which ids are open, how many bytes bodies hold.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use paddleproxy_platform::Provision;
+use paddleproxy_router::clock::{duration, Clock};
+use paddleproxy_router::duty::Dropped;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{watch, Notify};
+use tokio::time::{sleep, Instant};
+
+use crate::clients::serve;
+use crate::limits::Shares;
+use crate::words::ToCore;
+
+/// After a connect that could not be taken, in ms.
+const ACCEPT_AGAIN_MS: f64 = 5.0;
+/// Connections that the system may have accepted by the time the listener closes.
+const BACKLOG: usize = 4096;
+
+/// Where a router is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Life {
+    Starting,
+    Ready,
+    /// Told to stop, and no connections come any more: each closes after its answer, and at once where it rests.
+    Closing,
+    /// All that was open has its final answer: what still comes is refused.
+    Refusing,
+}
+
+/// Returns once the router has come so far in its life.
+pub async fn reached(life: &mut watch::Receiver<Life>, stage: Life) {
+    if life.wait_for(|life| *life >= stage).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// What a connection is doing, in the order in which descriptors that run short are taken back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Doing {
+    /// No whole request has ever come on it, or it is about to close.
+    Nothing,
+    /// Between two requests.
+    Resting,
+    Busy,
+}
+
+struct Row {
+    doing: Doing,
+    since: Instant,
+    close: Rc<Notify>,
+}
+
+/// What all connections of clients share.
+pub struct Gate {
+    pub clock: Clock,
+    pub core: ToCore,
+    pub provision: RefCell<Rc<Provision>>,
+    pub shares: Cell<Shares>,
+    pub life: watch::Receiver<Life>,
+    pub dropped: Dropped,
+    pub next: Cell<u32>,
+    next_row: Cell<u64>,
+    rows: RefCell<BTreeMap<u64, Row>>,
+    /// Connections that stand, those about to close included.
+    pub standing: Cell<usize>,
+    open_ids: RefCell<BTreeSet<Rc<str>>>,
+    pub body_bytes: Rc<Cell<usize>>,
+    pub faults: RefCell<BTreeMap<u16, u64>>,
+    pub given_up: Cell<u64>,
+}
+
+/// An id that is open, for as long as its request is.
+pub struct OpenId {
+    gate: Rc<Gate>,
+    id: Rc<str>,
+}
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.gate.open_ids.borrow_mut().remove(&self.id);
+    }
+}
+
+/// A client's place among the connections.
+pub struct Place {
+    pub gate: Rc<Gate>,
+    row: u64,
+    /// Told when its descriptor is wanted elsewhere.
+    pub close: Rc<Notify>,
+    /// Whether its client was told that the connection closes.
+    pub closing: Cell<bool>,
+}
+
+impl Place {
+    pub fn doing(&self, doing: Doing) {
+        if let Some(row) = self.gate.rows.borrow_mut().get_mut(&self.row) {
+            (row.doing, row.since) = (doing, Instant::now());
+        }
+    }
+
+    /// Since when it has been doing this, if it is.
+    pub fn since(&self, doing: Doing) -> Option<Instant> {
+        self.gate.rows.borrow().get(&self.row).filter(|row| row.doing == doing).map(|row| row.since)
+    }
+
+    /// Whether its descriptor is wanted elsewhere.
+    pub fn given_up(&self) -> bool {
+        !self.gate.rows.borrow().contains_key(&self.row)
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.gate.rows.borrow_mut().remove(&self.row);
+        self.gate.standing.set(self.gate.standing.get() - 1);
+    }
+}
+
+impl Gate {
+    pub fn new(
+        clock: Clock,
+        core: ToCore,
+        provision: Rc<Provision>,
+        shares: Shares,
+        life: watch::Receiver<Life>,
+    ) -> Self {
+        Gate {
+            clock,
+            core,
+            provision: RefCell::new(provision),
+            shares: Cell::new(shares),
+            life,
+            dropped: Rc::default(),
+            next: Cell::new(0),
+            next_row: Cell::new(0),
+            rows: RefCell::default(),
+            standing: Cell::new(0),
+            open_ids: RefCell::default(),
+            body_bytes: Rc::default(),
+            faults: RefCell::default(),
+            given_up: Cell::new(0),
+        }
+    }
+
+    pub fn life(&self) -> Life {
+        *self.life.borrow()
+    }
+
+    /// Opens an id; none where a request of that id is open.
+    pub fn open_id(self: &Rc<Self>, id: &Rc<str>) -> Option<OpenId> {
+        let new = self.open_ids.borrow_mut().insert(id.clone());
+        new.then(|| OpenId { gate: self.clone(), id: id.clone() })
+    }
+
+    /// Takes connections until the router closes.
+    pub async fn listen(self: Rc<Self>, listener: TcpListener) {
+        let mut life = self.life.clone();
+        loop {
+            let accepted = tokio::select! {
+                biased;
+                () = reached(&mut life, Life::Closing) => break,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
+                Ok((stream, _)) => {
+                    self.admit(stream);
+                    if self.standing.get() >= self.shares.get().clients {
+                        // Who was given up closes before the next one is taken.
+                        tokio::task::yield_now().await;
+                    }
+                }
+                Err(_) => {
+                    // Out of descriptors, or the client was gone already.
+                    self.give_up_one();
+                    sleep(duration(ACCEPT_AGAIN_MS)).await;
+                }
+            }
+        }
+        self.admit_accepted(listener);
+    }
+
+    /// Admits those whom the system has accepted but nobody has taken: closing the listener would reset them, and with
+    /// them requests that they have sent. Asks the system itself, so that nothing comes between the last answer and
+    /// the close.
+    fn admit_accepted(self: &Rc<Self>, listener: TcpListener) {
+        let Ok(listener) = listener.into_std() else { return };
+        for _ in 0..BACKLOG {
+            let Ok((stream, _)) = listener.accept() else { return };
+            if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
+                self.admit(stream);
+            }
+        }
+    }
+
+    fn admit(self: &Rc<Self>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        // The one that says least gives way to the one that has just come.
+        if self.standing.get() < self.shares.get().clients || self.give_up_one() {
+            tokio::task::spawn_local(serve(self.place(), stream));
+        }
+    }
+
+    fn place(self: &Rc<Self>) -> Place {
+        let (row, close) = (self.next_row.get(), Rc::new(Notify::new()));
+        self.next_row.set(row + 1);
+        self.standing.set(self.standing.get() + 1);
+        let entry = Row { doing: Doing::Nothing, since: Instant::now(), close: close.clone() };
+        self.rows.borrow_mut().insert(row, entry);
+        Place { gate: self.clone(), row, close, closing: Cell::new(false) }
+    }
+
+    fn give_up_one(&self) -> bool {
+        let mut rows = self.rows.borrow_mut();
+        let waiting = rows.iter().filter(|(_, row)| row.doing != Doing::Busy);
+        let least = waiting.min_by_key(|(_, row)| (row.doing, row.since)).map(|(id, _)| *id);
+        let Some(row) = least.and_then(|least| rows.remove(&least)) else { return false };
+        row.close.notify_one();
+        self.given_up.set(self.given_up.get() + 1);
+        true
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,9 +6,12 @@
 mod core;
 mod discovery;
 mod dispatch;
+mod gate;
+mod inbound;
 mod limits;
 mod pool;
 mod release;
+mod sockets;
 mod words;
 
 use std::net::SocketAddr;
@@ -25,9 +28,9 @@
 use tokio::time::{sleep, Instant};
 use tracing::{info, warn};
 
-use crate::clients::{Gate, Life};
 use crate::core::Core;
 use crate::discovery::Source;
+use crate::gate::{Gate, Life};
 use crate::limits::{last_answers_ms, Shares, CORE_QUEUE, LAST_CALL_MS};
 use crate::pool::Pool;
 use crate::words::Told;
@@ -101,12 +104,13 @@
     let connect_ms = provision.connect_ms;
     state.listed(known, ListKind::Saved);
     tokio::task::spawn_local(state.run(told));
-    let source = Source { address: discovery, provision: provision.clone(), zero_ms };
+    let list_bytes = shares.list_bytes;
+    let source = Source { address: discovery, provision: provision.clone(), list_bytes, zero_ms };
     let (sources, source_words) = watch::channel(source);
     let (life, lives) = watch::channel(Life::Starting);
     let gate = Rc::new(Gate::new(clock, core.clone(), provision, shares, lives));
     let (first, heard) = oneshot::channel();
-    tokio::task::spawn_local(discovery::follow(source_words, core.clone(), asked, first, shares.list_bytes));
+    tokio::task::spawn_local(discovery::follow(source_words, core.clone(), asked, first));
     let accepting = tokio::task::spawn_local(gate.clone().listen(listener));
     let swept = pool.clone();
     tokio::task::spawn_local(async move {
@@ -127,11 +131,14 @@
         match read(path, zero_ms) {
             Ok(config) => {
                 info!(discovery = %config.discovery, "configuration read again");
-                pool.change(config.provision.connect_ms, config.provision.idle_ms);
+                let shares = Shares::of(&config.limits);
+                gate.shares.set(shares);
+                pool.change(shares.workers, config.provision.connect_ms, config.provision.idle_ms);
                 let provision = Rc::new(config.provision);
                 *gate.provision.borrow_mut() = provision.clone();
                 let _ = core.send(Told::Settings(provision.clone())).await;
-                sources.send_replace(Source { address: config.discovery, provision, zero_ms });
+                let list_bytes = shares.list_bytes;
+                sources.send_replace(Source { address: config.discovery, provision, list_bytes, zero_ms });
             }
             Err(cause) => {
                 warn!(cause = format!("{cause:#}"), "configuration refused; the last good one stays")
@@ -145,13 +152,15 @@
     // Guards against clients that have a connection here and nobody else to go to: those that rest stay as long as
     // new ones come. Harm: a request or two more meet a router that ends.
     sleep(duration(LAST_CALL_MS)).await;
-    accepting.abort();
     life.send_replace(Life::Closing);
+    let _ = accepting.await;
     let mut answered = false;
     // Open means more than connections: what is held at workers is let go of before the end.
     while gate.standing.get() + figures(&core).await.0 > 0 {
         if !answered && stopped.elapsed() >= duration(answers_ms) {
             answered = true;
+            // Before the word to the core: what comes from now on is refused, whatever came before gets its answer.
+            life.send_replace(Life::Refusing);
             let _ = core.send(Told::LastAnswers).await;
         }
         sleep(duration(LOOK_MS)).await;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -16,9 +16,7 @@
 use tokio::time::{timeout, Instant};
 
 use crate::limits::{REST_MS, WORKER_IDLE};
-
-/// Bytes read from a socket at a time.
-pub const READ_BYTES: usize = 8 * 1024;
+use crate::sockets::{is_quiet, read};
 
 struct Idle {
     stream: TcpStream,
@@ -26,20 +24,13 @@
     slot: Slot,
 }
 
-impl Idle {
-    /// Nothing has come on it since, neither bytes nor its end.
-    fn silent(&self) -> bool {
-        matches!(self.stream.try_read(&mut [0]), Err(cause) if cause.kind() == ErrorKind::WouldBlock)
-    }
-}
-
 pub struct Pool {
     idle: RefCell<BTreeMap<SocketAddr, Vec<Idle>>>,
     /// Workers that broke a connection when it was used again: for how long theirs may rest, and since when.
     short: RefCell<BTreeMap<SocketAddr, (f64, Instant)>>,
     /// Connections that stand or are being made.
     held: Rc<Cell<usize>>,
-    most: usize,
+    most: Cell<usize>,
     connect_ms: Cell<f64>,
     idle_ms: Cell<f64>,
     pub opened: Cell<u64>,
@@ -152,33 +143,22 @@
     }
 }
 
-/// Waits for bytes without holding a buffer meanwhile; 0 at the end of the connection.
-pub async fn read(stream: &TcpStream, bytes: &mut BytesMut) -> std::io::Result<usize> {
-    loop {
-        stream.readable().await?;
-        bytes.reserve(READ_BYTES);
-        match stream.try_read_buf(bytes) {
-            Err(cause) if cause.kind() == ErrorKind::WouldBlock => {}
-            other => return other,
-        }
-    }
-}
-
 impl Pool {
     pub fn new(most: usize, connect_ms: f64, idle_ms: f64) -> Self {
         Pool {
             idle: RefCell::default(),
             short: RefCell::default(),
             held: Rc::default(),
-            most,
+            most: Cell::new(most),
             connect_ms: Cell::new(connect_ms),
             idle_ms: Cell::new(idle_ms),
             opened: Cell::new(0),
         }
     }
 
-    /// Other times from now on.
-    pub fn change(&self, connect_ms: f64, idle_ms: f64) {
+    /// Other bounds and times from now on.
+    pub fn change(&self, most: usize, connect_ms: f64, idle_ms: f64) {
+        self.most.set(most);
         self.connect_ms.set(connect_ms);
         self.idle_ms.set(idle_ms);
     }
@@ -207,7 +187,7 @@
                 continue;
             }
             let idle = kept.remove(row);
-            if idle.silent() && oldest.is_none_or(|oldest| idle.since >= oldest) {
+            if is_quiet(&idle.stream) && oldest.is_none_or(|oldest| idle.since >= oldest) {
                 let Idle { stream, since, slot } = idle;
                 let rested_ms = Some(since.elapsed().as_secs_f64() * 1e3);
                 return Some(Connection { stream, address, rested_ms, bytes: BytesMut::new(), slot });
@@ -253,7 +233,7 @@
     /// # Errors
     /// None came up in time, or there is no descriptor left for it.
     pub async fn connect(&self, address: SocketAddr) -> Result<Connection, SocketEnd> {
-        if self.held.get() >= self.most && !self.give_up_one() {
+        if self.held.get() >= self.most.get() && !self.give_up_one() {
             return Err(SocketEnd::NoAddress);
         }
         self.held.set(self.held.get() + 1);
@@ -303,7 +283,7 @@
         self.short.borrow_mut().retain(|_, (_, since)| since.elapsed() < lasts);
         let oldest = Instant::now().checked_sub(duration(self.idle_ms.get() * WORKER_IDLE));
         self.idle.borrow_mut().retain(|_, kept| {
-            kept.retain(|idle| idle.silent() && oldest.is_none_or(|oldest| idle.since >= oldest));
+            kept.retain(|idle| is_quiet(&idle.stream) && oldest.is_none_or(|oldest| idle.since >= oldest));
             !kept.is_empty()
         });
     }
@@ -336,3 +316,6 @@
         timeout(duration(within_ms), exchange).await.unwrap_or(Err(SocketEnd::TimedOut))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/release.rs
+++ b/crates/gateway/src/release.rs
@@ -2,7 +2,7 @@
 //! and how often is decided in `paddleproxy_routing::letgo`; here are the sockets, the count and the log.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -20,21 +20,27 @@
 /// The listed workers: where each is reached, and who answered of late.
 pub struct Fleet {
     dials: BTreeMap<WorkerId, Option<SocketAddr>>,
+    draining: BTreeSet<WorkerId>,
     pub hearing: Hearing,
 }
 
 impl Fleet {
     pub fn new(own_zone: Option<ZoneId>) -> Self {
-        Fleet { dials: BTreeMap::new(), hearing: Hearing::new(own_zone) }
+        Fleet { dials: BTreeMap::new(), draining: BTreeSet::new(), hearing: Hearing::new(own_zone) }
     }
 
     /// Takes over where workers are; what is left of the list is for the decisions.
     pub fn listed(&mut self, list: List, kind: ListKind) -> Arc<[Listing]> {
         if kind != ListKind::Changes {
             self.dials.clear();
+            self.draining.clear();
         }
         for row in &list.rows {
             let worker = row.listing.worker.clone();
+            match row.listing.readiness {
+                Readiness::Draining => self.draining.insert(worker.clone()),
+                Readiness::Ready | Readiness::Gone => self.draining.remove(&worker),
+            };
             if row.listing.readiness == Readiness::Gone {
                 self.dials.remove(&worker);
             } else {
@@ -50,6 +56,11 @@
         self.dials.get(worker).copied().flatten()
     }
 
+    /// Whether it takes new work, by the list, and still at this address.
+    pub fn is_ready(&self, worker: &WorkerId, address: SocketAddr) -> bool {
+        self.dial(worker) == Some(address) && !self.draining.contains(worker)
+    }
+
     pub fn heard(&mut self, worker: &WorkerId, answered: bool, now_ms: f64) {
         match answered {
             true => self.hearing.answered(worker, now_ms),
--- a/crates/gateway/src/words.rs
+++ b/crates/gateway/src/words.rs
@@ -9,7 +9,7 @@
 use paddleproxy_platform::{List, Provision};
 use paddleproxy_router::duty::{Answers, Duty};
 use paddleproxy_routing::SocketEnd;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, Notify};
 
 /// What the core is told.
 pub enum Told {
@@ -63,10 +63,33 @@
     pub target: String,
     pub idempotency_key: Option<String>,
     pub body: Bytes,
+    pub client: Rc<Presence>,
     /// Gives the bytes back to the total when it ends.
     pub _held: Held,
 }
 
+/// Whether the client that asked is still there: said by its connection, asked by its attempts.
+#[derive(Default)]
+pub struct Presence {
+    gone: Cell<bool>,
+    left: Notify,
+}
+
+impl Presence {
+    pub fn leave(&self) {
+        self.gone.set(true);
+        self.left.notify_waiters();
+    }
+
+    /// Returns once the client has left.
+    pub async fn left(&self) {
+        let left = self.left.notified();
+        if !self.gone.get() {
+            left.await;
+        }
+    }
+}
+
 /// Bytes of open bodies.
 pub struct Held {
     total: Rc<Cell<usize>>,
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -55,12 +55,17 @@
     format!("HTTP/1.1 {status}\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len())
 }
 
+/// Something that a stand-in does without a turn of the router in between.
+pub type Act = Rc<dyn Fn()>;
+
 /// What a worker does about one request.
 #[derive(Clone)]
 pub enum Step {
     Say(String),
     Bytes(Vec<u8>),
     Wait(u64),
+    /// Does this at once, before the router runs again.
+    Do(Act),
     /// Sends this again and again until nobody takes it.
     Flood(Vec<u8>),
     Close,
@@ -92,6 +97,10 @@
     pub closed: Rc<Cell<usize>>,
     /// Takes calls on what is held and says nothing.
     pub deaf: Cell<bool>,
+    /// What it does the moment a connection comes.
+    pub on_connect: RefCell<Option<Act>>,
+    /// What it does when it is asked for its load, before or after it answers.
+    pub on_probe: RefCell<Option<(bool, Act)>>,
     script: Rc<RefCell<Script>>,
 }
 
@@ -143,12 +152,16 @@
             connections: Rc::default(),
             closed: Rc::default(),
             deaf: Cell::new(false),
+            on_connect: RefCell::default(),
+            on_probe: RefCell::default(),
             script: Rc::new(RefCell::new(Rc::new(script))),
         });
         let shared = worker.clone();
         tokio::task::spawn_local(async move {
             loop {
                 let (stream, _) = listener.accept().await.unwrap();
+                let act = shared.on_connect.borrow().clone();
+                act.into_iter().for_each(|act| act());
                 let number = shared.connections.get();
                 shared.connections.set(number + 1);
                 tokio::task::spawn_local(shared.clone().serve(stream, number));
@@ -173,6 +186,15 @@
         seen.iter().filter(|seen| seen.method == method).map(|seen| seen.target.clone()).collect()
     }
 
+    fn probed(&self) -> Vec<Step> {
+        let said = Step::Say(plain("200 OK", "", "TEXT inflight=1, queue=0, util=0.1"));
+        match self.on_probe.borrow().clone() {
+            None => vec![said],
+            Some((true, act)) => vec![Step::Do(act), said],
+            Some((false, act)) => vec![said, Step::Do(act)],
+        }
+    }
+
     async fn serve(self: Rc<Self>, mut stream: TcpStream, number: usize) {
         let mut bytes = Vec::new();
         while let Some(seen) = request(&mut stream, &mut bytes, number).await {
@@ -184,7 +206,7 @@
             } else {
                 self.seen.borrow_mut().push(seen.clone());
                 match seen.method.as_str() {
-                    "GET" => vec![Step::Say(plain("200 OK", "", "TEXT inflight=1, queue=0, util=0.1"))],
+                    "GET" => self.probed(),
                     _ if self.deaf.get() => vec![Step::Hang],
                     _ => vec![Step::Say(plain("204 No Content", "", ""))],
                 }
@@ -197,6 +219,10 @@
                         sleep(ms(wait)).await;
                         Ok(())
                     }
+                    Step::Do(act) => {
+                        act();
+                        Ok(())
+                    }
                     Step::Flood(bytes) => loop {
                         if let Err(cause) = stream.write_all(&bytes).await {
                             break Err(cause);
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -176,7 +176,8 @@
             Some(granted) => peers::overlaid(&self.base, granted),
             None => self.base.clone(),
         };
-        self.handle(Input::Settings(Box::new(decisions)));
+        let answer_slack_ms = self.settings.front.answer_slack_ms;
+        self.handle(Input::Settings { settings: Box::new(decisions), answer_slack_ms });
     }
 
     fn take(&mut self, told: Told) {
--- a/crates/router/src/dispatch_tests.rs
+++ b/crates/router/src/dispatch_tests.rs
@@ -128,6 +128,7 @@
         state: None,
         read_kept: 0.0,
         write_by_ms: f64::INFINITY,
+        repeat_by_ms: f64::INFINITY,
     };
     let dispatch = Dispatch {
         sending,
--- a/crates/routing/src/ledger.rs
+++ b/crates/routing/src/ledger.rs
@@ -70,7 +70,10 @@
     /// What an earlier run knew as kept at servers.
     Recovered(Vec<Kept>),
     /// Other settings from now on; open completions keep the rows that they began under.
-    Settings(Box<Settings>),
+    Settings {
+        settings: Box<Settings>,
+        answer_slack_ms: f64,
+    },
     /// The router stops and its time for that is over: everything still open ends now, streams that run too or not.
     Stop {
         streams: bool,
@@ -102,6 +105,9 @@
     /// Clock time by which it has to be written where it takes a state: a connection that does not come up is no
     /// dispatch to whoever holds the state, whose time runs on meanwhile.
     pub write_by_ms: f64,
+    /// Clock time by which a repeat has to be written whole: past its class's window it could take effect again.
+    /// Infinite where nothing may have run before.
+    pub repeat_by_ms: f64,
 }
 
 /// What the sockets are to do.
@@ -219,7 +225,8 @@
 struct Entry {
     streamed: bool,
     deadline_ms: f64,
-    workload: WorkloadId,
+    /// As the settings were when it came; none where they did not name its class.
+    workload: Option<WorkloadSettings>,
     prompt_tokens: f64,
     session: SessionId,
     prefix: Option<(PrefixId, f64)>,
@@ -235,6 +242,8 @@
     may_have_run: bool,
     /// One of those that ended was without that proof.
     ran_before: bool,
+    /// When the first of those was decided.
+    first_run_ms: Option<f64>,
 }
 
 impl Entry {
@@ -245,6 +254,14 @@
     fn over(&self) -> bool {
         !self.owed && self.stream.is_none()
     }
+
+    /// Until when an attempt that may take effect again can be written. Servers drop repeats by key for so long only.
+    fn repeat_by_ms(&self) -> f64 {
+        let keyed = self.workload.as_ref().filter(|workload| workload.effect == interface::Effect::Tokened);
+        let window_end =
+            keyed.zip(self.first_run_ms).map(|(workload, first_ms)| first_ms + workload.window_ms);
+        window_end.unwrap_or(f64::INFINITY)
+    }
 }
 
 /// Part of the limit on pinned states after which this book lets go by itself.
@@ -337,7 +354,7 @@
                 let entry = Entry {
                     streamed,
                     deadline_ms: arrival.client_timeout_ms,
-                    workload: arrival.workload,
+                    workload: self.settings.workloads.get(arrival.workload.0).cloned(),
                     prompt_tokens: arrival.prompt_tokens,
                     session: arrival.session,
                     prefix: arrival.prefix.map(|prefix| (prefix, arrival.prefix_tokens)),
@@ -348,6 +365,7 @@
                     place: None,
                     may_have_run: false,
                     ran_before: false,
+                    first_run_ms: None,
                 };
                 let completion = arrival.completion;
                 let in_ms = arrival.client_timeout_ms - now_ms + self.answer_slack_ms;
@@ -385,8 +403,9 @@
                 self.hold_answered(completion, seq, worker, held, effects);
             }
             Input::Recovered(kept) => self.events.push_back(Event::Recovered(kept)),
-            Input::Settings(settings) => {
+            Input::Settings { settings, answer_slack_ms } => {
                 self.settings = (*settings).clone();
+                self.answer_slack_ms = answer_slack_ms;
                 self.events.push_back(Event::Settings(settings));
             }
             Input::Stop { streams } => self.stop(streams, effects),
@@ -535,6 +554,7 @@
         // With one dispatch at a time its proof clears the completion; a second copy leaves it in doubt.
         if stage != Stage::Read && never_ran(result) && entry.dispatches.iter().all(|d| !d.out) {
             entry.may_have_run = entry.ran_before;
+            entry.first_run_ms = entry.first_run_ms.filter(|_| entry.ran_before);
         }
         entry.ran_before |= stage != Stage::Read && !never_ran(result);
         let over = entry.over();
@@ -549,8 +569,7 @@
             let completion = *completion;
             if entry.owed {
                 entry.owed = false;
-                let workload = self.settings.workloads.get(entry.workload.0);
-                let anywhere = workload.is_some_and(|workload| match workload.effect {
+                let anywhere = entry.workload.as_ref().is_some_and(|workload| match workload.effect {
                     interface::Effect::Idempotent => true,
                     interface::Effect::Tokened => workload.group == Group::All,
                     interface::Effect::NonIdempotent => false,
@@ -717,7 +736,11 @@
             return;
         }
         self.counts.dispatches += 1;
-        entry.may_have_run |= stage != Stage::Read;
+        let repeat_by_ms = entry.repeat_by_ms();
+        if stage != Stage::Read {
+            entry.may_have_run = true;
+            entry.first_run_ms.get_or_insert(now_ms);
+        }
         let limit_ms = if timeout_ms > 0.0 { now_ms + timeout_ms } else { entry.deadline_ms };
         // A place held elsewhere is of no use once the answer is asked for here; one held here is taken.
         if stage != Stage::Read {
@@ -739,6 +762,7 @@
             state,
             read_kept,
             write_by_ms,
+            repeat_by_ms,
         }));
     }
 
--- a/crates/routing/src/letgo.rs
+++ b/crates/routing/src/letgo.rs
@@ -48,6 +48,11 @@
         Hearing { rows: BTreeMap::new(), own_zone }
     }
 
+    /// Another zone of this router from now on, as new settings name it.
+    pub fn moved(&mut self, own_zone: Option<ZoneId>) {
+        self.own_zone = own_zone;
+    }
+
     /// Another list; what was heard of a worker stays as long as it is listed.
     pub fn listed(&mut self, kind: ListKind, rows: &[Listing]) {
         if kind != ListKind::Changes && kind != ListKind::Failed {
@@ -83,7 +88,7 @@
             }
             ConnectRefused | Unreachable | ConnectTimedOut | NeverWritten | BrokeBeforeAnswer | Stalled
             | TimedOut => self.silent(worker, now_ms),
-            NoAddress | BrokeAfterFirst | Stopped => {}
+            NoAddress | BrokeAfterFirst | Stopped | Withdrawn(_) => {}
         }
     }
 
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod outcomes;
 pub mod pace;
 pub mod repeats;
+pub mod write_check;
 
 pub use admission::{Admission, Bounds, CustomerLimits, Place, Reason, TurnedAway};
 pub use facts::{Facts, Requests};
@@ -19,3 +20,4 @@
 pub use outcomes::{outcome, SocketEnd};
 pub use pace::Pace;
 pub use repeats::{Key, Repeats, Verdict};
+pub use write_check::{Withdrawal, WriteCheck};
--- a/crates/routing/src/outcomes.rs
+++ b/crates/routing/src/outcomes.rs
@@ -5,6 +5,8 @@
 use paddleproxy::interface::Outcome;
 use paddleproxy_engine::Refusal;
 
+use crate::write_check::Withdrawal;
+
 /// How one dispatch ended, as its socket saw it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SocketEnd {
@@ -15,6 +17,8 @@
     NoAddress,
     /// A connection stood but closed before any byte of the request was written to it.
     NeverWritten,
+    /// Decided and not written: what had to hold at the write no longer held.
+    Withdrawn(Withdrawal),
     /// Turned away with the code and the status that belong together.
     TurnedAway(Refusal),
     /// Any other status that is no success.
@@ -46,7 +50,8 @@
         | SocketEnd::Unreachable
         | SocketEnd::ConnectTimedOut
         | SocketEnd::NoAddress
-        | SocketEnd::NeverWritten => Outcome::ConnectFailed,
+        | SocketEnd::NeverWritten
+        | SocketEnd::Withdrawn(_) => Outcome::ConnectFailed,
         SocketEnd::TurnedAway(Refusal::Full | Refusal::Draining) => Outcome::Full,
         SocketEnd::TurnedAway(Refusal::StateGone) => Outcome::NoState,
         SocketEnd::ErrorStatus(_) | SocketEnd::Nonsense(_) => Outcome::Error,
--- a/src/control.rs
+++ b/src/control.rs
@@ -99,6 +99,8 @@
 /// Lives until a completion is answered and its last dispatch has ended.
 struct Completion {
     facts: Arrival,
+    /// As the settings were when it came: later ones may name other workloads.
+    workload: WorkloadSettings,
     target_ms: f64,
     /// Factor of all bounds: the root of its workload's value over the mean of the values. Guards against
     /// strain that takes the same share of every workload. Harm: the cheapest is refused most.
@@ -125,6 +127,7 @@
 struct Worker {
     listing: Listing,
     role: Role,
+    memory_tokens: f64,
     distrust: Decaying,
     /// Our dispatches of late, those turned away left out.
     sent: Decaying,
@@ -249,6 +252,7 @@
             let worker = self.workers.entry(row.worker.clone()).or_insert_with(|| Worker {
                 listing: row.clone(),
                 role: kind.role,
+                memory_tokens: kind.memory_tokens,
                 distrust: Decaying::default(),
                 sent: Decaying::default(),
                 waiting: SmoothedCount::default(),
@@ -263,7 +267,8 @@
                 // A new process has kept nothing and carries no blame.
                 (worker.forgot_ms, worker.distrust) = (self.now_ms, Decaying::default());
             }
-            worker.listing = row.clone();
+            (worker.listing, worker.role, worker.memory_tokens) =
+                (row.clone(), kind.role, kind.memory_tokens);
         }
         self.workers
             .retain(|_, w| w.listing.readiness != Readiness::Gone || w.streams + w.waiting.value > 0.0);
@@ -277,6 +282,7 @@
         let target_ms = workload.latency_target_ms + workload.target_per_token_ms * facts.prompt_tokens;
         let completion = Completion {
             facts: facts.clone(),
+            workload: workload.clone(),
             target_ms,
             merit: share.sqrt(),
             dispatches: Vec::new(),
@@ -307,10 +313,9 @@
 
     fn reported(&mut self, id: &WorkerId, load: &LoadReport) {
         let Some(w) = self.workers.get(id) else { return };
-        let memory = self.settings.kinds[w.listing.kind.0].memory_tokens;
         let queued = load.queue.map(|queue| queue * self.read_tokens);
         let tokens = load.waiting_kilotokens.map(|thousands| thousands * 1e3).or(queued).unwrap_or(0.0);
-        let held = load.memory_share.filter(|_| w.role != Role::Reader).unwrap_or(0.0) * memory;
+        let held = load.memory_share.filter(|_| w.role != Role::Reader).unwrap_or(0.0) * w.memory_tokens;
         let said = Decaying { value: self.strain(w, tokens, held), at_ms: self.now_ms };
         let idle = load.queue == Some(0.0) && load.slots_share.is_some_and(|share| share < IDLE_SHARE);
         self.workers.entry(id.clone()).and_modify(|w| (w.said, w.idle) = (said, idle));
@@ -341,14 +346,13 @@
     /// Tokens that wait there to be read or fetched, or those held where it writes, as a share of what makes
     /// it strained.
     fn strain(&self, w: &Worker, waiting: f64, held: f64) -> f64 {
-        let memory = self.settings.kinds[w.listing.kind.0].memory_tokens;
-        (waiting / self.bound(w)).max(held / (memory * MEMORY_FULL).max(1.0))
+        (waiting / self.bound(w)).max(held / (w.memory_tokens * MEMORY_FULL).max(1.0))
     }
 
     /// Tokens waiting to be read or fetched beyond which a worker is strained.
     fn bound(&self, w: &Worker) -> f64 {
         let part = if w.role == Role::Reader { 1.0 } else { WRITER_BOUND };
-        (self.settings.kinds[w.listing.kind.0].memory_tokens * READER_BOUND * part).max(1.0)
+        (w.memory_tokens * READER_BOUND * part).max(1.0)
     }
 
     /// Who gave no answer in time is passed by; with the last one the decision goes on.
@@ -772,9 +776,9 @@
         self.workers.entry(id.clone()).and_modify(|w| w.distrust = distrust);
     }
 
-    /// The rule on effects, for any worker that writes.
+    /// The rule on effects: it binds each further dispatch, a read too, to where an earlier one may have run.
     fn may_run_again(&self, c: &Completion, w: &Worker) -> bool {
-        let workload = &self.settings.workloads[c.facts.workload.0];
+        let workload = &c.workload;
         match workload.effect {
             Effect::Idempotent => true,
             Effect::NonIdempotent => c.dispatches.iter().all(|d| !d.may_have_run),
@@ -792,7 +796,7 @@
 
     fn give_up(&mut self, id: CompletionId) {
         let Some(c) = self.completions.get(&id) else { return };
-        let workload = &self.settings.workloads[c.facts.workload.0];
+        let workload = &c.workload;
         let harmless = |d: &Dispatch| !d.may_have_run && matches!(d.phase, Phase::Planned | Phase::Ended);
         let harmless = workload.effect == Effect::Idempotent
             || workload.effect == Effect::Tokened && workload.group == Group::All
