--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -14,8 +14,9 @@
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
 
-use crate::limits::{ASK_AGAIN_MS, WATCH_MS, WATCH_SLACK_MS};
+use crate::limits::ASK_AGAIN_MS;
 use crate::pool::{read_body, read_head};
+use crate::progress::{Progress, Worth};
 use crate::words::{ToCore, Told};
 
 /// What the decisions want of discovery.
@@ -64,17 +65,14 @@
     first: oneshot::Sender<()>,
 ) {
     let mut first = Some(first);
-    let mut version: Option<u64> = None;
+    let mut progress = Progress::default();
     let mut stream: Option<TcpStream> = None;
     let mut failing = false;
     loop {
         let source = sources.borrow_and_update().clone();
         let address = source.address;
-        let path = match version {
-            None => "/catalog/members".to_owned(),
-            Some(version) => format!("/catalog/members?from={version}&hold_ms={WATCH_MS}"),
-        };
-        let within_ms = WATCH_SLACK_MS + if version.is_some() { WATCH_MS } else { 0.0 };
+        let path = progress.path();
+        let within_ms = progress.within_ms();
         let exchange = async {
             let mut open = match stream.take() {
                 Some(open) => open,
@@ -96,14 +94,12 @@
                 if sources.borrow().address != address {
                     info!(from = %address, to = %sources.borrow().address, "discovery moves");
                 }
-                // Versions of one address say nothing of another's, and the rows of a list are read by the settings:
-                // what was read by others is read anew.
-                version = None;
+                progress.begin_anew();
                 stream = None;
                 continue;
             }
             Some(Ask::Whole) = asked.recv() => {
-                version = None;
+                progress.begin_anew();
                 stream = None;
                 continue;
             }
@@ -113,7 +109,9 @@
             if status != 200 {
                 return Err(format!("status {status}"));
             }
-            let list = List::parse(&body, &source.provision, source.zero_ms)?;
+            // Where an answer can't be read, what it told is in the whole list.
+            let read = List::parse(&body, &source.provision, source.zero_ms);
+            let list = read.inspect_err(|_| progress.unreadable())?;
             if stays {
                 stream = Some(open);
             }
@@ -124,21 +122,16 @@
                 if std::mem::take(&mut failing) {
                     info!(%address, version = list.version, "discovery answers again");
                 }
-                // An older version of the same source never takes the place of a newer one.
-                let known = version.filter(|known| *known > list.version);
-                if known.is_none() && (list.whole || version.is_some()) {
-                    let news = list.whole || !list.rows.is_empty();
-                    version = Some(list.version);
-                    if !news {
-                        // One that answers a watch at once, with nothing, is not asked in a loop.
-                        sleep(duration(PACE_MS)).await;
-                    } else if core.send(Told::Listed(list)).await.is_err() {
-                        return;
-                    }
+                let worth = progress.take(&list);
+                match worth {
+                    Worth::News if core.send(Told::Listed(list)).await.is_err() => return,
+                    Worth::News => {}
+                    // One that answers a watch at once, with nothing, is not asked in a loop.
+                    Worth::Nothing => sleep(duration(PACE_MS)).await,
+                    Worth::Unusable => sleep(duration(ASK_AGAIN_MS)).await,
+                }
+                if worth != Worth::Unusable {
                     let _ = first.take().map(|first| first.send(()));
-                } else {
-                    // Changes without a list that they build on, or a version that goes back: not now.
-                    sleep(duration(ASK_AGAIN_MS)).await;
                 }
             }
             Err(why) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod inbound;
 mod limits;
 mod pool;
+mod progress;
 mod release;
 mod sockets;
 mod words;
--- a/crates/gateway/tests/life.rs
+++ b/crates/gateway/tests/life.rs
@@ -81,6 +81,29 @@
     });
 }
 
+/// A watch's answer that can't be read has taken its changes with it: the next call asks for the whole list.
+#[test]
+fn a_drain_in_an_answer_that_can_not_be_read_is_in_the_whole_list() {
+    local(async {
+        let one = Worker::start("w-1", "combined", |_, _| served()).await;
+        let two = Worker::start("w-2", "combined", |_, _| served()).await;
+        let platform = Platform::start(&[&one, &two]).await;
+        let home = if body(&platform.ask("a1").await).1 && one.asked().len() == 1 { &one } else { &two };
+        let calls = platform.discovery.calls.borrow().len();
+        platform.discovery.say("{\"seq\":2,\"whole\":false,\"hosts\":[{\"host\":".into());
+        wait_while(|| platform.discovery.calls.borrow().len() == calls).await;
+        assert_eq!(platform.discovery.calls.borrow()[calls], "/catalog/members");
+        let whole = json!({ "seq": 2, "whole": true, "hosts": [host(home, "draining"),
+                            host(if home.name == one.name { &two } else { &one }, "ready")] });
+        platform.discovery.say(whole.to_string());
+        wait_while(|| platform.discovery.calls.borrow().last().is_none_or(|call| !call.contains("from=2")))
+            .await;
+        let before = home.asked().len();
+        assert!(body(&platform.ask("a2").await).1);
+        assert_eq!(home.asked().len(), before, "the drain is kept");
+    });
+}
+
 #[test]
 fn a_new_configuration_moves_discovery_and_a_torn_one_changes_nothing() {
     local(async {
