--- /dev/null
+++ b/crates/gateway/tests/streams.rs
@@ -0,0 +1,157 @@
+//! Events are passed on as they come. The stand-in sends the next event only once the client has the one before: a router
+//! that held an event back, or lumped two together, would wait for ever.
+
+mod common;
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use common::*;
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+const EVENTS: usize = 12;
+
+/// A server whose stream goes on by one event for each word that it is given; what it was asked first is answered so, all
+/// else at once.
+async fn lock_step(mut next: mpsc::Receiver<()>) -> std::net::SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::task::spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut request = Vec::new();
+        while !request.ends_with(b"{}") {
+            let mut part = [0; 512];
+            let read = stream.read(&mut part).await.unwrap();
+            request.extend_from_slice(&part[..read]);
+        }
+        stream.write_all(HEAD.as_bytes()).await.unwrap();
+        for _ in 0..EVENTS {
+            stream.write_all(chunk(FIRST).as_bytes()).await.unwrap();
+            if next.recv().await.is_none() {
+                return;
+            }
+        }
+        stream.write_all(format!("{}0\r\n\r\n", chunk(LAST)).as_bytes()).await.unwrap();
+        // Stays until the router closes.
+        let _ = stream.read(&mut [0; 16]).await;
+    });
+    address
+}
+
+/// Takes event after event and lets the server go on after each, doing something else in between.
+async fn taken_one_by_one(platform: &Platform, go: mpsc::Sender<()>, mut meanwhile: impl FnMut(usize)) {
+    let mut client = TcpStream::connect(platform.clients).await.unwrap();
+    client.write_all(completion("a1", "Connection: close\r\n", "{}").as_bytes()).await.unwrap();
+    let mut text = String::new();
+    for event in 1..=EVENTS {
+        let came = async {
+            while text.matches(FIRST).count() < event {
+                let mut part = [0; 4096];
+                let read = client.read(&mut part).await.unwrap();
+                assert!(read > 0, "cut after {text}");
+                text += std::str::from_utf8(&part[..read]).unwrap();
+            }
+        };
+        timeout(Duration::from_secs(20), came).await.unwrap_or_else(|_| panic!("event {event} is held back"));
+        meanwhile(event);
+        go.send(()).await.unwrap();
+    }
+    let mut rest = Vec::new();
+    client.read_to_end(&mut rest).await.unwrap();
+    assert!(rest.ends_with(b"0\r\n\r\n"));
+}
+
+fn hosts(address: std::net::SocketAddr) -> serde_json::Value {
+    json!([{ "host": "w-1", "dial": address.to_string(), "site": "a", "class": "combined", "block": 0,
+             "health": "ready" }])
+}
+
+async fn platform_of(address: std::net::SocketAddr) -> Platform {
+    let hosts = json!({ "seq": 2, "whole": true, "hosts": hosts(address) });
+    let platform = Platform::with(&[], |config| {
+        config["known"] = hosts.clone();
+        // Nothing is given up on while a test does something else.
+        config["settings"]["services"][0]["slo_s"] = 9.0.into();
+    })
+    .await;
+    platform.discovery.say(hosts.to_string());
+    wait_while(|| platform.discovery.calls.borrow().last().is_none_or(|call| !call.contains("from=2"))).await;
+    platform
+}
+
+#[test]
+fn each_event_is_passed_on_before_the_next_one_comes() {
+    local(async {
+        let (go, next) = mpsc::channel(1);
+        let platform = platform_of(lock_step(next).await).await;
+        taken_one_by_one(&platform, go, |_| {}).await;
+    });
+}
+
+/// Between two events discovery tells a list of 1,024 servers, again and again.
+#[test]
+fn large_lists_hold_no_event_back() {
+    local(async {
+        let (go, next) = mpsc::channel(1);
+        let address = lock_step(next).await;
+        let platform = platform_of(address).await;
+        let mut all = hosts(address);
+        for number in 0..1023 {
+            let host = json!({ "host": format!("other-{number}"), "dial": "127.0.0.1:9", "site": "a",
+                               "class": "prefill", "block": number / 8, "health": "draining" });
+            all.as_array_mut().unwrap().push(host);
+        }
+        taken_one_by_one(&platform, go, |event| {
+            let list = json!({ "seq": 2 + event, "whole": true, "hosts": all.clone() });
+            platform.discovery.say(serde_json::to_string_pretty(&list).unwrap());
+        })
+        .await;
+    });
+}
+
+/// Another client sends a body of the largest size in pieces, a third takes nothing of a stream that does not end.
+#[test]
+fn a_large_body_and_a_client_that_reads_nothing_hold_no_event_back() {
+    local(async {
+        let (go, next) = mpsc::channel(1);
+        let address = lock_step(next).await;
+        let floods = Worker::start("w-2", "combined", |_, _| {
+            vec![Step::Say(HEAD.into()), Step::Flood(chunk(FIRST).repeat(50).into_bytes())]
+        })
+        .await;
+        let platform = platform_of(address).await;
+        let taken = Rc::new(Cell::new(false));
+        let (mut reads_nothing, mut sends_much) = (None, None);
+        let (clients, flag) = (platform.clients, taken.clone());
+        let whole = format!("{{\"a\":\"{}\"}}", "x".repeat(250_000));
+        let body = completion("b1", "", &whole);
+        taken_one_by_one(&platform, go, |event| {
+            use std::io::Write;
+            if event == 1 {
+                // From here on whoever comes is sent to the server that does not end.
+                let list = json!({ "seq": 3, "whole": false, "hosts": [host(&floods, "ready"),
+                    { "host": "w-1", "dial": address.to_string(), "site": "a", "class": "combined", "block": 0,
+                      "health": "draining" }] });
+                platform.discovery.say(list.to_string());
+            }
+            if event == 3 {
+                let mut client = std::net::TcpStream::connect(clients).unwrap();
+                client.write_all(completion("c1", "", "{}").as_bytes()).unwrap();
+                reads_nothing = Some(client);
+                sends_much = Some(std::net::TcpStream::connect(clients).unwrap());
+                flag.set(true);
+            }
+            if let Some(client) = &mut sends_much {
+                let part = body.len() / EVENTS;
+                client.write_all(&body.as_bytes()[part * (event - 1)..part * event]).unwrap();
+            }
+        })
+        .await;
+        assert!(taken.get() && reads_nothing.is_some());
+    });
+}
