Settings without memory are refused; serve checks a repeat's window at the write too

Cause: a settings object whose servers hold no memory (family_info.kv_tokens 0) or that allows no attempt was taken, and every bound of it was meaningless (settings.rs::provision); paddleproxy serve wrote an attempt whose time or window had ended during its connect (engines.rs::send). Change: both settings are refused by name, at the start and on SIGHUP; serve passes the same check at the write. Measured: a_configuration_that_can_not_be_is_named_by_its_field, a_repeat_past_its_window_is_not_written (fails with the check left out).

--- a/crates/gateway/tests/life.rs
+++ b/crates/gateway/tests/life.rs
@@ -198,6 +198,18 @@
     });
 }
 
+fn without_memory() -> serde_json::Value {
+    let mut settings = settings();
+    settings["family_info"]["kv_tokens"][1] = 0.0.into();
+    settings
+}
+
+fn without_attempts() -> serde_json::Value {
+    let mut settings = settings();
+    settings["caps"]["max_attempts"] = 0.into();
+    settings
+}
+
 #[test]
 fn a_configuration_that_can_not_be_is_named_by_its_field() {
     local(async {
@@ -208,6 +220,8 @@
             ("limits", json!({ "memory_mb": 64, "sockets": 3 }), "limits.sockets"),
             ("limits", json!({ "memory_mb": -1, "sockets": 300 }), "limits.memory_mb"),
             ("settings", json!({}), "settings: missing field"),
+            ("settings", without_memory(), "family_info.kv_tokens for 'decode' is 0"),
+            ("settings", without_attempts(), "caps.max_attempts is 0"),
             ("known", json!({ "seq": 1, "hosts": [{ "health": "ready" }] }), "known.hosts[0]"),
         ] {
             let mut config = config("127.0.0.1:9");
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -153,6 +153,9 @@
                 / 1e6,
         });
     }
+    if conf.caps.max_attempts == 0 {
+        return Err("settings: caps.max_attempts is 0: nothing could ever be sent".into());
+    }
     let mut kinds = Vec::new();
     for (row, kind) in conf.machine_types.iter().enumerate() {
         let role = match conf.family_info.role_by_kind.get(row).map(String::as_str) {
@@ -166,6 +169,11 @@
         let memory_tokens = conf.family_info.kv_tokens.get(row).copied();
         let memory_tokens =
             memory_tokens.ok_or_else(|| format!("settings: family_info.kv_tokens lacks '{kind}'"))?;
+        if !(memory_tokens.is_finite() && memory_tokens > 0.0) {
+            return Err(format!(
+                "settings: family_info.kv_tokens for '{kind}' is {memory_tokens}, not above 0"
+            ));
+        }
         kinds.push(house::KindSettings { role, memory_tokens });
     }
     let settings = house::Settings {
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -11,7 +11,7 @@
 use paddleproxy_engine as wire;
 use paddleproxy_engine::{Data, SseReader, StateReference};
 use paddleproxy_messages::{Answer, Stop, Usage};
-use paddleproxy_routing::{Pace, Sending, SocketEnd, Stage};
+use paddleproxy_routing::{Pace, Sending, SocketEnd, Stage, WriteCheck};
 use tokio::sync::mpsc;
 use tokio::time::{sleep_until, Instant};
 
@@ -67,10 +67,15 @@
         drop(asks);
         let until = self.clock.at(self.sending.until_ms);
         let engines = self.engines.clone();
+        let (clock, until_ms, repeat_by_ms) = (self.clock, self.sending.until_ms, self.sending.repeat_by_ms);
+        let may_write = || {
+            let check = WriteCheck { now_ms: clock.now_ms(), until_ms, repeat_by_ms, server_ready: true };
+            check.time_left_ms().map(|_| ())
+        };
         let (response, connection) = tokio::select! {
             biased;
             _ = self.words.recv() => return Err(SocketEnd::Stopped),
-            answered = engines.send(address, request) => answered?,
+            answered = engines.send(address, request, may_write) => answered?,
             () = sleep_until(until) => return Err(SocketEnd::TimedOut),
         };
         if let Some(load) = load(&response) {
--- a/crates/router/src/dispatch_tests.rs
+++ b/crates/router/src/dispatch_tests.rs
@@ -108,18 +108,29 @@
     })
 }
 
-/// Runs one dispatch as the core would, which grants each stream that begins.
 async fn dispatched(
     engines: &Rc<Engines>,
     address: Option<SocketAddr>,
     stage: Stage,
     streamed: bool,
     stop: bool,
+) -> End {
+    dispatched_as(|_| {}, engines, address, stage, streamed, stop).await
+}
+
+/// Runs one dispatch as the core would, which grants each stream that begins.
+async fn dispatched_as(
+    change: impl Fn(&mut Sending),
+    engines: &Rc<Engines>,
+    address: Option<SocketAddr>,
+    stage: Stage,
+    streamed: bool,
+    stop: bool,
 ) -> End {
     let clock = Clock::start();
     let (core, mut told) = mpsc::channel(16);
     let (words, heard) = mpsc::channel(2);
-    let sending = Sending {
+    let mut sending = Sending {
         completion: CompletionId(1),
         seq: Seq(0),
         worker: WorkerId(Arc::from("a")),
@@ -130,6 +141,7 @@
         write_by_ms: f64::INFINITY,
         repeat_by_ms: f64::INFINITY,
     };
+    change(&mut sending);
     let dispatch = Dispatch {
         sending,
         address,
@@ -180,6 +192,22 @@
     tokio::task::LocalSet::new().block_on(&runtime, work);
 }
 
+/// The window for repeats ended while the connection was made: nothing is written on it.
+#[test]
+fn a_repeat_past_its_window_is_not_written() {
+    local(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let past = |sending: &mut Sending| sending.repeat_by_ms = 0.0;
+        let end = dispatched_as(past, &engines(), Some(address), Stage::Whole, true, false).await.end;
+        assert_eq!(end, SocketEnd::Withdrawn(paddleproxy_routing::Withdrawal::RepeatTooLate));
+        let (mut server, _) = listener.accept().await.unwrap();
+        let mut written = Vec::new();
+        server.read_to_end(&mut written).await.unwrap();
+        assert_eq!(written, b"");
+    });
+}
+
 #[test]
 fn no_connection_never_ran() {
     local(async {
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -13,7 +13,7 @@
 use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
 use paddleproxy_engine::{Load, LOAD_HEADER};
-use paddleproxy_routing::SocketEnd;
+use paddleproxy_routing::{SocketEnd, Withdrawal};
 use paddleproxy_settings::router::EngineSettings;
 use tokio::net::TcpStream;
 use tokio::time::{timeout, Instant};
@@ -101,17 +101,20 @@
     /// Sends a request and waits for the head of its answer, on a kept connection or a new one.
     ///
     /// # Errors
-    /// How the socket ended. Only what hyper hands back unwritten is tried on a new connection.
+    /// How the socket ended, or why it must not be written now that the connection is there. Only what hyper hands back
+    /// unwritten is tried on a new connection.
     pub async fn send(
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
+        may_write: impl Fn() -> Result<(), Withdrawal>,
     ) -> Result<(Response<Incoming>, Connection), SocketEnd> {
         loop {
             let (mut sender, fresh) = match self.kept(address) {
                 Some(sender) => (sender, false),
                 None => (self.connect(address).await?, true),
             };
+            may_write().map_err(SocketEnd::Withdrawn)?;
             match sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, Connection { sender, address })),
                 Err(mut failed) => match failed.take_message() {
@@ -138,7 +141,7 @@
     ) -> Result<(u16, Option<Load>, Bytes), SocketEnd> {
         let request = request(address, method, path, Bytes::from(body), &[])?;
         let exchange = async {
-            let (response, connection) = self.send(address, request).await?;
+            let (response, connection) = self.send(address, request, || Ok(())).await?;
             let (status, load) = (response.status().as_u16(), load(&response));
             let body = Limited::new(response.into_body(), answer_bytes).collect().await;
             let body = body.map_err(|_| SocketEnd::BrokeWithinAnswer)?.to_bytes();
