--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,19 +14,19 @@
 use tokio::time::{sleep_until, timeout, Instant};
 
 use crate::limits::{DRAIN_MS, PIECES, SILENT_MS};
+use crate::messages::{AttemptCommand, AttemptEnd, ClientRequest, CoreEvent, CoreSender, StreamPart};
 use crate::pool::{Connection, Pool};
-use crate::release::Fleet;
-use crate::words::{Ask, End, Piece, ToCore, Told, Word};
+use crate::servers::ServerDirectory;
 
-pub struct Dispatch {
+pub struct Attempt {
     pub sending: Sending,
     pub address: Option<SocketAddr>,
-    pub ask: Rc<Ask>,
-    pub fleet: Rc<RefCell<Fleet>>,
-    pub words: mpsc::Receiver<Word>,
+    pub request: Rc<ClientRequest>,
+    pub fleet: Rc<RefCell<ServerDirectory>>,
+    pub words: mpsc::Receiver<AttemptCommand>,
     pub pool: Rc<Pool>,
     pub clock: Clock,
-    pub core: ToCore,
+    pub core: CoreSender,
     /// What it has learnt so far.
     pub kept_tokens: f64,
     pub load: Option<LoadReport>,
@@ -35,7 +35,7 @@
 /// What is left of an answer that need not be waited for.
 type Rest = Option<(Connection, Framing)>;
 
-impl Dispatch {
+impl Attempt {
     pub async fn run(mut self) {
         let sent = Instant::now();
         let (completion, seq) = (self.sending.completion, self.sending.seq);
@@ -44,9 +44,9 @@
             Err(end) => (end, None),
         };
         let took_ms = sent.elapsed().as_secs_f64() * 1e3;
-        let end = End { end, kept_tokens: self.kept_tokens, load: self.load };
+        let end = AttemptEnd { end, kept_tokens: self.kept_tokens, load: self.load };
         // The core outlives its dispatches; if it does not, nobody is left to be told.
-        let _ = self.core.send(Told::Ended { completion, seq, took_ms, end }).await;
+        let _ = self.core.send(CoreEvent::Ended { completion, seq, took_ms, end }).await;
         if let Some((mut connection, framing)) = rest {
             let read = timeout(duration(DRAIN_MS), connection.body(framing)).await;
             if matches!(read, Ok(Ok(_))) {
@@ -58,7 +58,7 @@
     async fn carry(&mut self, sent: Instant) -> Result<(SocketEnd, Rest), SocketEnd> {
         let address = self.address.ok_or(SocketEnd::NoAddress)?;
         let until = self.clock.at(self.sending.until_ms);
-        let (pool, ask) = (self.pool.clone(), self.ask.clone());
+        let (pool, request) = (self.pool.clone(), self.request.clone());
         let write_by = self.clock.at(self.sending.write_by_ms.min(self.sending.repeat_by_ms));
         let check = self.write_check(address);
         let exchange = async move {
@@ -67,8 +67,8 @@
                 loop {
                     // Lets the sockets be looked at: the client's end, or a list, may have come meanwhile.
                     tokio::task::yield_now().await;
-                    let head = request(&ask, check().time_left_ms().map_err(SocketEnd::Withdrawn)?);
-                    if connection.write(&[head.as_bytes(), &ask.body]).await.is_ok() {
+                    let head = head(&request, check().time_left_ms().map_err(SocketEnd::Withdrawn)?);
+                    if connection.write(&[head.as_bytes(), &request.body]).await.is_ok() {
                         return Ok(connection);
                     }
                     // No worker begins a request that has not come whole.
@@ -81,7 +81,7 @@
             // Biased: a connection that is at hand is taken, however late it is.
             let mut connection = tokio::select! {
                 biased;
-                () = ask.client.left() => return Err(SocketEnd::Withdrawn(Withdrawal::ClientGone)),
+                () = request.client.left() => return Err(SocketEnd::Withdrawn(Withdrawal::ClientGone)),
                 written = written => written?,
                 () = sleep_until(write_by) => return Err(SocketEnd::ConnectTimedOut),
             };
@@ -149,7 +149,7 @@
             return Err(SocketEnd::Nonsense("a stream that is not in chunks".into()));
         }
         let (mut chunks, mut events) = (Chunks::new(BODY_BYTES), Events::default());
-        let mut stream: Option<(mpsc::Sender<Piece>, Pace)> = None;
+        let mut stream: Option<(mpsc::Sender<StreamPart>, Pace)> = None;
         loop {
             let done = chunks
                 .take(&mut connection.bytes, events.buffer())
@@ -169,7 +169,7 @@
                 let sent = tokio::select! {
                     biased;
                     _ = self.words.recv() => return Err(SocketEnd::Stopped),
-                    sent = pieces.send(Piece::Events(whole)) => sent,
+                    sent = pieces.send(StreamPart::Events(whole)) => sent,
                 };
                 sent.map_err(|_| SocketEnd::Stopped)?;
                 // The first event has begun the pace and is no gap.
@@ -179,7 +179,7 @@
             }
             if done {
                 if let Some((pieces, _)) = stream {
-                    let _ = pieces.send(Piece::End).await;
+                    let _ = pieces.send(StreamPart::End).await;
                 }
                 if head.stays() {
                     self.pool.keep(connection);
@@ -203,25 +203,25 @@
     }
 
     /// Asks the core whether this stream is the answer.
-    async fn begin(&mut self, sent: Instant) -> Result<mpsc::Sender<Piece>, SocketEnd> {
+    async fn begin(&mut self, sent: Instant) -> Result<mpsc::Sender<StreamPart>, SocketEnd> {
         let (completion, seq) = (self.sending.completion, self.sending.seq);
         let took_ms = sent.elapsed().as_secs_f64() * 1e3;
-        let _ = self.core.send(Told::Began { completion, seq, took_ms }).await;
+        let _ = self.core.send(CoreEvent::Began { completion, seq, took_ms }).await;
         match self.words.recv().await {
-            Some(Word::Grant(pieces)) => Ok(pieces),
-            Some(Word::Stop) | None => Err(SocketEnd::Stopped),
+            Some(AttemptCommand::Grant(pieces)) => Ok(pieces),
+            Some(AttemptCommand::Stop) | None => Err(SocketEnd::Stopped),
         }
     }
 }
 
 /// Where a granted stream goes, and where its client takes it from.
-pub fn pieces() -> (mpsc::Sender<Piece>, mpsc::Receiver<Piece>) {
+pub fn pieces() -> (mpsc::Sender<StreamPart>, mpsc::Receiver<StreamPart>) {
     mpsc::channel(PIECES)
 }
 
 /// The head of a dispatch; `left_ms` is how long we shall still wait.
-fn request(ask: &Ask, left_ms: f64) -> String {
-    let Ask { id, method, target, idempotency_key, body, .. } = ask;
+fn head(request: &ClientRequest, left_ms: f64) -> String {
+    let ClientRequest { id, method, target, idempotency_key, body, .. } = request;
     let key = idempotency_key.as_ref().map_or(String::new(), |key| {
         format!(
             "Idempotency-Key: {key}
--- a/crates/gateway/src/dispatch/tests.rs
+++ b/crates/gateway/src/attempt/tests.rs
@@ -10,17 +10,17 @@
 use tokio::time::Duration;
 
 use super::*;
-use crate::words::{Held, Presence};
+use crate::messages::{BodyBytes, ClientPresence};
 
 const WORKER: &str = "s-1";
 
 struct Scene {
     listener: TcpListener,
-    fleet: Rc<RefCell<Fleet>>,
-    client: Rc<Presence>,
+    fleet: Rc<RefCell<ServerDirectory>>,
+    client: Rc<ClientPresence>,
     clock: Clock,
-    told: mpsc::Receiver<Told>,
-    _words: mpsc::Sender<Word>,
+    told: mpsc::Receiver<CoreEvent>,
+    _words: mpsc::Sender<AttemptCommand>,
 }
 
 fn listed(address: SocketAddr, readiness: Readiness) -> List {
@@ -41,17 +41,17 @@
     async fn start(change: impl Fn(&mut Sending)) -> Scene {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let fleet = Rc::new(RefCell::new(Fleet::new(None)));
+        let fleet = Rc::new(RefCell::new(ServerDirectory::new(None)));
         fleet.borrow_mut().listed(listed(address, Readiness::Ready), ListKind::Whole);
-        let (clock, client) = (Clock::start(), Rc::new(Presence::default()));
-        let ask = Ask {
+        let (clock, client) = (Clock::start(), Rc::new(ClientPresence::default()));
+        let request = ClientRequest {
             id: "a1".into(),
             method: "POST".into(),
             target: "/v1/chat/completions".into(),
             idempotency_key: None,
             body: "{}".into(),
             client: client.clone(),
-            _held: Held::take(&Rc::default(), 2, 2).unwrap(),
+            _held: BodyBytes::take(&Rc::default(), 2, 2).unwrap(),
         };
         let mut sending = Sending {
             completion: CompletionId(1),
@@ -66,10 +66,10 @@
         };
         change(&mut sending);
         let ((core, told), (sender, words)) = (mpsc::channel(8), mpsc::channel(2));
-        let dispatch = Dispatch {
+        let dispatch = Attempt {
             sending,
             address: Some(address),
-            ask: Rc::new(ask),
+            request: Rc::new(request),
             fleet: fleet.clone(),
             words,
             pool: Rc::new(Pool::new(8, 5000.0, 30_000.0)),
@@ -85,7 +85,7 @@
 
     async fn end(&mut self) -> SocketEnd {
         match self.told.recv().await {
-            Some(Told::Ended { end, .. }) => end.end,
+            Some(CoreEvent::Ended { end, .. }) => end.end,
             _ => panic!("no end"),
         }
     }
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -13,14 +13,14 @@
 use tokio::sync::mpsc;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
-use crate::gate::{reached, Doing, Life, Place};
+use crate::frontend::{reached, Activity, ConnectionSlot, Lifecycle};
 use crate::inbound::Inbound;
 use crate::limits::{AHEAD_BYTES, CLIENT_IDLE, LINGER_MS, REQUEST_MS, SLOW_CLIENT_MS};
+use crate::messages::{BodyBytes, ClientPresence, ClientRequest, CoreEvent, Reply, StreamPart};
 use crate::sockets::{bytes_wait, read};
-use crate::words::{Ask, Held, Piece, Presence, Reply, Told};
 
 /// Why a connection ends.
-enum Over {
+enum ConnectionOver {
     /// Nothing more to say on it.
     Close,
     /// Nobody is there any more, or its descriptor is wanted elsewhere.
@@ -35,20 +35,20 @@
 const STOPS: Fault = Fault::new(503, "the router stops");
 
 /// Serves one connection until it closes.
-pub async fn serve(place: Place, mut stream: TcpStream) {
-    let mut inbound = Inbound::new(place.gate.clock);
+pub async fn serve(slot: ConnectionSlot, mut stream: TcpStream) {
+    let mut inbound = Inbound::new(slot.frontend.clock);
     loop {
-        match place.one(&mut stream, &mut inbound).await {
+        match slot.serve_request(&mut stream, &mut inbound).await {
             Ok(()) => {
                 // An idle connection holds no buffer.
                 inbound.rest();
-                place.doing(Doing::Resting);
+                slot.set_activity(Activity::Idle);
             }
-            Err(Over::Close) => break,
-            Err(Over::Left) => return,
+            Err(ConnectionOver::Close) => break,
+            Err(ConnectionOver::Left) => return,
         }
     }
-    place.doing(Doing::Nothing);
+    slot.set_activity(Activity::NoRequest);
     // Unread bytes would turn the close into a reset, and the client might never read its answer.
     let _ = stream.shutdown().await;
     let linger = async {
@@ -59,42 +59,46 @@
     };
     tokio::select! {
         _ = timeout(duration(LINGER_MS), linger) => {}
-        () = place.close.notified() => {}
+        () = slot.close.notified() => {}
     }
 }
 
-impl Place {
+impl ConnectionSlot {
     /// One request and its answer.
-    async fn one(&self, stream: &mut TcpStream, inbound: &mut Inbound) -> Result<(), Over> {
-        let first = self.since(Doing::Nothing);
-        self.begun(stream, inbound, first).await?;
+    async fn serve_request(
+        &self,
+        stream: &mut TcpStream,
+        inbound: &mut Inbound,
+    ) -> Result<(), ConnectionOver> {
+        let first = self.since(Activity::NoRequest);
+        self.wait_for_request(stream, inbound, first).await?;
         let by = first.unwrap_or_else(Instant::now) + duration(REQUEST_MS);
         let taken = tokio::select! {
             biased;
-            taken = self.request(stream, inbound) => taken?,
+            taken = self.read_request(stream, inbound) => taken?,
             () = sleep_until(by) => Err(Fault::new(408, "the request did not come whole in time")),
-            () = self.close.notified() => return Err(Over::Left),
+            () = self.close.notified() => return Err(ConnectionOver::Left),
         };
         let (head, body, held) = match taken {
             Ok(taken) => taken,
             Err(fault) => {
                 self.refuse(stream, fault, true).await?;
-                return Err(Over::Close);
+                return Err(ConnectionOver::Close);
             }
         };
-        self.doing(Doing::Busy);
+        self.set_activity(Activity::Busy);
         let received_ms = inbound.taken_came_ms();
         let close = head.close;
         let answered = match (head.method.as_str(), path(&head.target)) {
-            ("GET", "/_health") => match self.gate.life() {
-                Life::Starting => Err(Fault::new(503, "not ready yet")),
+            ("GET", "/_health") => match self.frontend.life() {
+                Lifecycle::Starting => Err(Fault::new(503, "not ready yet")),
                 _ => {
                     let closes = close || self.closes(stream, inbound);
-                    Ok(self.say(stream, 200, "OK", "", "{\"ready\":true}", closes).await?)
+                    Ok(self.answer(stream, 200, "OK", "", "{\"ready\":true}", closes).await?)
                 }
             },
             ("POST", "/v1/chat/completions") => {
-                self.completion(stream, inbound, head, body, held, received_ms).await?
+                self.answer_request(stream, inbound, head, body, held, received_ms).await?
             }
             (_, "/_health" | "/v1/chat/completions") => Err(Fault::new(405, "not with this method")),
             _ => Err(Fault::new(404, "nothing is served here")),
@@ -104,7 +108,7 @@
             Err(fault) => self.refuse(stream, fault, close || self.closes(stream, inbound)).await?,
         }
         if close || self.closes(stream, inbound) {
-            return Err(Over::Close);
+            return Err(ConnectionOver::Close);
         }
         Ok(())
     }
@@ -112,36 +116,36 @@
     /// Whether the connection closes after an answer. What has come on it already is answered first: a request that
     /// was read must not go without an answer. Once that is said it stays so.
     fn closes(&self, stream: &TcpStream, inbound: &Inbound) -> bool {
-        let wanted = self.gate.life() >= Life::Closing || self.given_up();
+        let wanted = self.frontend.life() >= Lifecycle::Draining || self.given_up();
         let closes = self.closing.get() || wanted && inbound.is_empty() && !bytes_wait(stream);
         self.closing.set(closes);
         closes
     }
 
     /// Waits for the first byte of a request.
-    async fn begun(
+    async fn wait_for_request(
         &self,
         stream: &mut TcpStream,
         inbound: &mut Inbound,
         first: Option<Instant>,
-    ) -> Result<(), Over> {
+    ) -> Result<(), ConnectionOver> {
         if !inbound.is_empty() {
             return Ok(());
         }
-        let idle_ms = self.gate.provision.borrow().idle_ms * CLIENT_IDLE;
+        let idle_ms = self.frontend.provision.borrow().idle_ms * CLIENT_IDLE;
         let until = first.map_or(Instant::now() + duration(idle_ms), |since| since + duration(REQUEST_MS));
         // A connection that rests closes at once; one that has just come may still bring its request.
-        let stage = if first.is_some() { Life::Refusing } else { Life::Closing };
-        let mut life = self.gate.life.clone();
+        let stage = if first.is_some() { Lifecycle::Refusing } else { Lifecycle::Draining };
+        let mut life = self.frontend.life.clone();
         let over = tokio::select! {
             biased;
             more = inbound.read(stream) => return match more {
                 Ok(more) if more > 0 => Ok(()),
-                _ => Err(Over::Left),
+                _ => Err(ConnectionOver::Left),
             },
-            () = sleep_until(until) => Over::Close,
-            () = self.close.notified() => Over::Left,
-            () = reached(&mut life, stage) => Over::Close,
+            () = sleep_until(until) => ConnectionOver::Close,
+            () = self.close.notified() => ConnectionOver::Left,
+            () = reached(&mut life, stage) => ConnectionOver::Close,
         };
         // A request that has come in this very moment is answered rather than closed upon.
         if bytes_wait(stream) {
@@ -151,11 +155,11 @@
     }
 
     /// Reads one whole request.
-    async fn request(
+    async fn read_request(
         &self,
         stream: &mut TcpStream,
         inbound: &mut Inbound,
-    ) -> Result<Result<(RequestHead, Bytes, Held), Fault>, Over> {
+    ) -> Result<Result<(RequestHead, Bytes, BodyBytes), Fault>, ConnectionOver> {
         let head = loop {
             match head::request(inbound) {
                 Ok(Some(head)) => break head,
@@ -163,7 +167,7 @@
                 Err(fault) => return Ok(Err(fault)),
             }
             if !inbound.read(stream).await.is_ok_and(|more| more > 0) {
-                return Err(Over::Left);
+                return Err(ConnectionOver::Left);
             }
         };
         inbound.advance(head.bytes);
@@ -171,7 +175,8 @@
             Framing::Length(length) => length,
             _ => BODY_BYTES,
         };
-        let Some(mut held) = Held::take(&self.gate.body_bytes, room, self.gate.shares.get().body_bytes)
+        let Some(mut held) =
+            BodyBytes::take(&self.frontend.body_bytes, room, self.frontend.shares.get().body_bytes)
         else {
             return Ok(Err(OVERLOADED));
         };
@@ -201,22 +206,22 @@
                 },
             }
             if !inbound.read(stream).await.is_ok_and(|more| more > 0) {
-                return Err(Over::Left);
+                return Err(ConnectionOver::Left);
             }
         }
     }
 
-    async fn completion(
+    async fn answer_request(
         &self,
         stream: &mut TcpStream,
         inbound: &mut Inbound,
         head: RequestHead,
         body: Bytes,
-        held: Held,
+        held: BodyBytes,
         received_ms: f64,
-    ) -> Result<Result<(), Fault>, Over> {
-        let gate = &self.gate;
-        if gate.life() == Life::Refusing {
+    ) -> Result<Result<(), Fault>, ConnectionOver> {
+        let frontend = &self.frontend;
+        if frontend.life() == Lifecycle::Refusing {
             return Ok(Err(STOPS));
         }
         let close = head.close;
@@ -224,31 +229,33 @@
             Ok(id) => id.into(),
             Err(fault) => return Ok(Err(fault)),
         };
-        let completion = CompletionId(gate.next.get());
-        let provision = gate.provision.borrow().clone();
+        let completion = CompletionId(frontend.next.get());
+        let provision = frontend.provision.borrow().clone();
         let arrival = match request::arrival(&provision, &head.fields, &body, completion, received_ms) {
             Ok(arrival) => arrival,
             Err(fault) => return Ok(Err(fault)),
         };
-        let Some(_open) = gate.open_id(&id) else {
+        let Some(_open) = frontend.open_id(&id) else {
             return Ok(Err(Fault::new(400, "Req-Id is that of a request that is open")));
         };
-        gate.next.set(completion.0.wrapping_add(1));
-        let (duty, mut reply) = Duty::new(gate.dropped.clone());
-        let client = Rc::new(Presence::default());
+        frontend.next.set(completion.0.wrapping_add(1));
+        let (duty, mut reply) = Duty::new(frontend.dropped.clone());
+        let client = Rc::new(ClientPresence::default());
         let RequestHead { method, target, fields, .. } = head;
         let idempotency_key = fields.idempotency_key;
-        let ask = Ask { id, method, target, idempotency_key, body, client: client.clone(), _held: held };
-        if gate.core.send(Told::Arrived { arrival, ask: Rc::new(ask), duty }).await.is_err() {
+        let request =
+            ClientRequest { id, method, target, idempotency_key, body, client: client.clone(), _held: held };
+        if frontend.core.send(CoreEvent::Arrived { arrival, request: Rc::new(request), duty }).await.is_err()
+        {
             return Ok(Err(STOPS));
         }
         let reply = tokio::select! {
             biased;
             reply = &mut reply => reply.unwrap_or(Reply::Aborted),
-            () = left(stream, inbound) => {
+            () = client_closed(stream, inbound) => {
                 client.leave();
-                let _ = gate.core.send(Told::Left { completion }).await;
-                return Err(Over::Left);
+                let _ = frontend.core.send(CoreEvent::Left { completion }).await;
+                return Err(ConnectionOver::Left);
             }
         };
         match reply {
@@ -258,7 +265,7 @@
                     false => String::new(),
                 };
                 let body = error("no worker can take this now; trying again is harmless");
-                self.say(
+                self.answer(
                     stream,
                     429,
                     "Too Many Requests",
@@ -271,14 +278,14 @@
             }
             Reply::Aborted => {
                 let body = error("the answer was lost; it may have run");
-                self.say(stream, 502, "Bad Gateway", "", &body, close || self.closes(stream, inbound))
+                self.answer(stream, 502, "Bad Gateway", "", &body, close || self.closes(stream, inbound))
                     .await?;
                 Ok(Ok(()))
             }
             Reply::Stream(pieces) => {
                 let streamed = self.stream(stream, inbound, pieces).await;
                 if streamed.is_err() {
-                    let _ = gate.core.send(Told::Left { completion }).await;
+                    let _ = frontend.core.send(CoreEvent::Left { completion }).await;
                 }
                 streamed.map(Ok)
             }
@@ -289,8 +296,8 @@
         &self,
         stream: &mut TcpStream,
         inbound: &mut Inbound,
-        mut pieces: mpsc::Receiver<Piece>,
-    ) -> Result<(), Over> {
+        mut pieces: mpsc::Receiver<StreamPart>,
+    ) -> Result<(), ConnectionOver> {
         let mut out = BytesMut::from(
             &b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\n\
                Transfer-Encoding: chunked\r\n\r\n"[..],
@@ -299,29 +306,29 @@
             let piece = tokio::select! {
                 biased;
                 piece = pieces.recv() => piece,
-                () = left(stream, inbound) => return Err(Over::Left),
+                () = client_closed(stream, inbound) => return Err(ConnectionOver::Left),
             };
             match piece {
-                Some(Piece::Events(events)) => {
+                Some(StreamPart::Events(events)) => {
                     out.extend_from_slice(format!("{:x}\r\n", events.len()).as_bytes());
                     out.extend_from_slice(&events);
                     out.extend_from_slice(b"\r\n");
                     self.write(stream, &out).await?;
                     out.clear();
                 }
-                Some(Piece::End) => return self.write(stream, b"0\r\n\r\n").await,
+                Some(StreamPart::End) => return self.write(stream, b"0\r\n\r\n").await,
                 // Broken off: the connection ends without the last chunk, and with all that was written before.
-                None => return Err(Over::Close),
+                None => return Err(ConnectionOver::Close),
             }
         }
     }
 
-    async fn refuse(&self, stream: &mut TcpStream, fault: Fault, close: bool) -> Result<(), Over> {
-        *self.gate.faults.borrow_mut().entry(fault.status).or_default() += 1;
-        self.say(stream, fault.status, "Refused", "", &error(fault.why), close).await
+    async fn refuse(&self, stream: &mut TcpStream, fault: Fault, close: bool) -> Result<(), ConnectionOver> {
+        *self.frontend.faults.borrow_mut().entry(fault.status).or_default() += 1;
+        self.answer(stream, fault.status, "Refused", "", &error(fault.why), close).await
     }
 
-    async fn say(
+    async fn answer(
         &self,
         stream: &mut TcpStream,
         status: u16,
@@ -329,7 +336,7 @@
         fields: &str,
         body: &str,
         close: bool,
-    ) -> Result<(), Over> {
+    ) -> Result<(), ConnectionOver> {
         let close = if close { "Connection: close\r\n" } else { "" };
         let length = body.len();
         let answer = format!(
@@ -338,17 +345,17 @@
         self.write(stream, answer.as_bytes()).await
     }
 
-    async fn write(&self, stream: &mut TcpStream, bytes: &[u8]) -> Result<(), Over> {
+    async fn write(&self, stream: &mut TcpStream, bytes: &[u8]) -> Result<(), ConnectionOver> {
         match timeout(duration(SLOW_CLIENT_MS), stream.write_all(bytes)).await {
             Ok(Ok(())) => Ok(()),
-            _ => Err(Over::Left),
+            _ => Err(ConnectionOver::Left),
         }
     }
 }
 
 /// Returns when the client has closed. What it sends ahead is kept up to a bound and past that not read, but the end of
 /// its connection shows all the same.
-async fn left(stream: &TcpStream, inbound: &mut Inbound) {
+async fn client_closed(stream: &TcpStream, inbound: &mut Inbound) {
     while inbound.len() < AHEAD_BYTES {
         if !inbound.read(stream).await.is_ok_and(|more| more > 0) {
             return;
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -17,25 +17,25 @@
 use tokio::time::Instant;
 use tracing::{debug, info, warn};
 
-use crate::discovery::Ask as AskList;
-use crate::dispatch::{pieces, Dispatch};
+use crate::attempt::{pieces, Attempt};
+use crate::discovery::Refetch;
+use crate::messages::{AttemptCommand, AttemptEnd, ClientRequest, CoreEvent, CoreSender, Reply};
 use crate::pool::Pool;
-use crate::release::{room, Fleet, Releases};
-use crate::words::{Ask, End, Reply, ToCore, Told, Word};
+use crate::servers::{room, Releases, ServerDirectory};
 
 pub struct Core {
     book: Book,
     provision: Rc<Provision>,
     pool: Rc<Pool>,
     owed: BTreeMap<CompletionId, Duty<Reply>>,
-    asks: BTreeMap<CompletionId, Rc<Ask>>,
-    words: BTreeMap<(CompletionId, Seq), mpsc::Sender<Word>>,
+    requests: BTreeMap<CompletionId, Rc<ClientRequest>>,
+    words: BTreeMap<(CompletionId, Seq), mpsc::Sender<AttemptCommand>>,
     /// Where the listed workers are reached, and who answered of late.
-    fleet: Rc<RefCell<Fleet>>,
+    fleet: Rc<RefCell<ServerDirectory>>,
     outcomes: BTreeMap<&'static str, u64>,
     releases: Rc<Releases>,
-    own: ToCore,
-    lists: mpsc::Sender<AskList>,
+    own: CoreSender,
+    lists: mpsc::Sender<Refetch>,
 }
 
 impl Core {
@@ -44,18 +44,18 @@
         clock: Clock,
         seed: u64,
         pool: Rc<Pool>,
-        own: ToCore,
-        lists: mpsc::Sender<AskList>,
+        own: CoreSender,
+        lists: mpsc::Sender<Refetch>,
     ) -> Self {
         let ledger = Ledger::new(provision.settings.clone(), provision.answer_slack_ms, seed);
-        let fleet = Rc::new(RefCell::new(Fleet::new(provision.settings.zone)));
+        let fleet = Rc::new(RefCell::new(ServerDirectory::new(provision.settings.zone)));
         let releases = Rc::new(Releases::new(pool.clone(), fleet.clone(), clock, seed));
         Core {
             book: Book::new(clock, ledger),
             provision,
             pool,
             owed: BTreeMap::new(),
-            asks: BTreeMap::new(),
+            requests: BTreeMap::new(),
             words: BTreeMap::new(),
             fleet,
             outcomes: BTreeMap::new(),
@@ -65,7 +65,7 @@
         }
     }
 
-    pub async fn run(mut self, mut told: mpsc::Receiver<Told>) {
+    pub async fn run(mut self, mut told: mpsc::Receiver<CoreEvent>) {
         loop {
             tokio::select! {
                 biased;
@@ -78,12 +78,12 @@
         }
     }
 
-    fn take(&mut self, told: Told) {
+    fn take(&mut self, told: CoreEvent) {
         match told {
-            Told::Arrived { arrival, ask, duty } => {
+            CoreEvent::Arrived { arrival, request, duty } => {
                 debug!(
                     completion = arrival.completion.0,
-                    id = %ask.id,
+                    id = %request.id,
                     workload = arrival.workload.0,
                     prompt = arrival.prompt_tokens,
                     session = arrival.session.0,
@@ -92,50 +92,50 @@
                     "arrived"
                 );
                 self.owed.insert(arrival.completion, duty);
-                self.asks.insert(arrival.completion, ask);
+                self.requests.insert(arrival.completion, request);
                 self.handle(Input::Arrived { arrival, streamed: true });
             }
-            Told::Began { completion, seq, took_ms } => {
+            CoreEvent::Began { completion, seq, took_ms } => {
                 debug!(completion = completion.0, seq = seq.0, took_ms, "began");
                 if let Some(worker) = self.book.worker(completion, seq) {
                     self.fleet.borrow_mut().hearing.answered(worker, self.book.clock.now_ms());
                 }
                 self.handle(Input::Began { completion, seq, took_ms })
             }
-            Told::Ended { completion, seq, took_ms, end } => self.ended(completion, seq, took_ms, end),
-            Told::Left { completion } => {
+            CoreEvent::Ended { completion, seq, took_ms, end } => self.ended(completion, seq, took_ms, end),
+            CoreEvent::Left { completion } => {
                 debug!(completion = completion.0, "the client left");
                 // Nobody waits for an answer any more, so none is lost.
                 self.owed.remove(&completion).into_iter().for_each(Duty::void);
                 self.handle(Input::Left { completion });
             }
-            Told::Probed { worker, load, answered, took_ms } => {
+            CoreEvent::Probed { worker, load, answered, took_ms } => {
                 self.fleet.borrow_mut().heard(&worker, answered, self.book.clock.now_ms());
                 self.reported(&worker, load);
                 self.handle(Input::Probed { worker, answered, took_ms });
             }
-            Told::HoldAnswered { completion, seq, worker, ask, held } => {
+            CoreEvent::HoldAnswered { completion, seq, worker, request, held } => {
                 // A place that is no longer wanted is let go of by the same id.
-                let over = !self.asks.contains_key(&completion);
-                self.asks.entry(completion).or_insert(ask);
+                let over = !self.requests.contains_key(&completion);
+                self.requests.entry(completion).or_insert(request);
                 self.handle(Input::HoldAnswered { completion, seq, worker, held });
                 if over {
-                    self.asks.remove(&completion);
+                    self.requests.remove(&completion);
                 }
             }
-            Told::Listed(list) => {
+            CoreEvent::Listed(list) => {
                 let kind = if list.whole { ListKind::Whole } else { ListKind::Changes };
                 self.listed(list, kind);
             }
-            Told::Settings(provision) => {
+            CoreEvent::Settings(provision) => {
                 self.provision = provision;
                 self.fleet.borrow_mut().hearing.moved(self.provision.settings.zone);
                 let settings = Box::new(self.provision.settings.clone());
                 let answer_slack_ms = self.provision.answer_slack_ms;
                 self.handle(Input::Settings { settings, answer_slack_ms });
             }
-            Told::LastAnswers => self.handle(Input::Stop { streams: false }),
-            Told::Tell(to) => {
+            CoreEvent::LastAnswers => self.handle(Input::Stop { streams: false }),
+            CoreEvent::Tell(to) => {
                 let figures = format!(
                     "{:?}; owed {}, outcomes {:?}, releases {}, connections {} held and {} opened",
                     self.book.counts(),
@@ -167,8 +167,8 @@
         self.handle(Input::Listed { kind, rows });
     }
 
-    fn ended(&mut self, completion: CompletionId, seq: Seq, took_ms: f64, end: End) {
-        let End { end, kept_tokens, load } = end;
+    fn ended(&mut self, completion: CompletionId, seq: Seq, took_ms: f64, end: AttemptEnd) {
+        let AttemptEnd { end, kept_tokens, load } = end;
         self.words.remove(&(completion, seq));
         let worker = self.book.worker(completion, seq).cloned();
         debug!(
@@ -209,14 +209,14 @@
             Effect::Stop { completion, seq } => {
                 if let Some(words) = self.words.get(&(completion, seq)) {
                     // Room for one grant and one stop; a second stop says nothing new.
-                    let _ = words.try_send(Word::Stop);
+                    let _ = words.try_send(AttemptCommand::Stop);
                 }
             }
             Effect::Grant { completion, seq } => {
                 let Some(duty) = self.owed.remove(&completion) else { return };
                 let (sender, receiver) = pieces();
                 if let Some(words) = self.words.get(&(completion, seq)) {
-                    let _ = words.try_send(Word::Grant(sender));
+                    let _ = words.try_send(AttemptCommand::Grant(sender));
                 }
                 duty.give(Reply::Stream(receiver));
             }
@@ -232,13 +232,13 @@
             }
             Effect::Forget { completion } => {
                 self.owed.remove(&completion);
-                self.asks.remove(&completion);
+                self.requests.remove(&completion);
             }
             // What a dispatch comes for is never let go of by this word, so that it serves both.
             Effect::Release { worker, completion, .. }
             | Effect::ReleaseUnclaimed { worker, completion, .. } => {
-                if let Some(ask) = self.asks.get(&completion) {
-                    self.releases.begin(worker, &ask.id, self.provision.settings.pin_limit_ms);
+                if let Some(request) = self.requests.get(&completion) {
+                    self.releases.begin(worker, &request.id, self.provision.settings.pin_limit_ms);
                 }
             }
             Effect::Hold { worker, completion, seq, .. } => self.hold(worker, completion, seq),
@@ -247,7 +247,7 @@
                 self.dial(&worker).into_iter().for_each(|address| self.pool.close_idle(address));
             }
             // A discovery task with that many words waiting is about to ask anyway.
-            Effect::Subscribe | Effect::FetchList => drop(self.lists.try_send(AskList::Whole)),
+            Effect::Subscribe | Effect::FetchList => drop(self.lists.try_send(Refetch)),
             Effect::Note(text) => info!(text, "decisions"),
             // The book has set its timers; nothing is kept on a disk here.
             Effect::Arm { .. } | Effect::Keeps { .. } => {}
@@ -260,14 +260,14 @@
 
     fn send(&mut self, sending: Sending) {
         let (completion, seq) = (sending.completion, sending.seq);
-        let Some(ask) = self.asks.get(&completion).cloned() else { return };
+        let Some(request) = self.requests.get(&completion).cloned() else { return };
         let (sender, words) = mpsc::channel(2);
         self.words.insert((completion, seq), sender);
         debug!(completion = completion.0, seq = seq.0, worker = %sending.worker.0, stage = ?sending.stage, "dispatch");
-        let dispatch = Dispatch {
+        let dispatch = Attempt {
             address: self.dial(&sending.worker),
             sending,
-            ask,
+            request,
             fleet: self.fleet.clone(),
             words,
             pool: self.pool.clone(),
@@ -280,20 +280,20 @@
     }
 
     fn hold(&self, worker: WorkerId, completion: CompletionId, seq: Seq) {
-        let Some(ask) = self.asks.get(&completion).cloned() else { return };
+        let Some(request) = self.requests.get(&completion).cloned() else { return };
         let Some(address) = self.dial(&worker) else { return };
         let (pool, core) = (self.pool.clone(), self.own.clone());
         let within_ms = self.provision.settings.pin_limit_ms;
         tokio::task::spawn_local(async move {
             let status =
-                pool.call(address, "POST", &room(&ask.id), within_ms).await.map(|(head, _)| head.status);
+                pool.call(address, "POST", &room(&request.id), within_ms).await.map(|(head, _)| head.status);
             // What is not known may be held; a worker that can't be heard gives no answer.
             let held = match status {
                 Ok(200 | 204) => true,
                 Ok(409) => false,
                 _ => return,
             };
-            let _ = core.send(Told::HoldAnswered { completion, seq, worker, ask, held }).await;
+            let _ = core.send(CoreEvent::HoldAnswered { completion, seq, worker, request, held }).await;
         });
     }
 
@@ -312,7 +312,7 @@
             let load = answer.and_then(|(head, body)| {
                 head.load.or_else(|| std::str::from_utf8(&body).ok().and_then(report::parse))
             });
-            let _ = core.send(Told::Probed { worker, load, answered, took_ms }).await;
+            let _ = core.send(CoreEvent::Probed { worker, load, answered, took_ms }).await;
         });
     }
 }
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -15,14 +15,12 @@
 use tracing::{info, warn};
 
 use crate::limits::ASK_AGAIN_MS;
+use crate::messages::{CoreEvent, CoreSender};
 use crate::pool::{read_body, read_head};
 use crate::progress::{Progress, Worth};
-use crate::words::{ToCore, Told};
 
-/// What the decisions want of discovery.
-pub enum Ask {
-    Whole,
-}
+/// The decisions want the whole list, now.
+pub struct Refetch;
 
 /// Where discovery is, and the settings by which its lists are read.
 #[derive(Clone)]
@@ -60,8 +58,8 @@
 /// Never returns while the core lives.
 pub async fn follow(
     mut sources: watch::Receiver<Source>,
-    core: ToCore,
-    mut asked: mpsc::Receiver<Ask>,
+    core: CoreSender,
+    mut asked: mpsc::Receiver<Refetch>,
     first: oneshot::Sender<()>,
 ) {
     let mut first = Some(first);
@@ -98,7 +96,7 @@
                 stream = None;
                 continue;
             }
-            Some(Ask::Whole) = asked.recv() => {
+            Some(Refetch) = asked.recv() => {
                 progress.begin_anew();
                 stream = None;
                 continue;
@@ -124,7 +122,7 @@
                 }
                 let worth = progress.take(&list);
                 match worth {
-                    Worth::News if core.send(Told::Listed(list)).await.is_err() => return,
+                    Worth::News if core.send(CoreEvent::Listed(list)).await.is_err() => return,
                     Worth::News => {}
                     // One that answers a watch at once, with nothing, is not asked in a loop.
                     Worth::Nothing => sleep(duration(PACE_MS)).await,
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/frontend.rs
@@ -14,7 +14,7 @@
 
 use crate::clients::serve;
 use crate::limits::Shares;
-use crate::words::ToCore;
+use crate::messages::CoreSender;
 
 /// After a connect that could not be taken, in ms.
 const ACCEPT_AGAIN_MS: f64 = 5.0;
@@ -23,17 +23,17 @@
 
 /// Where a router is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Life {
+pub enum Lifecycle {
     Starting,
     Ready,
     /// Told to stop, and no connections come any more: each closes after its answer, and at once where it rests.
-    Closing,
+    Draining,
     /// All that was open has its final answer: what still comes is refused.
     Refusing,
 }
 
 /// Returns once the router has come so far in its life.
-pub async fn reached(life: &mut watch::Receiver<Life>, stage: Life) {
+pub async fn reached(life: &mut watch::Receiver<Lifecycle>, stage: Lifecycle) {
     if life.wait_for(|life| *life >= stage).await.is_err() {
         std::future::pending::<()>().await;
     }
@@ -41,27 +41,27 @@
 
 /// What a connection is doing, in the order in which descriptors that run short are taken back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Doing {
+pub enum Activity {
     /// No whole request has ever come on it, or it is about to close.
-    Nothing,
+    NoRequest,
     /// Between two requests.
-    Resting,
+    Idle,
     Busy,
 }
 
 struct Row {
-    doing: Doing,
+    activity: Activity,
     since: Instant,
     close: Rc<Notify>,
 }
 
 /// What all connections of clients share.
-pub struct Gate {
+pub struct Frontend {
     pub clock: Clock,
-    pub core: ToCore,
+    pub core: CoreSender,
     pub provision: RefCell<Rc<Provision>>,
     pub shares: Cell<Shares>,
-    pub life: watch::Receiver<Life>,
+    pub life: watch::Receiver<Lifecycle>,
     pub dropped: Dropped,
     pub next: Cell<u32>,
     next_row: Cell<u64>,
@@ -76,19 +76,19 @@
 
 /// An id that is open, for as long as its request is.
 pub struct OpenId {
-    gate: Rc<Gate>,
+    frontend: Rc<Frontend>,
     id: Rc<str>,
 }
 
 impl Drop for OpenId {
     fn drop(&mut self) {
-        self.gate.open_ids.borrow_mut().remove(&self.id);
+        self.frontend.open_ids.borrow_mut().remove(&self.id);
     }
 }
 
 /// A client's place among the connections.
-pub struct Place {
-    pub gate: Rc<Gate>,
+pub struct ConnectionSlot {
+    pub frontend: Rc<Frontend>,
     row: u64,
     /// Told when its descriptor is wanted elsewhere.
     pub close: Rc<Notify>,
@@ -96,40 +96,40 @@
     pub closing: Cell<bool>,
 }
 
-impl Place {
-    pub fn doing(&self, doing: Doing) {
-        if let Some(row) = self.gate.rows.borrow_mut().get_mut(&self.row) {
-            (row.doing, row.since) = (doing, Instant::now());
+impl ConnectionSlot {
+    pub fn set_activity(&self, activity: Activity) {
+        if let Some(row) = self.frontend.rows.borrow_mut().get_mut(&self.row) {
+            (row.activity, row.since) = (activity, Instant::now());
         }
     }
 
     /// Since when it has been doing this, if it is.
-    pub fn since(&self, doing: Doing) -> Option<Instant> {
-        self.gate.rows.borrow().get(&self.row).filter(|row| row.doing == doing).map(|row| row.since)
+    pub fn since(&self, activity: Activity) -> Option<Instant> {
+        self.frontend.rows.borrow().get(&self.row).filter(|row| row.activity == activity).map(|row| row.since)
     }
 
     /// Whether its descriptor is wanted elsewhere.
     pub fn given_up(&self) -> bool {
-        !self.gate.rows.borrow().contains_key(&self.row)
+        !self.frontend.rows.borrow().contains_key(&self.row)
     }
 }
 
-impl Drop for Place {
+impl Drop for ConnectionSlot {
     fn drop(&mut self) {
-        self.gate.rows.borrow_mut().remove(&self.row);
-        self.gate.standing.set(self.gate.standing.get() - 1);
+        self.frontend.rows.borrow_mut().remove(&self.row);
+        self.frontend.standing.set(self.frontend.standing.get() - 1);
     }
 }
 
-impl Gate {
+impl Frontend {
     pub fn new(
         clock: Clock,
-        core: ToCore,
+        core: CoreSender,
         provision: Rc<Provision>,
         shares: Shares,
-        life: watch::Receiver<Life>,
+        life: watch::Receiver<Lifecycle>,
     ) -> Self {
-        Gate {
+        Frontend {
             clock,
             core,
             provision: RefCell::new(provision),
@@ -147,14 +147,14 @@
         }
     }
 
-    pub fn life(&self) -> Life {
+    pub fn life(&self) -> Lifecycle {
         *self.life.borrow()
     }
 
     /// Opens an id; none where a request of that id is open.
     pub fn open_id(self: &Rc<Self>, id: &Rc<str>) -> Option<OpenId> {
         let new = self.open_ids.borrow_mut().insert(id.clone());
-        new.then(|| OpenId { gate: self.clone(), id: id.clone() })
+        new.then(|| OpenId { frontend: self.clone(), id: id.clone() })
     }
 
     /// Takes connections until the router closes.
@@ -163,7 +163,7 @@
         loop {
             let accepted = tokio::select! {
                 biased;
-                () = reached(&mut life, Life::Closing) => break,
+                () = reached(&mut life, Lifecycle::Draining) => break,
                 accepted = listener.accept() => accepted,
             };
             match accepted {
@@ -205,19 +205,19 @@
         }
     }
 
-    fn place(self: &Rc<Self>) -> Place {
+    fn place(self: &Rc<Self>) -> ConnectionSlot {
         let (row, close) = (self.next_row.get(), Rc::new(Notify::new()));
         self.next_row.set(row + 1);
         self.standing.set(self.standing.get() + 1);
-        let entry = Row { doing: Doing::Nothing, since: Instant::now(), close: close.clone() };
+        let entry = Row { activity: Activity::NoRequest, since: Instant::now(), close: close.clone() };
         self.rows.borrow_mut().insert(row, entry);
-        Place { gate: self.clone(), row, close, closing: Cell::new(false) }
+        ConnectionSlot { frontend: self.clone(), row, close, closing: Cell::new(false) }
     }
 
     fn give_up_one(&self) -> bool {
         let mut rows = self.rows.borrow_mut();
-        let waiting = rows.iter().filter(|(_, row)| row.doing != Doing::Busy);
-        let least = waiting.min_by_key(|(_, row)| (row.doing, row.since)).map(|(id, _)| *id);
+        let waiting = rows.iter().filter(|(_, row)| row.activity != Activity::Busy);
+        let least = waiting.min_by_key(|(_, row)| (row.activity, row.since)).map(|(id, _)| *id);
         let Some(row) = least.and_then(|least| rows.remove(&least)) else { return false };
         row.close.notify_one();
         self.given_up.set(self.given_up.get() + 1);
--- a/crates/gateway/src/gate/tests.rs
+++ b/crates/gateway/src/frontend/tests.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 
 use super::*;
-use crate::words::{Reply, Told};
+use crate::messages::{CoreEvent, Reply};
 
 const SETTINGS: &str = r#"{
     "balancers": 1, "slot_no": 0, "my_zone": "a", "localities": ["a"], "machine_types": ["combined"],
@@ -23,10 +23,10 @@
     "invariants": { "cold_s": 12.0, "cold_share": 0.3, "fall_multiple": 2.5, "fall_s": 2.0 },
     "resolution_s": 0.002 }"#;
 
-/// A gate whose core refuses every request with a time to come back, once it is let.
+/// A frontend whose core refuses every request with a time to come back, once it is let.
 struct Scene {
-    gate: Rc<Gate>,
-    life: watch::Sender<Life>,
+    frontend: Rc<Frontend>,
+    life: watch::Sender<Lifecycle>,
     address: SocketAddr,
     /// Requests that reached the core.
     arrived: Rc<Cell<usize>>,
@@ -39,23 +39,23 @@
         let provision = Rc::new(paddleproxy_platform::settings::parse(SETTINGS).unwrap());
         let shares = Shares::of(&Limits { cores: 1.0, memory_mb: 64.0, sockets });
         let (core, mut told) = mpsc::channel(64);
-        let (life, lives) = watch::channel(Life::Ready);
+        let (life, lives) = watch::channel(Lifecycle::Ready);
         let (answers, mut answering) = watch::channel(true);
         let arrived = Rc::new(Cell::new(0));
         let count = arrived.clone();
         tokio::task::spawn_local(async move {
             while let Some(next) = told.recv().await {
-                let Told::Arrived { duty, .. } = next else { continue };
+                let CoreEvent::Arrived { duty, .. } = next else { continue };
                 count.set(count.get() + 1);
                 let _ = answering.wait_for(|answers| *answers).await;
                 duty.give(Reply::RateLimited { retry_after_ms: 100.0 });
             }
         });
-        let gate = Rc::new(Gate::new(Clock::start(), core, provision, shares, lives));
+        let frontend = Rc::new(Frontend::new(Clock::start(), core, provision, shares, lives));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        tokio::task::spawn_local(gate.clone().listen(listener));
-        Scene { gate, life, address, arrived, answers }
+        tokio::task::spawn_local(frontend.clone().listen(listener));
+        Scene { frontend, life, address, arrived, answers }
     }
 
     /// Until every task has come to rest.
@@ -136,7 +136,7 @@
         for (number, mut client) in clients.iter().enumerate() {
             client.write_all(request(&format!("late-{number}")).as_bytes()).unwrap();
         }
-        scene.life.send_replace(Life::Closing);
+        scene.life.send_replace(Lifecycle::Draining);
         for client in &clients {
             let answer = scene.rest(client).await;
             assert!(answer.starts_with("HTTP/1.1 429 ") && answer.contains("Connection: close"), "{answer}");
@@ -153,11 +153,11 @@
             let scene = Scene::start(256).await;
             let mut client = scene.resting().await;
             if closes_first {
-                scene.life.send_replace(Life::Closing);
+                scene.life.send_replace(Lifecycle::Draining);
             }
             client.write_all(request("crossing").as_bytes()).unwrap();
             if !closes_first {
-                scene.life.send_replace(Life::Closing);
+                scene.life.send_replace(Lifecycle::Draining);
             }
             let answer = scene.rest(&client).await;
             assert!(answer.starts_with("HTTP/1.1 429 "), "{closes_first}: {answer}");
@@ -173,7 +173,7 @@
     local(async {
         let scene = Scene::start(256).await;
         let mut client = scene.resting().await;
-        scene.life.send_replace(Life::Closing);
+        scene.life.send_replace(Lifecycle::Draining);
         assert_eq!(scene.rest(&client).await, "");
         client.write_all(request("too-late").as_bytes()).unwrap();
         assert_eq!(scene.rest(&client).await, "", "no reset");
@@ -189,7 +189,7 @@
         let scene = Scene::start(64).await;
         let mut client = scene.resting().await;
         client.write_all(request("crossing").as_bytes()).unwrap();
-        assert!(scene.gate.give_up_one());
+        assert!(scene.frontend.give_up_one());
         let answer = scene.rest(&client).await;
         assert!(answer.starts_with("HTTP/1.1 429 ") && answer.contains("Connection: close"), "{answer}");
     });
@@ -207,7 +207,7 @@
         while scene.arrived.get() == 0 {
             scene.settle().await;
         }
-        scene.life.send_replace(Life::Closing);
+        scene.life.send_replace(Lifecycle::Draining);
         scene.answers.send_replace(true);
         let answers = scene.rest(&client).await;
         assert_eq!(answers.matches("HTTP/1.1 429 ").count(), 3, "{answers}");
@@ -225,9 +225,9 @@
         let text = request("half");
         half.write_all(&text.as_bytes()[..60]).unwrap();
         scene.settle().await;
-        scene.life.send_replace(Life::Closing);
+        scene.life.send_replace(Lifecycle::Draining);
         scene.settle().await;
-        scene.life.send_replace(Life::Refusing);
+        scene.life.send_replace(Lifecycle::Refusing);
         half.write_all(&text.as_bytes()[60..]).unwrap();
         let answer = scene.rest(&half).await;
         assert!(answer.starts_with("HTTP/1.1 503 ") && answer.contains("Connection: close"), "{answer}");
@@ -248,10 +248,10 @@
         while scene.arrived.get() == 0 {
             scene.settle().await;
         }
-        assert_eq!(scene.gate.standing.get(), 1);
+        assert_eq!(scene.frontend.standing.get(), 1);
         client.shutdown(Shutdown::Both).unwrap();
         let left = async {
-            while scene.gate.standing.get() > 0 {
+            while scene.frontend.standing.get() > 0 {
                 sleep(Duration::from_millis(1)).await;
             }
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,18 +2,18 @@
 //! `paddleproxy serve`. One current-thread runtime, tasks on a `LocalSet`, bounded channels, no locks. Decides
 //! nothing: `paddleproxy` does. `docs/design/platform.md` says why it is as it is.
 
+mod attempt;
 mod clients;
 mod core;
 mod discovery;
-mod dispatch;
-mod gate;
+mod frontend;
 mod inbound;
 mod limits;
+mod messages;
 mod pool;
 mod progress;
-mod release;
+mod servers;
 mod sockets;
-mod words;
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -31,10 +31,10 @@
 
 use crate::core::Core;
 use crate::discovery::Source;
-use crate::gate::{Gate, Life};
+use crate::frontend::{Frontend, Lifecycle};
 use crate::limits::{last_answers_ms, Shares, CORE_QUEUE, LAST_CALL_MS};
+use crate::messages::CoreEvent;
 use crate::pool::Pool;
-use crate::words::Told;
 
 /// How often idle connections are looked through, in ms.
 const SWEEP_MS: f64 = 1000.0;
@@ -108,11 +108,11 @@
     let list_bytes = shares.list_bytes;
     let source = Source { address: discovery, provision: provision.clone(), list_bytes, zero_ms };
     let (sources, source_words) = watch::channel(source);
-    let (life, lives) = watch::channel(Life::Starting);
-    let gate = Rc::new(Gate::new(clock, core.clone(), provision, shares, lives));
+    let (life, lives) = watch::channel(Lifecycle::Starting);
+    let frontend = Rc::new(Frontend::new(clock, core.clone(), provision, shares, lives));
     let (first, heard) = oneshot::channel();
     tokio::task::spawn_local(discovery::follow(source_words, core.clone(), asked, first));
-    let accepting = tokio::task::spawn_local(gate.clone().listen(listener));
+    let accepting = tokio::task::spawn_local(frontend.clone().listen(listener));
     let swept = pool.clone();
     tokio::task::spawn_local(async move {
         loop {
@@ -124,7 +124,7 @@
     let started = life.clone();
     tokio::task::spawn_local(async move {
         let _ = tokio::time::timeout(duration(connect_ms), heard).await;
-        started.send_if_modified(|life| std::mem::replace(life, Life::Ready) == Life::Starting);
+        started.send_if_modified(|life| std::mem::replace(life, Lifecycle::Ready) == Lifecycle::Starting);
     });
 
     ready(listen);
@@ -133,11 +133,11 @@
             Ok(config) => {
                 info!(discovery = %config.discovery, "configuration read again");
                 let shares = Shares::of(&config.limits);
-                gate.shares.set(shares);
+                frontend.shares.set(shares);
                 pool.change(shares.workers, config.provision.connect_ms, config.provision.idle_ms);
                 let provision = Rc::new(config.provision);
-                *gate.provision.borrow_mut() = provision.clone();
-                let _ = core.send(Told::Settings(provision.clone())).await;
+                *frontend.provision.borrow_mut() = provision.clone();
+                let _ = core.send(CoreEvent::Settings(provision.clone())).await;
                 let list_bytes = shares.list_bytes;
                 sources.send_replace(Source { address: config.discovery, provision, list_bytes, zero_ms });
             }
@@ -147,37 +147,37 @@
         }
     }
     let stopped = Instant::now();
-    let longest_ms = gate.provision.borrow().client_timeouts_ms.iter().copied().fold(0.0, f64::max);
+    let longest_ms = frontend.provision.borrow().client_timeouts_ms.iter().copied().fold(0.0, f64::max);
     let answers_ms = last_answers_ms(longest_ms);
-    info!(standing = gate.standing.get(), answers_ms, "stopping");
+    info!(standing = frontend.standing.get(), answers_ms, "stopping");
     // Guards against clients that have a connection here and nobody else to go to: those that rest stay as long as
     // new ones come. Harm: a request or two more meet a router that ends.
     sleep(duration(LAST_CALL_MS)).await;
-    life.send_replace(Life::Closing);
+    life.send_replace(Lifecycle::Draining);
     let _ = accepting.await;
     let mut answered = false;
     // Open means more than connections: what is held at workers is let go of before the end.
-    while gate.standing.get() + figures(&core).await.0 > 0 {
+    while frontend.standing.get() + figures(&core).await.0 > 0 {
         if !answered && stopped.elapsed() >= duration(answers_ms) {
             answered = true;
             // Before the word to the core: what comes from now on is refused, whatever came before gets its answer.
-            life.send_replace(Life::Refusing);
-            let _ = core.send(Told::LastAnswers).await;
+            life.send_replace(Lifecycle::Refusing);
+            let _ = core.send(CoreEvent::LastAnswers).await;
         }
         sleep(duration(LOOK_MS)).await;
     }
     info!(
         figures = figures(&core).await.1,
-        faults = ?gate.faults.borrow(),
-        given_up = gate.given_up.get(),
-        dropped = gate.dropped.get(),
+        faults = ?frontend.faults.borrow(),
+        given_up = frontend.given_up.get(),
+        dropped = frontend.dropped.get(),
         "stopped"
     );
     Ok(())
 }
 
-async fn figures(core: &crate::words::ToCore) -> (usize, String) {
+async fn figures(core: &crate::messages::CoreSender) -> (usize, String) {
     let (to, from) = oneshot::channel();
-    let _ = core.send(Told::Tell(to)).await;
+    let _ = core.send(CoreEvent::Tell(to)).await;
     from.await.unwrap_or_default()
 }
--- a/crates/gateway/src/words.rs
+++ b/crates/gateway/src/messages.rs
@@ -1,4 +1,4 @@
-//! The words between the tasks and the core: what the core is told, and what a client's connection and a dispatch are
+//! The messages between the tasks and the core: what the core is told, and what a client's connection and an attempt are
 //! handed. Tasks and core import these, not each other.
 
 use std::cell::Cell;
@@ -12,10 +12,10 @@
 use tokio::sync::{mpsc, oneshot, Notify};
 
 /// What the core is told.
-pub enum Told {
+pub enum CoreEvent {
     Arrived {
         arrival: Arrival,
-        ask: Rc<Ask>,
+        request: Rc<ClientRequest>,
         duty: Duty<Reply>,
     },
     Began {
@@ -27,7 +27,7 @@
         completion: CompletionId,
         seq: Seq,
         took_ms: f64,
-        end: End,
+        end: AttemptEnd,
     },
     Left {
         completion: CompletionId,
@@ -42,7 +42,7 @@
         completion: CompletionId,
         seq: Seq,
         worker: WorkerId,
-        ask: Rc<Ask>,
+        request: Rc<ClientRequest>,
         held: bool,
     },
     /// What discovery says.
@@ -54,28 +54,29 @@
     Tell(oneshot::Sender<(usize, String)>),
 }
 
-pub type ToCore = mpsc::Sender<Told>;
+/// Where tasks send what the core is to know.
+pub type CoreSender = mpsc::Sender<CoreEvent>;
 
 /// What a client asked for, as workers are given it: unchanged.
-pub struct Ask {
+pub struct ClientRequest {
     pub id: Rc<str>,
     pub method: String,
     pub target: String,
     pub idempotency_key: Option<String>,
     pub body: Bytes,
-    pub client: Rc<Presence>,
+    pub client: Rc<ClientPresence>,
     /// Gives the bytes back to the total when it ends.
-    pub _held: Held,
+    pub _held: BodyBytes,
 }
 
 /// Whether the client that asked is still there: said by its connection, asked by its attempts.
 #[derive(Default)]
-pub struct Presence {
+pub struct ClientPresence {
     gone: Cell<bool>,
     left: Notify,
 }
 
-impl Presence {
+impl ClientPresence {
     pub fn leave(&self) {
         self.gone.set(true);
         self.left.notify_waiters();
@@ -91,21 +92,21 @@
 }
 
 /// Bytes of open bodies.
-pub struct Held {
+pub struct BodyBytes {
     total: Rc<Cell<usize>>,
     bytes: usize,
 }
 
-impl Held {
+impl BodyBytes {
     /// None where the total would pass the bound.
-    pub fn take(total: &Rc<Cell<usize>>, bytes: usize, most: usize) -> Option<Held> {
+    pub fn take(total: &Rc<Cell<usize>>, bytes: usize, most: usize) -> Option<BodyBytes> {
         let sum = total.get().checked_add(bytes).filter(|sum| *sum <= most)?;
         total.set(sum);
-        Some(Held { total: total.clone(), bytes })
+        Some(BodyBytes { total: total.clone(), bytes })
     }
 }
 
-impl Held {
+impl BodyBytes {
     /// Gives back what turned out not to be needed.
     pub fn shrink(&mut self, bytes: usize) {
         let less = self.bytes.saturating_sub(bytes);
@@ -114,14 +115,14 @@
     }
 }
 
-impl Drop for Held {
+impl Drop for BodyBytes {
     fn drop(&mut self) {
         self.total.set(self.total.get() - self.bytes);
     }
 }
 
 /// A piece of a streamed answer for its client.
-pub enum Piece {
+pub enum StreamPart {
     Events(Bytes),
     /// The answer is whole. Without it the client's connection breaks off.
     End,
@@ -131,7 +132,7 @@
 pub enum Reply {
     RateLimited { retry_after_ms: f64 },
     Aborted,
-    Stream(mpsc::Receiver<Piece>),
+    Stream(mpsc::Receiver<StreamPart>),
 }
 
 impl Answers for Reply {
@@ -141,13 +142,13 @@
 }
 
 /// What the core tells a dispatch that is out.
-pub enum Word {
-    Grant(mpsc::Sender<Piece>),
+pub enum AttemptCommand {
+    Grant(mpsc::Sender<StreamPart>),
     Stop,
 }
 
 /// How it ended, with what it brought.
-pub struct End {
+pub struct AttemptEnd {
     pub end: SocketEnd,
     pub kept_tokens: f64,
     pub load: Option<LoadReport>,
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -35,7 +35,7 @@
         self.unreadable = true;
     }
 
-    /// The version from which the next call watches; none where it asks for the whole list.
+    /// The version from which the next call watches; none where it requests for the whole list.
     fn watched(&self) -> Option<u64> {
         self.version.filter(|_| !self.unreadable)
     }
--- a/crates/gateway/src/release.rs
+++ b/crates/gateway/src/servers.rs
@@ -18,15 +18,15 @@
 use crate::pool::Pool;
 
 /// The listed workers: where each is reached, and who answered of late.
-pub struct Fleet {
+pub struct ServerDirectory {
     dials: BTreeMap<WorkerId, Option<SocketAddr>>,
     draining: BTreeSet<WorkerId>,
     pub hearing: Hearing,
 }
 
-impl Fleet {
+impl ServerDirectory {
     pub fn new(own_zone: Option<ZoneId>) -> Self {
-        Fleet { dials: BTreeMap::new(), draining: BTreeSet::new(), hearing: Hearing::new(own_zone) }
+        ServerDirectory { dials: BTreeMap::new(), draining: BTreeSet::new(), hearing: Hearing::new(own_zone) }
     }
 
     /// Takes over where workers are; what is left of the list is for the decisions.
@@ -86,7 +86,7 @@
 /// What is being let go of.
 pub struct Releases {
     pool: Rc<Pool>,
-    fleet: Rc<RefCell<Fleet>>,
+    fleet: Rc<RefCell<ServerDirectory>>,
     clock: Clock,
     seed: u64,
     out: Cell<usize>,
@@ -95,7 +95,7 @@
 }
 
 impl Releases {
-    pub fn new(pool: Rc<Pool>, fleet: Rc<RefCell<Fleet>>, clock: Clock, seed: u64) -> Self {
+    pub fn new(pool: Rc<Pool>, fleet: Rc<RefCell<ServerDirectory>>, clock: Clock, seed: u64) -> Self {
         let (out, counts, unheard) = (Cell::new(0), Cell::default(), Unheard::default());
         Releases { pool, fleet, clock, seed, out, counts, unheard }
     }
