Long prompts keep the whole bound of servers that write, in place of readers' bounds

What turned the longest prompts of two cheap classes away were the servers that write, whose bound is 0.67 of itself for those classes (control.rs::strained with c.merit), while short prompts go home or are found kept. Change: the factor is at least 1 there for a prompt of over 1.5 times its class's mean at this router; readers' bounds are as they were.

--- a/src/control.rs
+++ b/src/control.rs
@@ -29,9 +29,8 @@
 /// Factor of a reader's bounds: the first for a prompt of which it keeps nothing, the sum for one it keeps.
 const EASE_COLD: f64 = 0.5;
 const EASE_KEPT: f64 = 1.5;
-/// A prompt of over so many times its workload's mean is long; the least factor of a reader's bounds for it.
+/// A prompt of over so many times its workload's mean is long.
 const LONG: f64 = 1.5;
-const EASE_LONG: f64 = 0.8;
 /// Distrust halves in this share of the time in which a cold worker warms, never grows past the second, the
 /// third part of it is left by a good answer, and beyond the fourth, one blame, it is held to be silent.
 const DISTRUST_HALVES: f64 = 0.33;
@@ -105,8 +104,9 @@
     workload: WorkloadSettings,
     target_ms: f64,
     /// Factor of all bounds: the root of its workload's value over the mean of the values. Guards against
-    /// strain that takes the same share of every workload. Harm: the cheapest is refused most. See EASE_LONG.
+    /// strain that takes the same share of every workload. Harm: the cheapest is refused most.
     merit: f64,
+    /// Its least where writing is: 1 for a long prompt, lest a cheap workload is left with its short ones.
     least: f64,
     dispatches: Vec<Dispatch>,
     avoid: Vec<WorkerId>,
@@ -290,7 +290,7 @@
             workload: workload.clone(),
             target_ms,
             merit: share.sqrt(),
-            least: if facts.prompt_tokens > LONG * usual_tokens { EASE_LONG } else { 0.0 },
+            least: if facts.prompt_tokens > LONG * usual_tokens { 1.0 } else { 0.0 },
             dispatches: Vec::new(),
             avoid: Vec::new(),
             state_at: None,
@@ -578,7 +578,7 @@
         // What finds little kept costs the readers most and is passed on or refused first, lest shared texts
         // are crowded out. Harm: under strain a text that no reader keeps waits longest.
         let share = |reader: &WorkerId| self.believed(c, reader) / c.facts.prompt_tokens.max(1.0);
-        let ease = |reader: &WorkerId| (c.merit * (EASE_COLD + EASE_KEPT * share(reader))).max(c.least);
+        let ease = |reader: &WorkerId| c.merit * (EASE_COLD + EASE_KEPT * share(reader));
         let free = |reader: &&WorkerId| !self.busy(c, &self.workers[*reader], ease(reader));
         let free: Vec<_> = all.iter().filter(free).collect();
         let writes = |reader: &&&WorkerId, fits| self.writer_near(c, reader, fits).is_some();
@@ -641,7 +641,7 @@
     fn strained(&self, c: &Completion, id: &WorkerId, crowded_fits: bool) -> bool {
         let Some(w) = self.workers.get(id) else { return true };
         let crowded = w.streams > self.median_streams() + 1.0;
-        crowded && !crowded_fits || self.busy(c, w, c.merit)
+        crowded && !crowded_fits || self.busy(c, w, c.merit.max(c.least))
     }
 
     /// By what it says and by our counts: ours now, and the mean of ours for each other router, since among
--- a/tests/largest.rs
+++ b/tests/largest.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use helpers::{facts, row, settings};
+use helpers::{facts, row, settings, worker};
 use paddleproxy::interface::*;
 use paddleproxy::Control;
 
@@ -146,12 +146,15 @@
     holds(0.9, 0.5);
 }
 
-/// Of two prompts of the same length the one that is long for its class is read at a reader that is past the bound for the
-/// other.
+/// Of two prompts of the same length the one that is long for its class is written by a server that is past the bound for
+/// the other.
 #[test]
-fn a_prompt_that_is_long_for_its_class_keeps_most_of_a_reader_s_bound() {
+fn a_prompt_that_is_long_for_its_class_keeps_the_whole_bound_of_who_writes() {
     let goes = |usual_tokens: f64| {
-        let mut control = Control::new(Settings { routers: 1, ..settings() }, 7);
+        let class = |value| WorkloadSettings { value, ..settings().workloads[0].clone() };
+        // A factor of 0.71 for the first class.
+        let workloads = vec![class(1.0), class(3.0)];
+        let mut control = Control::new(Settings { routers: 1, workloads, ..settings() }, 7);
         let rows: Vec<_> = ["r0a", "w0a"].map(row).into();
         let mut told = |now_ms: f64, event: Event| {
             let mut actions = Vec::new();
@@ -173,9 +176,10 @@
             told(11.0, ended(id, 0, Outcome::Read));
             told(12.0, ended(id, 1, Outcome::Finished));
         }
-        // Waits at the reader: 0.65 of its bound, a sixteenth of its memory.
-        told(13.0, arrived(100, 6500.0));
-        let actions = told(14.0, arrived(101, 5000.0));
+        // It holds 0.64 of its memory: 0.85 of what makes a server that writes full.
+        let load = LoadReport { memory_share: Some(0.64), ..LoadReport::default() };
+        told(13.0, Event::Reported { worker: worker("w0a"), load });
+        let actions = told(13.0, arrived(101, 5000.0));
         actions.iter().any(|action| matches!(action, Action::Dispatch { .. }))
     };
     assert_eq!((goes(2500.0), goes(5000.0)), (true, false));
