--- a/crates/gateway/tests/life.rs
+++ b/crates/gateway/tests/life.rs
@@ -57,6 +57,24 @@
     });
 }
 
+/// A restarted router whose discovery takes connections and says nothing, or takes none, serves by the list that it is given.
+#[test]
+fn a_router_is_ready_in_time_while_discovery_is_silent_or_gone() {
+    for silent in [true, false] {
+        local(async {
+            let worker = Worker::start("w-1", "combined", |_, _| served()).await;
+            let discovery = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            let address = discovery.local_addr().unwrap().to_string();
+            let _open = silent.then_some(discovery);
+            let began = Instant::now();
+            let platform =
+                Platform::with(&[&worker], |config| config["discovery"] = address.clone().into()).await;
+            assert!(began.elapsed() < ms(10_000), "{:?}", began.elapsed());
+            assert!(body(&platform.ask("a1").await).1, "silent: {silent}");
+        });
+    }
+}
+
 #[test]
 fn watches_follow_each_other_without_a_gap() {
     local(async {
