The idempotency key's line ends in CR LF

Found by reading the change once more. Change: CR LF, and the test asks for the line byte by byte; comments of the file say attempt. Measured: every_attempt_carries_the_clients_idempotency_key fails with the bare line feed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,4 +1,4 @@
-//! One dispatch: a task that sends a completion to a worker and tells the core how it ended.
+//! One attempt: a task that sends a request to a server and tells the core how it ended.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -45,7 +45,7 @@
         };
         let took_ms = sent.elapsed().as_secs_f64() * 1e3;
         let end = AttemptEnd { end, kept_tokens: self.kept_tokens, load: self.load };
-        // The core outlives its dispatches; if it does not, nobody is left to be told.
+        // The core outlives its attempts; if it does not, nobody is left to be told.
         let _ = self.core.send(CoreEvent::Ended { completion, seq, took_ms, end }).await;
         if let Some((mut connection, framing)) = rest {
             let read = timeout(duration(DRAIN_MS), connection.body(framing)).await;
@@ -219,15 +219,10 @@
     mpsc::channel(PIECES)
 }
 
-/// The head of a dispatch; `left_ms` is how long we shall still wait.
+/// The head of an attempt; `left_ms` is how long we shall still wait.
 fn head(request: &ClientRequest, left_ms: f64) -> String {
     let ClientRequest { id, method, target, idempotency_key, body, .. } = request;
-    let key = idempotency_key.as_ref().map_or(String::new(), |key| {
-        format!(
-            "Idempotency-Key: {key}
-"
-        )
-    });
+    let key = idempotency_key.as_ref().map_or(String::new(), |key| format!("Idempotency-Key: {key}\r\n"));
     let wait_s = left_ms / 1e3;
     format!(
         "{method} {target} HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {id}\r\nReq-Deadline: {wait_s:.3}\r\n{key}\
--- a/crates/gateway/tests/workers.rs
+++ b/crates/gateway/tests/workers.rs
@@ -70,6 +70,11 @@
         for seen in asked {
             let fields: Vec<_> = seen.head.lines().filter(|line| line.starts_with("Idempotency")).collect();
             assert_eq!(fields, [key.trim_end()], "{}", seen.head);
+            assert!(
+                seen.head.contains(&format!("\r\n{key}")),
+                "its line ends as every other does: {:?}",
+                seen.head
+            );
         }
         // A class without keys is sent none.
         assert!(body(&platform.ask("a2").await).1);
