A short read or write is taken at its word: only EAGAIN makes a task wait

Cause: seen in the soak and in short_reads_and_writes_lose_nothing: streams that their servers wrote whole were cut, requests hung. The runtime's poll_read and poll_write take a count below what was asked for as a sign that the socket is empty or full, clear its readiness and wait for an edge; the call came back short for another reason, and the edge never comes. Checked: reads of the gateway (try_read_buf after readable) are sound, its writes (write_all in clients.rs, pool.rs, discovery.rs) and every hyper connection of serve (engines.rs, front.rs, admin.rs) and calls of peers were not. EINTR on a read or write ended a connection too.

Change: crates/sockets, whose Stream waits on EAGAIN alone and tries EINTR again; it can't be borrowed as the runtime's own stream, so that write_all can't go round it. Also in the soak: a deaf server lets no connection come up, a server that dies ends its attempts, one restart of a router at a time, slow start judged by kind.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -8,8 +8,8 @@
 use paddleproxy_platform::{request, Chunks, BODY_BYTES};
 use paddleproxy_router::clock::duration;
 use paddleproxy_router::duty::Duty;
+use paddleproxy_sockets::Stream;
 use tokio::io::{AsyncWriteExt, Interest};
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
@@ -17,7 +17,6 @@
 use crate::inbound::Inbound;
 use crate::limits::{AHEAD_BYTES, CLIENT_IDLE, LINGER_MS, REQUEST_MS, SLOW_CLIENT_MS};
 use crate::messages::{BodyBytes, ClientPresence, ClientRequest, CoreEvent, Reply, StreamPart};
-use crate::sockets::{bytes_wait, read};
 
 /// Why a connection ends.
 enum ConnectionOver {
@@ -35,7 +34,7 @@
 const STOPS: Fault = Fault::new(503, "the router stops");
 
 /// Serves one connection until it closes.
-pub async fn serve(slot: ConnectionSlot, mut stream: TcpStream) {
+pub async fn serve(slot: ConnectionSlot, mut stream: Stream) {
     let mut inbound = Inbound::new(slot.frontend.clock);
     loop {
         match slot.serve_request(&mut stream, &mut inbound).await {
@@ -53,7 +52,7 @@
     let _ = stream.shutdown().await;
     let linger = async {
         let mut rest = BytesMut::new();
-        while read(&stream, &mut rest).await.is_ok_and(|read| read > 0) {
+        while stream.read_some(&mut rest).await.is_ok_and(|read| read > 0) {
             rest.clear();
         }
     };
@@ -65,11 +64,7 @@
 
 impl ConnectionSlot {
     /// One request and its answer.
-    async fn serve_request(
-        &self,
-        stream: &mut TcpStream,
-        inbound: &mut Inbound,
-    ) -> Result<(), ConnectionOver> {
+    async fn serve_request(&self, stream: &mut Stream, inbound: &mut Inbound) -> Result<(), ConnectionOver> {
         let first = self.since(Activity::NoRequest);
         self.wait_for_request(stream, inbound, first).await?;
         let by = first.unwrap_or_else(Instant::now) + duration(REQUEST_MS);
@@ -115,9 +110,9 @@
 
     /// Whether the connection closes after an answer. What has come on it already is answered first: a request that
     /// was read must not go without an answer. Once that is said it stays so.
-    fn closes(&self, stream: &TcpStream, inbound: &Inbound) -> bool {
+    fn closes(&self, stream: &Stream, inbound: &Inbound) -> bool {
         let wanted = self.frontend.life() >= Lifecycle::Draining || self.given_up();
-        let closes = self.closing.get() || wanted && inbound.is_empty() && !bytes_wait(stream);
+        let closes = self.closing.get() || wanted && inbound.is_empty() && !stream.bytes_wait();
         self.closing.set(closes);
         closes
     }
@@ -125,7 +120,7 @@
     /// Waits for the first byte of a request.
     async fn wait_for_request(
         &self,
-        stream: &mut TcpStream,
+        stream: &mut Stream,
         inbound: &mut Inbound,
         first: Option<Instant>,
     ) -> Result<(), ConnectionOver> {
@@ -148,7 +143,7 @@
             () = reached(&mut life, stage) => ConnectionOver::Close,
         };
         // A request that has come in this very moment is answered rather than closed upon.
-        if bytes_wait(stream) {
+        if stream.bytes_wait() {
             return Ok(());
         }
         Err(over)
@@ -157,7 +152,7 @@
     /// Reads one whole request.
     async fn read_request(
         &self,
-        stream: &mut TcpStream,
+        stream: &mut Stream,
         inbound: &mut Inbound,
     ) -> Result<Result<(RequestHead, Bytes, BodyBytes), Fault>, ConnectionOver> {
         let head = loop {
@@ -213,7 +208,7 @@
 
     async fn answer_request(
         &self,
-        stream: &mut TcpStream,
+        stream: &mut Stream,
         inbound: &mut Inbound,
         head: RequestHead,
         body: Bytes,
@@ -294,7 +289,7 @@
 
     async fn stream(
         &self,
-        stream: &mut TcpStream,
+        stream: &mut Stream,
         inbound: &mut Inbound,
         mut pieces: mpsc::Receiver<StreamPart>,
     ) -> Result<(), ConnectionOver> {
@@ -323,14 +318,14 @@
         }
     }
 
-    async fn refuse(&self, stream: &mut TcpStream, fault: Fault, close: bool) -> Result<(), ConnectionOver> {
+    async fn refuse(&self, stream: &mut Stream, fault: Fault, close: bool) -> Result<(), ConnectionOver> {
         *self.frontend.faults.borrow_mut().entry(fault.status).or_default() += 1;
         self.answer(stream, fault.status, "Refused", "", &error(fault.why), close).await
     }
 
     async fn answer(
         &self,
-        stream: &mut TcpStream,
+        stream: &mut Stream,
         status: u16,
         reason: &str,
         fields: &str,
@@ -345,7 +340,7 @@
         self.write(stream, answer.as_bytes()).await
     }
 
-    async fn write(&self, stream: &mut TcpStream, bytes: &[u8]) -> Result<(), ConnectionOver> {
+    async fn write(&self, stream: &mut Stream, bytes: &[u8]) -> Result<(), ConnectionOver> {
         match timeout(duration(SLOW_CLIENT_MS), stream.write_all(bytes)).await {
             Ok(Ok(())) => Ok(()),
             _ => Err(ConnectionOver::Left),
@@ -355,7 +350,7 @@
 
 /// Returns when the client has closed. What it sends ahead is kept up to a bound and past that not read, but the end of
 /// its connection shows all the same.
-async fn client_closed(stream: &TcpStream, inbound: &mut Inbound) {
+async fn client_closed(stream: &Stream, inbound: &mut Inbound) {
     while inbound.len() < AHEAD_BYTES {
         if !inbound.read(stream).await.is_ok_and(|more| more > 0) {
             return;
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -8,8 +8,8 @@
 use paddleproxy_platform::{List, Provision};
 use paddleproxy_router::clock::duration;
 use paddleproxy_routing::SocketEnd;
+use paddleproxy_sockets::{connect, Stream};
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, timeout};
 use tracing::{info, warn};
@@ -35,7 +35,7 @@
 
 /// One call's answer on a connection that stays open.
 async fn call(
-    stream: &mut TcpStream,
+    stream: &mut Stream,
     address: SocketAddr,
     path: &str,
     most: usize,
@@ -64,7 +64,7 @@
 ) {
     let mut first = Some(first);
     let mut progress = Progress::default();
-    let mut stream: Option<TcpStream> = None;
+    let mut stream: Option<Stream> = None;
     let mut failing = false;
     loop {
         let source = sources.borrow_and_update().clone();
@@ -74,11 +74,7 @@
         let exchange = async {
             let mut open = match stream.take() {
                 Some(open) => open,
-                None => {
-                    let open = TcpStream::connect(address).await.map_err(|cause| cause.to_string())?;
-                    let _ = open.set_nodelay(true);
-                    open
-                }
+                None => connect(address).await.map_err(|cause| cause.to_string())?,
             };
             let answer = call(&mut open, address, &path, source.list_bytes).await?;
             Ok::<_, String>((answer, open))
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -201,7 +201,7 @@
         let _ = stream.set_nodelay(true);
         // The one that says least gives way to the one that has just come.
         if self.standing.get() < self.shares.get().clients || self.give_up_one() {
-            tokio::task::spawn_local(serve(self.place(), stream));
+            tokio::task::spawn_local(serve(self.place(), stream.into()));
         }
     }
 
--- a/crates/gateway/src/inbound.rs
+++ b/crates/gateway/src/inbound.rs
@@ -7,9 +7,7 @@
 
 use bytes::BytesMut;
 use paddleproxy_router::clock::Clock;
-use tokio::net::TcpStream;
-
-use crate::sockets::read;
+use paddleproxy_sockets::Stream;
 
 /// Reads within so many ms count as one, at the time of the first.
 const SAME_TIME_MS: f64 = 20.0;
@@ -40,8 +38,8 @@
     ///
     /// # Errors
     /// The connection broke.
-    pub async fn read(&mut self, stream: &TcpStream) -> Result<usize> {
-        let count = read(stream, &mut self.bytes).await?;
+    pub async fn read(&mut self, stream: &Stream) -> Result<usize> {
+        let count = stream.read_some(&mut self.bytes).await?;
         self.received += count as u64;
         self.came(self.clock.now_ms());
         Ok(count)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,7 +13,6 @@
 mod pool;
 mod progress;
 mod servers;
-mod sockets;
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -23,7 +22,7 @@
 use paddleproxy::interface::ListKind;
 use paddleproxy_platform::Config;
 use paddleproxy_router::clock::{duration, wall_ms, Clock};
-use tokio::net::TcpListener;
+use paddleproxy_sockets::bind;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, Instant};
@@ -93,7 +92,7 @@
     let zero_ms = wall_ms() - clock.now_ms();
     let Config { name, listen, discovery, seed, limits, known, provision } = read(path, zero_ms)?;
     let shares = Shares::of(&limits);
-    let listener = TcpListener::bind(listen).await.with_context(|| format!("listening on {listen}"))?;
+    let listener = bind(listen).await.with_context(|| format!("listening on {listen}"))?;
     let listen = listener.local_addr()?;
     info!(name, %listen, %discovery, ?limits, ?shares, known = known.rows.len(), "starting");
 
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -11,15 +11,14 @@
 use paddleproxy_platform::{Chunks, BODY_BYTES};
 use paddleproxy_router::clock::duration;
 use paddleproxy_routing::SocketEnd;
+use paddleproxy_sockets::{Shortage, Stream};
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::time::{timeout, Instant};
 
 use crate::limits::{REST_MS, WORKER_IDLE};
-use crate::sockets::{is_quiet, read};
 
 struct Idle {
-    stream: TcpStream,
+    stream: Stream,
     since: Instant,
     slot: Slot,
 }
@@ -47,7 +46,7 @@
 
 /// A connection in use; dropped, it closes.
 pub struct Connection {
-    stream: TcpStream,
+    stream: Stream,
     pub address: SocketAddr,
     /// How long it had rested, in ms, if it has carried a request before.
     pub rested_ms: Option<f64>,
@@ -75,7 +74,7 @@
     /// # Errors
     /// The connection broke.
     pub async fn read(&mut self) -> Result<bool, ()> {
-        read(&self.stream, &mut self.bytes).await.map(|read| read > 0).map_err(|_| ())
+        self.stream.read_some(&mut self.bytes).await.map(|read| read > 0).map_err(|_| ())
     }
 
     async fn head(&mut self) -> Result<AnswerHead, SocketEnd> {
@@ -95,14 +94,14 @@
 ///
 /// # Errors
 /// How the socket ended.
-pub async fn read_head(stream: &TcpStream, bytes: &mut BytesMut) -> Result<AnswerHead, SocketEnd> {
+pub async fn read_head(stream: &Stream, bytes: &mut BytesMut) -> Result<AnswerHead, SocketEnd> {
     loop {
         match head::answer(bytes) {
             Ok(Some(head)) => return Ok(head),
             Ok(None) => {}
             Err(why) => return Err(SocketEnd::Nonsense(why.into())),
         }
-        if !read(stream, bytes).await.is_ok_and(|read| read > 0) {
+        if !stream.read_some(bytes).await.is_ok_and(|read| read > 0) {
             return Err(SocketEnd::BrokeBeforeAnswer);
         }
     }
@@ -113,7 +112,7 @@
 /// # Errors
 /// How the socket ended.
 pub async fn read_body(
-    stream: &TcpStream,
+    stream: &Stream,
     bytes: &mut BytesMut,
     framing: Framing,
     most: usize,
@@ -135,7 +134,7 @@
         if bytes.len() + body.len() > most {
             return long();
         }
-        match read(stream, bytes).await {
+        match stream.read_some(bytes).await {
             Ok(0) if framing == Framing::Close => return Ok(bytes.split()),
             Ok(read) if read > 0 => {}
             _ => return Err(SocketEnd::BrokeWithinAnswer),
@@ -187,7 +186,7 @@
                 continue;
             }
             let idle = kept.remove(row);
-            if is_quiet(&idle.stream) && oldest.is_none_or(|oldest| idle.since >= oldest) {
+            if idle.stream.is_quiet() && oldest.is_none_or(|oldest| idle.since >= oldest) {
                 let Idle { stream, since, slot } = idle;
                 let rested_ms = Some(since.elapsed().as_secs_f64() * 1e3);
                 return Some(Connection { stream, address, rested_ms, bytes: BytesMut::new(), slot });
@@ -239,20 +238,31 @@
         self.held.set(self.held.get() + 1);
         let slot = Slot(self.held.clone());
         self.opened.set(self.opened.get() + 1);
-        match timeout(duration(self.connect_ms.get()), TcpStream::connect(address)).await {
+        match timeout(duration(self.connect_ms.get()), self.connected(address)).await {
             Err(_) => Err(SocketEnd::ConnectTimedOut),
             Ok(Ok(stream)) => {
-                let _ = stream.set_nodelay(true);
                 Ok(Connection { stream, address, rested_ms: None, bytes: BytesMut::new(), slot })
             }
             Ok(Err(cause)) => Err(match cause.kind() {
                 ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => SocketEnd::ConnectRefused,
                 ErrorKind::TimedOut => SocketEnd::ConnectTimedOut,
+                _ if Shortage::of(&cause).is_some() => SocketEnd::NoAddress,
                 _ => SocketEnd::Unreachable,
             }),
         }
     }
 
+    /// Connects; where the process has no descriptor left, what rests gives its own.
+    async fn connected(&self, address: SocketAddr) -> std::io::Result<Stream> {
+        loop {
+            match paddleproxy_sockets::connect(address).await {
+                Err(cause)
+                    if Shortage::of(&cause) == Some(Shortage::OwnDescriptors) && self.give_up_one() => {}
+                done => return done,
+            }
+        }
+    }
+
     /// Gives a connection back whose answer was read to its end; one that brought more than that closes.
     pub fn keep(&self, connection: Connection) {
         let Connection { stream, address, bytes, slot, .. } = connection;
@@ -283,7 +293,7 @@
         self.short.borrow_mut().retain(|_, (_, since)| since.elapsed() < lasts);
         let oldest = Instant::now().checked_sub(duration(self.idle_ms.get() * WORKER_IDLE));
         self.idle.borrow_mut().retain(|_, kept| {
-            kept.retain(|idle| is_quiet(&idle.stream) && oldest.is_none_or(|oldest| idle.since >= oldest));
+            kept.retain(|idle| idle.stream.is_quiet() && oldest.is_none_or(|oldest| idle.since >= oldest));
             !kept.is_empty()
         });
     }
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -11,6 +11,7 @@
 use paddleproxy_failover::words::FOR_MAX_MS;
 use paddleproxy_membership::Word as ListSays;
 use paddleproxy_routing::Reason;
+use paddleproxy_sockets::Stream;
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::sync::oneshot;
@@ -35,7 +36,7 @@
             let service = service_fn(move |request| answer(front.clone(), request));
             let mut builder = hyper::server::conn::http1::Builder::new();
             builder.timer(TokioTimer::new()).header_read_timeout(duration(2000.0));
-            let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+            let _ = builder.serve_connection(TokioIo::new(Stream::from(stream)), service).await;
         });
     }
 }
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -15,7 +15,7 @@
 use paddleproxy_engine::{Load, LOAD_HEADER};
 use paddleproxy_routing::{SocketEnd, Withdrawal};
 use paddleproxy_settings::router::EngineSettings;
-use tokio::net::TcpStream;
+use paddleproxy_sockets::Shortage;
 use tokio::time::{timeout, Instant};
 
 use crate::clock::duration;
@@ -76,7 +76,7 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Sender, SocketEnd> {
-        let made = timeout(duration(self.settings.connect_ms), TcpStream::connect(address)).await;
+        let made = timeout(duration(self.settings.connect_ms), paddleproxy_sockets::connect(address)).await;
         let stream = match made {
             Err(_) => return Err(SocketEnd::ConnectTimedOut),
             Ok(Ok(stream)) => stream,
@@ -84,11 +84,12 @@
                 return Err(match cause.kind() {
                     ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => SocketEnd::ConnectRefused,
                     ErrorKind::TimedOut => SocketEnd::ConnectTimedOut,
+                    // Nothing was wrong with the server.
+                    _ if Shortage::of(&cause).is_some() => SocketEnd::NoAddress,
                     _ => SocketEnd::Unreachable,
-                })
+                });
             }
         };
-        let _ = stream.set_nodelay(true);
         let shaken = http1::Builder::new().max_headers(64).handshake(TokioIo::new(stream)).await;
         let (sender, connection) = shaken.map_err(|_| SocketEnd::NeverWritten)?;
         tokio::task::spawn_local(async move {
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -19,6 +19,7 @@
 use paddleproxy_routing::facts::{Headers, KeyRule};
 use paddleproxy_routing::{Admission, Facts, Key, Place, Reason, Repeats, Requests, TurnedAway, Verdict};
 use paddleproxy_settings::router::FrontSettings;
+use paddleproxy_sockets::Stream;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -229,7 +230,7 @@
             .header_read_timeout(duration(self.settings.header_ms))
             .max_headers(64);
         // A client who takes nothing for too long is cut, whatever is being written to it.
-        let mut stream = TimeoutStream::new(stream);
+        let mut stream = TimeoutStream::new(Stream::from(stream));
         stream.set_write_timeout(Some(duration(self.settings.slow_client_ms)));
         let stream = TokioIo::new(Polite::new(Box::pin(stream)));
         let mut connection = std::pin::pin!(builder.serve_connection(stream, service));
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -78,7 +78,7 @@
     let dir = settings.state_dir.clone();
     std::fs::create_dir_all(&dir).with_context(|| format!("state directory {}", dir.display()))?;
     let bind = |address: SocketAddr| async move {
-        TcpListener::bind(address).await.with_context(|| format!("listening on {address}"))
+        paddleproxy_sockets::bind(address).await.with_context(|| format!("listening on {address}"))
     };
     let clients = bind(settings.listen).await?;
     let admin = match settings.admin {
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -13,9 +13,10 @@
 use paddleproxy_routing::Admission;
 use paddleproxy_settings::peers::PeerSettings;
 use paddleproxy_settings::router::RouterSettings;
+use paddleproxy_sockets::{bind as listen_on, Stream};
 use serde_json::{json, Value};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep_until, timeout, Instant};
 use tracing::{info, warn};
@@ -72,7 +73,7 @@
     let mut tries = 0;
     loop {
         tries += 1;
-        let calls = TcpListener::bind(settings.listen);
+        let calls = listen_on(settings.listen);
         let calls = calls.await.with_context(|| format!("fellows' calls on {}", settings.listen))?;
         let address = calls.local_addr()?;
         match UdpSocket::bind(address).await {
@@ -236,7 +237,7 @@
                     open.set(open.get() + 1);
                     let (open, inside, within) = (open.clone(), inside.clone(), duration(task.call_ms));
                     tokio::task::spawn_local(async move {
-                        let _ = timeout(within, answer(stream, inside)).await;
+                        let _ = timeout(within, answer(stream.into(), inside)).await;
                         open.set(open.get() - 1);
                     });
                 }
@@ -459,7 +460,7 @@
 }
 
 /// Takes a call: its letters to the machine, the answer back.
-async fn answer(mut stream: TcpStream, inside: mpsc::Sender<Inside>) -> Result<()> {
+async fn answer(mut stream: Stream, inside: mpsc::Sender<Inside>) -> Result<()> {
     let letters = read(&mut stream).await?;
     let (reply, answer) = oneshot::channel();
     inside.send(Inside::Called { letters, reply }).await.ok().context("the router stops")?;
@@ -470,13 +471,13 @@
     let socket = TcpSocket::new_v4()?;
     // From the address that fellows know, so that who watches a link knows whose it is.
     socket.bind(own)?;
-    let mut stream = socket.connect(to).await?;
+    let mut stream = Stream::from(socket.connect(to).await?);
     write(&mut stream, letters).await?;
     read(&mut stream).await
 }
 
 /// Letters on a stream: each after its length in four bytes, least first; a length of 0 ends them.
-async fn read(stream: &mut TcpStream) -> Result<Vec<Vec<u8>>> {
+async fn read(stream: &mut Stream) -> Result<Vec<Vec<u8>>> {
     let (mut letters, mut left) = (Vec::new(), CALL_BYTES);
     loop {
         let length = stream.read_u32_le().await? as usize;
@@ -494,7 +495,7 @@
     }
 }
 
-async fn write(stream: &mut TcpStream, letters: &[Vec<u8>]) -> Result<()> {
+async fn write(stream: &mut Stream, letters: &[Vec<u8>]) -> Result<()> {
     let mut bytes = Vec::new();
     for letter in letters {
         bytes.extend((letter.len() as u32).to_le_bytes());
--- a/crates/soak/src/configuration.rs
+++ b/crates/soak/src/configuration.rs
@@ -42,6 +42,23 @@
 /// Servers close what rests for so long, in s.
 pub const IDLE_S: f64 = 4.0;
 
+/// Zones by name.
+pub const ZONES: [&str; 2] = ["a", "b"];
+/// Kinds of the servers of each zone at the beginning.
+pub const KINDS: [&str; 5] = ["prefill", "decode", "combined", "combined", "combined"];
+/// Servers at the beginning; those that join later follow.
+pub const FIRST_SERVERS: usize = KINDS.len() * ZONES.len();
+
+/// The kind of a server by its row.
+pub fn kind_of(server: usize) -> &'static str {
+    let row = server % KINDS.len();
+    if server < FIRST_SERVERS {
+        KINDS[row]
+    } else {
+        "combined"
+    }
+}
+
 /// What the settings of a play allow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Allowed {
--- a/crates/soak/src/oracle/cold.rs
+++ b/crates/soak/src/oracle/cold.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::{Case, Rule, Violation};
-use crate::configuration::{COLD_MS, COLD_SHARE, FALL_MS, FALL_MULTIPLE};
+use crate::configuration::{kind_of, COLD_MS, COLD_SHARE, FALL_MS, FALL_MULTIPLE};
 use crate::record::{ServerId, Start};
 
 /// The part of the usual load's distribution that stands for what a warm server can do.
@@ -17,8 +17,8 @@
         arrivals.entry(attempt.server).or_default().push(attempt.whole_ms);
     }
     arrivals.values_mut().for_each(|times| times.sort_by(f64::total_cmp));
-    let usual = usual(case, &arrivals);
     for start in &case.seen.starts {
+        let usual = usual(case, &arrivals, kind_of(start.server));
         let times = arrivals.get(&start.server).map_or(&[][..], Vec::as_slice);
         let most = worst(start, times, usual);
         if let Some((at_ms, came, bound)) = most.filter(|(_, came, bound)| came > bound) {
@@ -31,15 +31,15 @@
     }
 }
 
-/// What a warm server gets in the time in which a cold one falls, at a busy moment.
-fn usual(case: &Case, arrivals: &BTreeMap<ServerId, Vec<f64>>) -> f64 {
+/// What a warm server of a kind gets in the time in which a cold one falls, at a busy moment.
+fn usual(case: &Case, arrivals: &BTreeMap<ServerId, Vec<f64>>, kind: &str) -> f64 {
     let cold = |server: ServerId, at_ms: f64| {
         let fresh =
             |start: &&Start| start.server == server && (0.0..COLD_MS).contains(&(at_ms - start.at_ms));
         case.seen.starts.iter().any(|start| fresh(&start))
     };
     let mut counts = Vec::new();
-    for (server, times) in arrivals {
+    for (server, times) in arrivals.iter().filter(|(server, _)| kind_of(**server) == kind) {
         let mut buckets = BTreeMap::<u64, f64>::new();
         times.iter().filter(|at_ms| !cold(*server, **at_ms)).for_each(|at_ms| {
             *buckets.entry((at_ms / FALL_MS) as u64).or_default() += 1.0;
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -11,7 +11,7 @@
 use tokio::time::{sleep, Instant};
 
 use crate::client::Clients;
-use crate::configuration::{configuration, Wanted, IDLE_S};
+use crate::configuration::{configuration, kind_of, Wanted, FIRST_SERVERS, IDLE_S, KINDS, ZONES};
 use crate::discovery::{Agent, Catalog, Entry};
 use crate::plan::Plan;
 use crate::process::Router;
@@ -19,10 +19,6 @@
 use crate::server::Server;
 use crate::troubles;
 
-/// Zones by name.
-pub const ZONES: [&str; 2] = ["a", "b"];
-/// Servers of each zone at the beginning.
-const KINDS: [&str; 5] = ["prefill", "decode", "combined", "combined", "combined"];
 /// Servers that may join.
 const JOINING: usize = 4;
 /// Clients for each router, and their mean pause between two requests, in ms.
@@ -68,7 +64,7 @@
 }
 
 fn zone_of(server: usize) -> usize {
-    if server < KINDS.len() * ZONES.len() {
+    if server < FIRST_SERVERS {
         server / KINDS.len()
     } else {
         server % ZONES.len()
@@ -82,9 +78,8 @@
         record.with(|seen| seen.lives = vec![Vec::new(); plan.routers]);
         let catalog = Catalog::new(record.clone());
         let mut servers = Vec::new();
-        for id in 0..KINDS.len() * ZONES.len() + JOINING {
-            let kind = KINDS.get(id % KINDS.len()).copied().filter(|_| id < KINDS.len() * ZONES.len());
-            servers.push(Server::start(record.clone(), id, kind.unwrap_or("combined"))?);
+        for id in 0..FIRST_SERVERS + JOINING {
+            servers.push(Server::start(record.clone(), id, kind_of(id))?);
         }
         let addresses: Vec<_> = (0..plan.routers).map(|row| own_address(plan.seed, row)).collect();
         let (mut agents, mut routers) = (Vec::new(), Vec::new());
@@ -104,7 +99,7 @@
             clients,
             ending: Cell::new(false),
         });
-        for _ in 0..KINDS.len() * ZONES.len() {
+        for _ in 0..FIRST_SERVERS {
             stage.list_next(false);
         }
         Ok(stage)
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -1,6 +1,6 @@
 //! Router processes: started with the fault-injecting library, signalled, waited for.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
@@ -32,6 +32,8 @@
     /// What fails in its processes.
     pub control: Control,
     child: RefCell<Option<Child>>,
+    /// One trouble at a time ends this router's process and starts the next.
+    pub being_restarted: Cell<bool>,
 }
 
 impl Router {
@@ -57,6 +59,7 @@
             log: dir.join(format!("router-{id}.log")),
             control,
             child: RefCell::default(),
+            being_restarted: Cell::new(false),
         }))
     }
 
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{sleep, timeout, Instant};
@@ -22,6 +23,10 @@
 const READ_MS: u64 = 25;
 const FETCH_MS: u64 = 8;
 const EVENT_MS: u64 = 12;
+/// Connections that wait to be accepted at most.
+const BACKLOG: i32 = 1024;
+/// How often a server looks whether it has gone deaf, or hears again, in ms.
+const DEAF_LOOK_MS: u64 = 10;
 /// Events of a stream before its last ones.
 const EVENTS: usize = 5;
 
@@ -98,7 +103,7 @@
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
-    socket.listen(1024)
+    socket.listen(BACKLOG as u32)
 }
 
 const FIRST: &str =
@@ -136,10 +141,11 @@
         let shared = self.clone();
         let listening = tokio::task::spawn_local(async move {
             loop {
-                while shared.mood.get().deaf {
-                    sleep(Duration::from_millis(10)).await;
+                if shared.mood.get().deaf {
+                    shared.be_deaf(&listener).await;
                 }
-                let Ok((stream, _)) = listener.accept().await else { continue };
+                let accepted = timeout(Duration::from_millis(DEAF_LOOK_MS), listener.accept()).await;
+                let Ok(Ok((stream, _))) = accepted else { continue };
                 let server = shared.clone();
                 let mut connections = shared.connections.borrow_mut();
                 while connections.try_join_next().is_some() {}
@@ -151,6 +157,18 @@
         *self.listening.borrow_mut() = Some(listening);
     }
 
+    /// Lets no connection come up while the mood lasts: a listener whose queue is full leaves those who knock without an
+    /// answer, and they knock again.
+    async fn be_deaf(&self, listener: &TcpListener) {
+        let _ = SockRef::from(listener).listen(0);
+        let filler = timeout(Duration::from_millis(DEAF_LOOK_MS), TcpStream::connect(self.address)).await;
+        while self.mood.get().deaf {
+            sleep(Duration::from_millis(DEAF_LOOK_MS)).await;
+        }
+        drop(filler);
+        let _ = SockRef::from(listener).listen(BACKLOG);
+    }
+
     /// Dies: connections are reset, new ones refused, and what it held is gone.
     pub fn die(&self) {
         self.listening.borrow_mut().take().iter().for_each(JoinHandle::abort);
@@ -160,6 +178,8 @@
         self.record.with(|seen| {
             let held = seen.held.iter_mut().filter(|held| held.server == self.id && held.until_ms.is_none());
             held.for_each(|held| held.until_ms = Some(now_ms));
+            let open = |attempt: &&mut Attempt| attempt.server == self.id && attempt.over_ms.is_none();
+            seen.attempts.iter_mut().filter(open).for_each(|attempt| attempt.over_ms = Some(now_ms));
         });
     }
 
--- a/crates/soak/src/troubles.rs
+++ b/crates/soak/src/troubles.rs
@@ -108,9 +108,15 @@
     some(trouble, stage.listed.get(), most)
 }
 
+/// Those that no other trouble is restarting; they are this one's from now on.
+fn taken(stage: &Stage, routers: &[usize]) -> Vec<usize> {
+    let free = |router: &&usize| !stage.routers[**router].being_restarted.replace(true);
+    routers.iter().filter(free).copied().collect()
+}
+
 /// Tells routers to end, all at once, and starts them again.
 async fn restart(stage: &Rc<Stage>, routers: &[usize], reload_first: bool) {
-    let each: Vec<_> = routers
+    let each: Vec<_> = taken(stage, routers)
         .iter()
         .map(|router| {
             let (stage, router) = (stage.clone(), *router);
@@ -128,6 +134,7 @@
                 stage.routers[router].terminate(KILL_AFTER).await;
                 stage.withdraw(router);
                 stage.start_router(router).await;
+                stage.routers[router].being_restarted.set(false);
             })
         })
         .collect();
@@ -137,13 +144,15 @@
 }
 
 async fn kill(stage: &Rc<Stage>, routers: &[usize]) {
-    for router in routers {
+    let routers = taken(stage, routers);
+    for router in &routers {
         stage.routers[*router].kill().await;
         stage.withdraw(*router);
     }
     sleep(Duration::from_millis(200)).await;
-    for router in routers {
+    for router in &routers {
         stage.start_router(*router).await;
+        stage.routers[*router].being_restarted.set(false);
     }
 }
 
--- /dev/null
+++ b/crates/sockets/src/lib.rs
@@ -0,0 +1,10 @@
+//! TCP sockets of a router: a stream that a short count or EINTR does not lead astray, and calls that go on where the
+//! system was short of something for a moment.
+
+#![deny(missing_docs)]
+
+mod stream;
+mod transient;
+
+pub use stream::{Stream, READ_BYTES};
+pub use transient::{bind, connect, Shortage};
