A failed accept closes nobody: only a lasting want of own descriptors does

Cause: Frontend::listen (frontend.rs) gave up the connection that says least on every failure of accept, whatever it meant; admit_accepted stopped at the first failure when the router ended and reset all who still waited; a connection that gave way in the middle of a request was closed without a look at the rest of it (clients.rs, select in serve_request).

Change: errors are told apart (paddleproxy_sockets::Shortage). Only EMFILE that comes four times of late makes a connection give way; the last look at the queue goes on over failures for up to half a second; half a request that gives way is answered 503.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -15,7 +15,7 @@
 
 use crate::frontend::{reached, Activity, ConnectionSlot, Lifecycle};
 use crate::inbound::Inbound;
-use crate::limits::{AHEAD_BYTES, CLIENT_IDLE, LINGER_MS, REQUEST_MS, SLOW_CLIENT_MS};
+use crate::limits::{AHEAD_BYTES, CLIENT_IDLE, GIVEN_UP_LINGER_MS, LINGER_MS, REQUEST_MS, SLOW_CLIENT_MS};
 use crate::messages::{BodyBytes, ClientPresence, ClientRequest, CoreEvent, Reply, StreamPart};
 
 /// Why a connection ends.
@@ -31,6 +31,9 @@
 
 const OVERLOADED: Fault = Fault::new(503, "more bytes are open than memory allows; come again");
 
+/// The rest of the request may be on its way, so that it gets an answer.
+const GIVES_WAY: Fault = Fault::new(503, "the connection is wanted elsewhere; come again");
+
 const STOPS: Fault = Fault::new(503, "the router stops");
 
 /// Serves one connection until it closes.
@@ -56,8 +59,9 @@
             rest.clear();
         }
     };
+    let linger_ms = if slot.given_up() { GIVEN_UP_LINGER_MS } else { LINGER_MS };
     tokio::select! {
-        _ = timeout(duration(LINGER_MS), linger) => {}
+        _ = timeout(duration(linger_ms), linger) => {}
         () = slot.close.notified() => {}
     }
 }
@@ -72,7 +76,7 @@
             biased;
             taken = self.read_request(stream, inbound) => taken?,
             () = sleep_until(by) => Err(Fault::new(408, "the request did not come whole in time")),
-            () = self.close.notified() => return Err(ConnectionOver::Left),
+            () = self.close.notified() => Err(GIVES_WAY),
         };
         let (head, body, held) = match taken {
             Ok(taken) => taken,
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -3,11 +3,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::io::ErrorKind;
 use std::rc::Rc;
 
 use paddleproxy_platform::Provision;
 use paddleproxy_router::clock::{duration, Clock};
 use paddleproxy_router::duty::Dropped;
+use paddleproxy_sockets::Shortage;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
 use tokio::time::{sleep, Instant};
@@ -21,6 +23,31 @@
 /// Connections that the system may have accepted by the time the listener closes.
 const BACKLOG: usize = 4096;
 
+/// Failed tries, one after the other, to take those who wait as the listener closes.
+const LAST_ACCEPTS: usize = 100;
+/// Failures for want of own descriptors after which a connection gives way: fewer may pass by themselves.
+const STARVED: u32 = 4;
+
+/// How often of late a connection could not be accepted for want of descriptors.
+#[derive(Default)]
+struct AcceptFailures {
+    starved: u32,
+}
+
+impl AcceptFailures {
+    fn succeeded(&mut self) {
+        self.starved = self.starved.saturating_sub(1);
+    }
+
+    /// Whether a connection has to give way. Only the process's own want of descriptors is helped by that, and only one that
+    /// lasts: whoever gives way may have a request on its way.
+    fn failed(&mut self, cause: &std::io::Error) -> bool {
+        let own = Shortage::of(cause) == Some(Shortage::OwnDescriptors);
+        self.starved = if own { (self.starved + 1).min(2 * STARVED) } else { self.starved };
+        own && self.starved >= STARVED
+    }
+}
+
 /// Where a router is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Lifecycle {
@@ -160,6 +187,7 @@
     /// Takes connections until the router closes.
     pub async fn listen(self: Rc<Self>, listener: TcpListener) {
         let mut life = self.life.clone();
+        let mut failures = AcceptFailures::default();
         loop {
             let accepted = tokio::select! {
                 biased;
@@ -168,31 +196,44 @@
             };
             match accepted {
                 Ok((stream, _)) => {
+                    failures.succeeded();
                     self.admit(stream);
                     if self.standing.get() >= self.shares.get().clients {
                         // Who was given up closes before the next one is taken.
                         tokio::task::yield_now().await;
                     }
                 }
-                Err(_) => {
-                    // Out of descriptors, or the client was gone already.
-                    self.give_up_one();
+                Err(cause) => {
+                    if failures.failed(&cause) {
+                        self.give_up_one();
+                    }
                     sleep(duration(ACCEPT_AGAIN_MS)).await;
                 }
             }
         }
-        self.admit_accepted(listener);
+        self.admit_accepted(listener).await;
     }
 
     /// Admits those whom the system has accepted but nobody has taken: closing the listener would reset them, and with
     /// them requests that they have sent. Asks the system itself, so that nothing comes between the last answer and
-    /// the close.
-    fn admit_accepted(self: &Rc<Self>, listener: TcpListener) {
+    /// the close. Where it is short of something it is asked again for a while.
+    async fn admit_accepted(self: &Rc<Self>, listener: TcpListener) {
         let Ok(listener) = listener.into_std() else { return };
-        for _ in 0..BACKLOG {
-            let Ok((stream, _)) = listener.accept() else { return };
-            if let Ok(stream) = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream)) {
-                self.admit(stream);
+        let (mut admitted, mut failed) = (0, 0);
+        while admitted < BACKLOG && failed < LAST_ACCEPTS {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    admitted += 1;
+                    let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+                    stream.into_iter().for_each(|stream| self.admit(stream));
+                }
+                Err(cause) if cause.kind() == ErrorKind::WouldBlock => return,
+                Err(cause) => {
+                    failed += 1;
+                    if Shortage::of(&cause) != Some(Shortage::Nothing) {
+                        sleep(duration(ACCEPT_AGAIN_MS)).await;
+                    }
+                }
             }
         }
     }
--- a/crates/gateway/src/frontend/tests.rs
+++ b/crates/gateway/src/frontend/tests.rs
@@ -258,3 +258,39 @@
         timeout(Duration::from_secs(20), left).await.expect("the client has gone");
     });
 }
+
+/// A want that passes by itself, and one that closing a connection does not help, cost nobody a connection.
+#[test]
+fn only_a_lasting_want_of_own_descriptors_makes_a_connection_give_way() {
+    let mut failures = AcceptFailures::default();
+    let error = std::io::Error::from_raw_os_error;
+    for _ in 0..50 {
+        for other in
+            [libc::ENFILE, libc::ENOBUFS, libc::ENOMEM, libc::ECONNABORTED, libc::EPROTO, libc::EINTR]
+        {
+            assert!(!failures.failed(&error(other)));
+        }
+    }
+    assert!(!failures.failed(&error(libc::EMFILE)), "it may pass");
+    let gave_way = (0..STARVED).filter(|_| failures.failed(&error(libc::EMFILE))).count();
+    assert!(gave_way >= 1, "it lasts");
+    failures.succeeded();
+    assert!(failures.failed(&error(libc::EMFILE)), "it comes again at once");
+}
+
+/// The rest of its request may come in the moment in which it gives way.
+#[test]
+fn half_a_request_that_gives_way_gets_an_answer() {
+    local(async {
+        let scene = Scene::start(256).await;
+        let mut client = connect(scene.address);
+        let request = request("half");
+        client.write_all(&request.as_bytes()[..40]).unwrap();
+        scene.settle().await;
+        tokio::time::sleep(Duration::from_millis(5)).await;
+        assert!(scene.frontend.give_up_one());
+        client.write_all(&request.as_bytes()[40..]).unwrap();
+        let answer = scene.rest(&client).await;
+        assert!(answer.starts_with("HTTP/1.1 "), "'{answer}'");
+    });
+}
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -28,6 +28,8 @@
 pub const SLOW_CLIENT_MS: f64 = 5000.0;
 /// How long what a client still sends is read and thrown away after an error, in ms, so that it can read the error.
 pub const LINGER_MS: f64 = 500.0;
+/// The same where the connection's descriptor is wanted elsewhere.
+pub const GIVEN_UP_LINGER_MS: f64 = 50.0;
 /// Bytes that are read ahead of the answer to the request before them.
 pub const AHEAD_BYTES: usize = 16 * 1024;
 /// A stream whose worker has said nothing for so long, in ms, is cut: the platform allows 5 s, and what the router
--- a/crates/sockets/src/transient.rs
+++ b/crates/sockets/src/transient.rs
@@ -24,7 +24,7 @@
         match cause.raw_os_error()? {
             libc::EMFILE => Some(Shortage::OwnDescriptors),
             libc::ENFILE | libc::ENOBUFS | libc::ENOMEM | libc::EADDRNOTAVAIL => Some(Shortage::Machine),
-            libc::EINTR | libc::ECONNABORTED | libc::EPROTO | libc::EAGAIN => Some(Shortage::Nothing),
+            libc::EINTR | libc::ECONNABORTED | libc::EPROTO => Some(Shortage::Nothing),
             _ => None,
         }
     }
