--- a/crates/cli/tests/system_calls.rs
+++ b/crates/cli/tests/system_calls.rs
@@ -68,3 +68,13 @@
     assert!(report.injected.values().sum::<u64>() >= 10, "{:?}", report.injected);
     assert!(report.kept(), "{}", report.text());
 }
+/// An address that is still in use, or a machine short of descriptors, while a router starts.
+#[test]
+fn a_router_starts_although_listening_fails_for_a_moment() {
+    let faults = [Fault::BindFails, Fault::ListenFails, Fault::SocketFails];
+    let mut troubles = faults.map(|fault| (Kind::System(fault), 1.0)).to_vec();
+    troubles.push((Kind::RouterKill, 1.2));
+    let report = Report::of(&played(&troubles, 8.0));
+    assert!(!report.injected.is_empty(), "{:?}", report.injected);
+    assert!(report.kept(), "{}", report.text());
+}
