Servers' starts are mapped once, by every offset of the wall clock that was seen

Cause: seen in a_server_that_starts_after_the_wall_clock_was_stepped_starts_slowly: after a step back of an hour a new server got 47 requests in 6 s where it gets 12. gateway lib.rs took the offset between wall and monotonic clock once (zero_ms) and list.rs mapped every start by it, so that a start after the step seemed an hour old, or an hour ahead and cold for ever.

Change: platform::StartTimes. The offset is looked at with each list and each second, read within 2 ms; steps are remembered, 16 at most; a start is mapped when it is first heard, to the latest time that any seen offset gives and that is not in the future, and stays there. Younger than it is costs a little, older is pushed over. A router that starts after a step knows only the new offset: open.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,12 +1,13 @@
 //! Follows discovery: the whole list, then one watch after the other. Silence, a cut answer and what is no list leave
 //! the last good list in place, and asking goes on.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::BytesMut;
-use paddleproxy_platform::{List, Provision};
-use paddleproxy_router::clock::duration;
+use paddleproxy_platform::{List, Provision, StartTimes};
+use paddleproxy_router::clock::{duration, Clock};
 use paddleproxy_routing::SocketEnd;
 use paddleproxy_sockets::{connect, Stream};
 use tokio::io::AsyncWriteExt;
@@ -29,8 +30,32 @@
     pub provision: Rc<Provision>,
     /// Bytes that one list may have.
     pub list_bytes: usize,
-    /// Unix time at which the router's clock showed 0, in ms.
-    pub zero_ms: f64,
+}
+
+/// Where servers' starts are mapped onto the router's clock.
+#[derive(Clone)]
+pub struct Starts {
+    times: Rc<RefCell<StartTimes>>,
+    clock: Clock,
+}
+
+impl Starts {
+    pub fn new(clock: Clock) -> Starts {
+        let starts = Starts { times: Rc::default(), clock };
+        starts.look();
+        starts
+    }
+
+    /// Looks how far the wall clock is off by now.
+    pub fn look(&self) {
+        self.times.borrow_mut().observe_offset(self.clock.wall_offset_ms());
+    }
+
+    /// Reads with the starts as they are known, after a look at the clocks.
+    pub fn read<T>(&self, read: impl FnOnce(&mut StartTimes, f64) -> T) -> T {
+        self.look();
+        read(&mut self.times.borrow_mut(), self.clock.now_ms())
+    }
 }
 
 /// One call's answer on a connection that stays open.
@@ -58,6 +83,7 @@
 /// Never returns while the core lives.
 pub async fn follow(
     mut sources: watch::Receiver<Source>,
+    starts: Starts,
     core: CoreSender,
     mut asked: mpsc::Receiver<Refetch>,
     first: oneshot::Sender<()>,
@@ -104,7 +130,7 @@
                 return Err(format!("status {status}"));
             }
             // Where an answer can't be read, what it told is in the whole list.
-            let read = List::parse(&body, &source.provision, source.zero_ms);
+            let read = starts.read(|starts, now_ms| List::parse(&body, &source.provision, starts, now_ms));
             let list = read.inspect_err(|_| progress.unreadable())?;
             if stays {
                 stream = Some(open);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,7 +21,7 @@
 use anyhow::{anyhow, Context, Result};
 use paddleproxy::interface::ListKind;
 use paddleproxy_platform::Config;
-use paddleproxy_router::clock::{duration, wall_ms, Clock};
+use paddleproxy_router::clock::{duration, Clock};
 use paddleproxy_sockets::bind;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -29,20 +29,20 @@
 use tracing::{info, warn};
 
 use crate::core::Core;
-use crate::discovery::Source;
+use crate::discovery::{Source, Starts};
 use crate::frontend::{Frontend, Lifecycle};
 use crate::limits::{last_answers_ms, Shares, CORE_QUEUE, LAST_CALL_MS};
 use crate::messages::CoreEvent;
 use crate::pool::Pool;
 
-/// How often idle connections are looked through, in ms.
+/// How often idle connections are looked through, and the clocks are looked at, in ms.
 const SWEEP_MS: f64 = 1000.0;
 /// How often a router that ends looks whether it is done, in ms.
 const LOOK_MS: f64 = 5.0;
 
-fn read(path: &Path, zero_ms: f64) -> Result<Config> {
+fn read(path: &Path, starts: &Starts) -> Result<Config> {
     let text = std::fs::read(path).with_context(|| format!("configuration {}", path.display()))?;
-    Config::parse(&text, zero_ms).map_err(|cause| anyhow!(cause))
+    starts.read(|starts, now_ms| Config::parse(&text, starts, now_ms)).map_err(|cause| anyhow!(cause))
 }
 
 /// What a running router is told from outside.
@@ -89,8 +89,8 @@
     ready: impl FnOnce(SocketAddr),
 ) -> Result<()> {
     let clock = Clock::start();
-    let zero_ms = wall_ms() - clock.now_ms();
-    let Config { name, listen, discovery, seed, limits, known, provision } = read(path, zero_ms)?;
+    let starts = Starts::new(clock);
+    let Config { name, listen, discovery, seed, limits, known, provision } = read(path, &starts)?;
     let shares = Shares::of(&limits);
     let listener = bind(listen).await.with_context(|| format!("listening on {listen}"))?;
     let listen = listener.local_addr()?;
@@ -105,18 +105,19 @@
     state.listed(known, ListKind::Saved);
     tokio::task::spawn_local(state.run(told));
     let list_bytes = shares.list_bytes;
-    let source = Source { address: discovery, provision: provision.clone(), list_bytes, zero_ms };
+    let source = Source { address: discovery, provision: provision.clone(), list_bytes };
     let (sources, source_words) = watch::channel(source);
     let (life, lives) = watch::channel(Lifecycle::Starting);
     let frontend = Rc::new(Frontend::new(clock, core.clone(), provision, shares, lives));
     let (first, heard) = oneshot::channel();
-    tokio::task::spawn_local(discovery::follow(source_words, core.clone(), asked, first));
+    tokio::task::spawn_local(discovery::follow(source_words, starts.clone(), core.clone(), asked, first));
     let accepting = tokio::task::spawn_local(frontend.clone().listen(listener));
-    let swept = pool.clone();
+    let (swept, looking) = (pool.clone(), starts.clone());
     tokio::task::spawn_local(async move {
         loop {
             sleep(duration(SWEEP_MS)).await;
             swept.sweep();
+            looking.look();
         }
     });
     // The list as it is now comes in no time; where discovery is silent, the known one has to do.
@@ -128,7 +129,7 @@
 
     ready(listen);
     while let Some(Signal::Reload) = signals.recv().await {
-        match read(path, zero_ms) {
+        match read(path, &starts) {
             Ok(config) => {
                 info!(discovery = %config.discovery, "configuration read again");
                 let shares = Shares::of(&config.limits);
@@ -138,7 +139,7 @@
                 *frontend.provision.borrow_mut() = provision.clone();
                 let _ = core.send(CoreEvent::Settings(provision.clone())).await;
                 let list_bytes = shares.list_bytes;
-                sources.send_replace(Source { address: config.discovery, provision, list_bytes, zero_ms });
+                sources.send_replace(Source { address: config.discovery, provision, list_bytes });
             }
             Err(cause) => {
                 warn!(cause = format!("{cause:#}"), "configuration refused; the last good one stays")
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -6,6 +6,7 @@
 
 use crate::list::{Hosts, List};
 use crate::settings::{provision, Conf, Provision};
+use crate::starts::StartTimes;
 
 /// What a router may use.
 #[derive(Clone, Copy, Debug, Deserialize)]
@@ -45,11 +46,11 @@
 }
 
 impl Config {
-    /// Reads a configuration. `zero_ms` is the Unix time at which the router's clock showed 0, in ms.
+    /// Reads a configuration, at `now_ms` on the router's clock.
     ///
     /// # Errors
     /// The path to the field that is missing or wrong, and what is wrong with it.
-    pub fn parse(text: &[u8], zero_ms: f64) -> Result<Config, String> {
+    pub fn parse(text: &[u8], starts: &mut StartTimes, now_ms: f64) -> Result<Config, String> {
         let wire: Wire = crate::json("configuration", text)?;
         let wrong = |field: &str, what: &str| Err(format!("configuration: {field}: {what}"));
         if !(wire.limits.memory_mb.is_finite() && wire.limits.memory_mb >= 1.0) {
@@ -65,7 +66,7 @@
         let seed = u64::from_str_radix(&wire.seed, 16)
             .unwrap_or_else(|_| xxhash_rust::xxh3::xxh3_64(wire.seed.as_bytes()));
         let provision = provision(wire.settings).map_err(|cause| format!("configuration: {cause}"))?;
-        let known = wire.known.unwrap_or_default().list(&provision, zero_ms);
+        let known = wire.known.unwrap_or_default().list(&provision, starts, now_ms);
         let (name, listen, discovery, limits) = (wire.name, wire.listen, wire.discovery, wire.limits);
         Ok(Config { name, listen, discovery, seed, limits, known, provision })
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod report;
 pub mod request;
 pub mod settings;
+pub mod starts;
 
 pub use chunks::Chunks;
 pub use config::Config;
@@ -17,6 +18,7 @@
 pub use head::{AnswerHead, Fault, Fields, Framing, RequestHead};
 pub use list::List;
 pub use settings::Provision;
+pub use starts::StartTimes;
 
 /// The most bytes of a body, of the platform's protocol.
 pub const BODY_BYTES: usize = 256 * 1024;
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 
 use crate::settings::Provision;
+use crate::starts::StartTimes;
 
 #[derive(Default, Deserialize)]
 pub(crate) struct Hosts {
@@ -54,30 +55,45 @@
 }
 
 impl List {
-    /// Reads an answer of discovery; `zero_ms` is the Unix time at which the router's clock showed 0, in ms.
+    /// Reads an answer of discovery that came at `now_ms` on the router's clock.
     ///
     /// # Errors
     /// What is no list, with the path to the field.
-    pub fn parse(text: &[u8], provision: &Provision, zero_ms: f64) -> Result<List, String> {
+    pub fn parse(
+        text: &[u8],
+        provision: &Provision,
+        starts: &mut StartTimes,
+        now_ms: f64,
+    ) -> Result<List, String> {
         let hosts: Hosts = crate::json("list", text)?;
-        Ok(hosts.list(provision, zero_ms))
+        Ok(hosts.list(provision, starts, now_ms))
     }
 }
 
 impl Hosts {
-    pub(crate) fn list(self, provision: &Provision, zero_ms: f64) -> List {
+    pub(crate) fn list(self, provision: &Provision, starts: &mut StartTimes, now_ms: f64) -> List {
         let mut list = List { version: self.seq, whole: self.whole, ..List::default() };
         for host in self.hosts {
-            match row(host, provision, zero_ms) {
-                Some(row) => list.rows.push(row),
-                None => list.unknown += 1,
+            let born_ms = host.born_ms;
+            let Some(mut row) = row(host, provision) else {
+                list.unknown += 1;
+                continue;
+            };
+            match row.listing.readiness {
+                Readiness::Gone => starts.forget(&row.listing.worker),
+                _ => row.listing.started_ms = starts.started_ms(&row.listing.worker, born_ms, now_ms),
             }
+            list.rows.push(row);
+        }
+        if list.whole {
+            starts.keep_only(&list.rows.iter().map(|row| &row.listing.worker).collect());
         }
         list
     }
 }
 
-fn row(host: Host, provision: &Provision, zero_ms: f64) -> Option<Row> {
+/// What a host is, but for its start.
+fn row(host: Host, provision: &Provision) -> Option<Row> {
     let readiness = match host.health.as_str() {
         "ready" => Readiness::Ready,
         "draining" => Readiness::Draining,
@@ -97,7 +113,7 @@
         cell: CellId(host.block),
         readiness,
         weight: host.share,
-        started_ms: Some(host.born_ms).filter(|born| *born > 0.0).map(|born| born - zero_ms),
+        started_ms: None,
     };
     sound.then(|| Row { listing, dial: host.dial.parse().ok() })
 }
