--- a/src/decay.rs
+++ b/src/decay.rs
@@ -12,6 +12,9 @@
 impl Decaying {
     /// What is left of the value at `now_ms`, if it halves every `half_ms`.
     pub fn at(&self, now_ms: f64, half_ms: f64) -> f64 {
+        if self.value == 0.0 {
+            return 0.0;
+        }
         self.value * 0.5f64.powf((now_ms - self.at_ms) / half_ms.max(1.0))
     }
 
