Failing tests: a slow discovery is never heard, windows end by a stepped wall clock

Seen: a discovery that takes 1.6 s for the whole list is given up after 1 s each time and asked again for ever (progress.rs, within_ms), so that a drain is never heard after a new configuration; a key whose work was under way is forgotten by a router that starts after the wall clock was stepped ahead (router state.rs keeps until_ms as wall time).

--- a/crates/cli/tests/restarts.rs
+++ b/crates/cli/tests/restarts.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use paddleproxy_day::client::{ask, Asking, Seen};
+use paddleproxy_faults::{Control, CONTROL_VARIABLE};
 use paddleproxy_fleet::record::{Record, What};
 use paddleproxy_fleet::Fleet;
 use tokio::io::{AsyncBufReadExt, BufReader};
@@ -20,6 +21,8 @@
     fleet: Fleet,
     record: Record,
     dir: tempfile::TempDir,
+    /// What fails in its routers, and how far their wall clock is off.
+    faults: Control,
 }
 
 struct Router {
@@ -41,13 +44,17 @@
             .replace("state/router-0", &dir.path().display().to_string())
             .replace("effect \"non-idempotent\"", "effect \"non-idempotent\"\n    remembered #true");
         std::fs::write(dir.path().join("router.kdl"), text).unwrap();
-        Stage { fleet, record, dir }
+        let faults = Control::create(&dir.path().join("faults"), 1).unwrap();
+        Stage { fleet, record, dir, faults }
     }
 
     async fn router(&self) -> Router {
+        let library = paddleproxy_faults::library().expect("the fault-injecting library is built");
         let mut child = Command::new(env!("CARGO_BIN_EXE_paddleproxy"))
             .args(["serve", "--config"])
             .arg(self.dir.path().join("router.kdl"))
+            .env("LD_PRELOAD", library)
+            .env(CONTROL_VARIABLE, self.faults.path())
             .stdout(Stdio::piped())
             .kill_on_drop(true)
             .spawn()
@@ -132,37 +139,43 @@
     tokio::task::LocalSet::new().block_on(&runtime, bounded);
 }
 
-#[test]
-fn work_that_may_have_run_is_not_run_again_after_a_kill() {
-    local(async {
-        let stage = Stage::start().await;
-        let mut router = stage.router().await;
-        let question = vec!["send the notice".to_owned()];
-        let notice = |id: &str, key: &str| asking(id, key, "notice", "s", &question);
-        assert!(finished(&asked(&router, &notice("first", "key-1")).await));
-        // The second is under way when the router is killed: its server took it and says nothing.
-        let names: Vec<String> = stage.fleet.names().cloned().collect();
-        names
-            .iter()
-            .for_each(|name| stage.fleet.server(name).unwrap().befalls(|befalls| befalls.silent = true));
-        let before = stage.count(|what| matches!(what, What::Dispatch { .. }));
-        let second = notice("second", "key-2");
-        let cut = asked_at(router.clients, &second);
+impl Stage {
+    /// Work with a key is under way when its router is killed: its server took it and says nothing.
+    async fn killed_under_way(&self, router: &mut Router, asking: &Asking) {
+        let names: Vec<String> = self.fleet.names().cloned().collect();
+        let silent = |silent: bool| {
+            names.iter().for_each(|name| {
+                self.fleet.server(name).unwrap().befalls(|befalls| befalls.silent = silent);
+            });
+        };
+        silent(true);
+        let before = self.count(|what| matches!(what, What::Dispatch { .. }));
+        let cut = asked_at(router.clients, asking);
         tokio::pin!(cut);
         loop {
             tokio::select! {
                 seen = &mut cut => panic!("{seen:?}"),
                 _ = sleep(Duration::from_millis(5)) => {}
             }
-            if stage.count(|what| matches!(what, What::Dispatch { .. })) > before {
+            if self.count(|what| matches!(what, What::Dispatch { .. })) > before {
                 break;
             }
         }
         router.child.kill().await.unwrap();
         assert!(matches!(cut.await.last(), Some(Seen::Broke { .. })));
-        names
-            .iter()
-            .for_each(|name| stage.fleet.server(name).unwrap().befalls(|befalls| befalls.silent = false));
+        silent(false);
+    }
+}
+
+#[test]
+fn work_that_may_have_run_is_not_run_again_after_a_kill() {
+    local(async {
+        let stage = Stage::start().await;
+        let mut router = stage.router().await;
+        let question = vec!["send the notice".to_owned()];
+        let notice = |id: &str, key: &str| asking(id, key, "notice", "s", &question);
+        assert!(finished(&asked(&router, &notice("first", "key-1")).await));
+        stage.killed_under_way(&mut router, &notice("second", "key-2")).await;
         // Twice in a row: what was recovered is kept on.
         for start in 0..2 {
             let mut router = stage.router().await;
@@ -179,6 +192,28 @@
     });
 }
 
+/// Windows are spans of real time: a wall clock that is stepped ends none of them.
+#[test]
+fn work_that_may_have_run_is_not_run_again_after_the_wall_clock_was_stepped() {
+    const HOUR_MS: i64 = 3_600_000;
+    local(async {
+        let stage = Stage::start().await;
+        let question = vec!["send the notice".to_owned()];
+        let notice = |id: &str, key: &str| asking(id, key, "notice", "s", &question);
+        for (row, step_ms) in [24 * HOUR_MS, -24 * HOUR_MS].into_iter().enumerate() {
+            let key = format!("key-{row}");
+            let mut router = stage.router().await;
+            stage.killed_under_way(&mut router, &notice(&format!("first-{row}"), &key)).await;
+            stage.faults.set_wall_offset_ms(step_ms).unwrap();
+            let mut router = stage.router().await;
+            let again = asked(&router, &notice(&format!("again-{row}"), &key)).await;
+            assert!(again.contains(&Seen::Head { status: 409, retry_after_ms: 0.0 }), "{step_ms}: {again:?}");
+            router.child.kill().await.unwrap();
+            stage.faults.set_wall_offset_ms(0).unwrap();
+        }
+    });
+}
+
 #[test]
 fn a_turn_finds_its_home_after_a_kill_with_the_store_and_a_reader_without() {
     local(async {
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -254,6 +254,8 @@
     pub turn: Rc<Cell<u64>>,
     pub calls: Rc<RefCell<Vec<String>>>,
     pub silent: Rc<Cell<bool>>,
+    /// How long each answer takes beyond its wait, in ms.
+    pub slow_ms: Rc<Cell<u64>>,
 }
 
 impl Discovery {
@@ -265,17 +267,20 @@
             turn: Rc::new(Cell::new(1)),
             calls: Rc::default(),
             silent: Rc::default(),
+            slow_ms: Rc::default(),
         };
-        let (says, turn, calls, silent) = (
+        let (says, turn, calls, silent, slow_ms) = (
             discovery.says.clone(),
             discovery.turn.clone(),
             discovery.calls.clone(),
             discovery.silent.clone(),
+            discovery.slow_ms.clone(),
         );
         tokio::task::spawn_local(async move {
             loop {
                 let (mut stream, _) = listener.accept().await.unwrap();
                 let (says, turn, calls, silent) = (says.clone(), turn.clone(), calls.clone(), silent.clone());
+                let slow_ms = slow_ms.clone();
                 tokio::task::spawn_local(async move {
                     let (mut bytes, mut told) = (Vec::new(), 0);
                     while let Some(seen) = request(&mut stream, &mut bytes, 0).await {
@@ -283,6 +288,7 @@
                         while silent.get() || seen.target.contains("hold_ms") && told == turn.get() {
                             sleep(ms(2)).await;
                         }
+                        sleep(ms(slow_ms.get())).await;
                         told = turn.get();
                         let says = says.borrow().clone();
                         let answer = match says.strip_prefix("raw:") {
--- a/crates/gateway/tests/life.rs
+++ b/crates/gateway/tests/life.rs
@@ -75,6 +75,30 @@
     }
 }
 
+/// A discovery that is crowded answers late, each time. What it tells counts all the same.
+#[test]
+fn a_drain_is_heard_from_a_discovery_that_takes_its_time() {
+    local(async {
+        let one = Worker::start("w-1", "combined", |_, _| served()).await;
+        let two = Worker::start("w-2", "combined", |_, _| served()).await;
+        let platform = Platform::start(&[&one, &two]).await;
+        let home = if body(&platform.ask("a1").await).1 && one.asked().len() == 1 { &one } else { &two };
+        platform.discovery.slow_ms.set(1600);
+        // A new configuration asks for the whole list anew.
+        platform.signals.send(Signal::Reload).await.unwrap();
+        let other = if home.name == one.name { &two } else { &one };
+        let hosts = [host(home, "draining"), host(other, "ready")];
+        platform.discovery.say(json!({ "seq": 2, "whole": true, "hosts": hosts }).to_string());
+        // A change counts as told 6 s after discovery had it and could be reached.
+        sleep(ms(6000)).await;
+        let before = home.asked().len();
+        for id in ["b1", "b2", "b3"] {
+            assert!(body(&platform.ask(id).await).1);
+        }
+        assert_eq!(home.asked().len(), before, "calls: {:?}", platform.discovery.calls.borrow());
+    });
+}
+
 #[test]
 fn watches_follow_each_other_without_a_gap() {
     local(async {
