A slow discovery is waited for, and after silence what was missed is asked for at once

Cause: progress.rs gave up each call for the whole list after 1 s and each watch 1 s after its wait, and asked the same again: a discovery that takes longer, as a crowded one does, was never heard, and drains and starts with it.

Change: the time beyond the wait doubles with each silent call, up to 2.8 s, and follows what answers took; a watch after silence waits 100 ms only. The most, the pause after a failure and an answer as slow fit into the 6 s after which a change counts as told.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -12,7 +12,7 @@
 use paddleproxy_sockets::{connect, Stream};
 use tokio::io::AsyncWriteExt;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 use tracing::{info, warn};
 
 use crate::limits::ASK_AGAIN_MS;
@@ -97,6 +97,7 @@
         let address = source.address;
         let path = progress.path();
         let within_ms = progress.within_ms();
+        let began = Instant::now();
         let exchange = async {
             let mut open = match stream.take() {
                 Some(open) => open,
@@ -123,8 +124,17 @@
                 stream = None;
                 continue;
             }
-            answer = timeout(duration(within_ms), exchange) => answer.unwrap_or(Err("no answer".into())),
+            answer = timeout(duration(within_ms), exchange) => match answer {
+                Ok(answer) => answer,
+                Err(_) => {
+                    progress.timed_out();
+                    Err(format!("no answer in {within_ms:.0} ms"))
+                }
+            },
         };
+        if answer.is_ok() {
+            progress.answered(began.elapsed().as_secs_f64() * 1e3);
+        }
         let list = answer.and_then(|((status, body, stays), open)| {
             if status != 200 {
                 return Err(format!("status {status}"));
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -43,9 +43,13 @@
 pub const REST_MS: f64 = 2.0;
 /// How long what follows a refusal's head is waited for, in ms, so that its connection can be used again.
 pub const DRAIN_MS: f64 = 1000.0;
-/// How long a watch waits at discovery, in ms, and how much longer its answer may take.
+/// How long a watch waits at discovery, in ms, and how long after a call that was silent.
 pub const WATCH_MS: f64 = 2000.0;
+pub const WATCH_AFTER_SILENCE_MS: f64 = 100.0;
+/// How much longer its answer may take, in ms, where discovery is quick and where it is slow. A change counts as told 6 s
+/// after discovery can be reached: the most, the pause after a failure and an answer as slow have room in that.
 pub const WATCH_SLACK_MS: f64 = 1000.0;
+pub const WATCH_SLACK_MOST_MS: f64 = 2800.0;
 /// After a call that failed discovery is asked again after this, in ms: a watch goes on if it comes within 200 ms.
 pub const ASK_AGAIN_MS: f64 = 100.0;
 /// New connections are taken for so long, in ms, after SIGTERM: the platform sends some for up to 400.
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -2,7 +2,7 @@
 
 use paddleproxy_platform::List;
 
-use crate::limits::{WATCH_MS, WATCH_SLACK_MS};
+use crate::limits::{WATCH_AFTER_SILENCE_MS, WATCH_MS, WATCH_SLACK_MOST_MS, WATCH_SLACK_MS};
 
 /// What a list that was read is worth.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,9 +15,38 @@
     Unusable,
 }
 
+/// How long an answer may take beyond its wait, in ms: it grows with each call that was silent, and follows what answers
+/// took. Guards against a discovery that is slow or crowded, whose answers would all be given up just before they come.
+/// Harm: one that is gone is asked less often; the bound leaves time for a call that begins just before it is back.
+#[derive(Debug)]
+struct Patience {
+    slack_ms: f64,
+    silent: bool,
+}
+
+impl Default for Patience {
+    fn default() -> Self {
+        Patience { slack_ms: WATCH_SLACK_MS, silent: false }
+    }
+}
+
+impl Patience {
+    fn timed_out(&mut self) {
+        self.silent = true;
+        self.slack_ms = (2.0 * self.slack_ms).min(WATCH_SLACK_MOST_MS);
+    }
+
+    /// An answer came so long after it was due.
+    fn answered(&mut self, late_ms: f64) {
+        self.silent = false;
+        self.slack_ms = (2.0 * late_ms).clamp(WATCH_SLACK_MS, WATCH_SLACK_MOST_MS);
+    }
+}
+
 /// Lives as long as discovery is followed.
 #[derive(Debug, Default)]
 pub struct Progress {
+    patience: Patience,
     /// The last version that was told.
     version: Option<u64>,
     /// The last answer could not be read. The same watch may bring it again; the whole list holds what it told.
@@ -27,7 +56,26 @@
 impl Progress {
     /// Versions of one discovery say nothing of another's, and rows are read by the settings: all begins anew.
     pub fn begin_anew(&mut self) {
-        *self = Progress::default();
+        *self = Progress { patience: std::mem::take(&mut self.patience), ..Progress::default() };
+    }
+
+    /// No answer came within the time.
+    pub fn timed_out(&mut self) {
+        self.patience.timed_out();
+    }
+
+    /// An answer came after so many ms.
+    pub fn answered(&mut self, took_ms: f64) {
+        self.patience.answered(took_ms - self.hold_ms());
+    }
+
+    /// How long the next call waits for news. After silence it does not wait: what was missed is asked for at once.
+    fn hold_ms(&self) -> f64 {
+        match self.watched() {
+            None => 0.0,
+            Some(_) if self.patience.silent => WATCH_AFTER_SILENCE_MS,
+            Some(_) => WATCH_MS,
+        }
     }
 
     /// The answer was no list.
@@ -43,13 +91,13 @@
     pub fn path(&self) -> String {
         match self.watched() {
             None => "/catalog/members".to_owned(),
-            Some(version) => format!("/catalog/members?from={version}&hold_ms={WATCH_MS}"),
+            Some(version) => format!("/catalog/members?from={version}&hold_ms={}", self.hold_ms()),
         }
     }
 
     /// After so many ms without an answer the call counts as silent.
     pub fn within_ms(&self) -> f64 {
-        WATCH_SLACK_MS + if self.watched().is_some() { WATCH_MS } else { 0.0 }
+        self.patience.slack_ms + self.hold_ms()
     }
 
     /// Takes in a list that was read. An older version of one discovery never takes the place of a newer one.
--- a/crates/gateway/src/progress/tests.rs
+++ b/crates/gateway/src/progress/tests.rs
@@ -121,3 +121,24 @@
     // A call that may wait: 2 s after its wait is over.
     assert!(silent_ms < WATCH_MS + 2000.0);
 }
+
+#[test]
+fn a_slow_discovery_is_waited_for_and_a_silent_one_asked_at_once() {
+    let mut progress = Progress::default();
+    assert_eq!(progress.within_ms(), WATCH_SLACK_MS);
+    progress.timed_out();
+    progress.timed_out();
+    progress.timed_out();
+    assert_eq!(progress.within_ms(), WATCH_SLACK_MOST_MS, "it grows, but not without end");
+    progress.answered(1600.0);
+    assert!(progress.within_ms() > 1600.0, "an answer as slow comes in time");
+    progress.begin_anew();
+    assert!(progress.within_ms() > 1600.0, "a new configuration makes discovery no quicker");
+    let list = List { version: 7, whole: true, ..List::default() };
+    progress.take(&list);
+    assert!(progress.path().ends_with("from=7&hold_ms=2000"), "{}", progress.path());
+    progress.timed_out();
+    assert!(progress.path().ends_with("from=7&hold_ms=100"), "what was missed: {}", progress.path());
+    progress.answered(130.0);
+    assert_eq!(progress.within_ms(), WATCH_MS + WATCH_SLACK_MS);
+}
