What serve keeps on disk goes by a clock that no step of the wall clock changes

Change: router/steady.rs. A file in the state directory says which boot it is and how far the system's count since the boot was from the wall clock when the directory was first used in it; all times in files go by that. After a reboot, or where the boot is not told, the wall clock is all there is.

--- a/crates/cli/tests/restarts.rs
+++ b/crates/cli/tests/restarts.rs
@@ -203,6 +203,9 @@
         for (row, step_ms) in [24 * HOUR_MS, -24 * HOUR_MS].into_iter().enumerate() {
             let key = format!("key-{row}");
             let mut router = stage.router().await;
+            // Servers that were just heard are not asked whether they are there.
+            let before = asked(&router, &notice(&format!("before-{row}"), &format!("before-{row}"))).await;
+            assert!(finished(&before), "{before:?}");
             stage.killed_under_way(&mut router, &notice(&format!("first-{row}"), &key)).await;
             stage.faults.set_wall_offset_ms(step_ms).unwrap();
             let mut router = stage.router().await;
--- a/crates/router/src/core.rs
+++ b/crates/router/src/core.rs
@@ -24,7 +24,7 @@
 
 use crate::answer::Owed;
 use crate::book::Book;
-use crate::clock::{duration, wall_ms, Clock};
+use crate::clock::{duration, Clock};
 use crate::dispatch::{request_id, Dispatch};
 use crate::engines::Engines;
 use crate::failover::{self, Desked};
@@ -118,7 +118,7 @@
     pub fn recover(&mut self, saved: Option<Saved>, left: &Left) -> Known {
         let mut rows: std::sync::Arc<[Listing]> = [].into();
         if let Some(saved) = saved {
-            match self.membership.recover(self.book.clock.now_ms(), wall_ms(), &saved) {
+            match self.membership.recover(self.book.clock.now_ms(), self.state.steady.now_ms(), &saved) {
                 Ok(Heard::Listed { rows: recovered, .. }) => rows = recovered,
                 Ok(_) => {}
                 Err(cause) => warn!(%cause, "saved list refused; starting without one"),
@@ -129,7 +129,7 @@
             desk.borrow_mut().listed(ListKind::Saved, &rows);
         }
         self.handle(Input::Listed { kind: ListKind::Saved, rows });
-        let kept = left.believed(&self.membership.starts());
+        let kept = left.believed(self.state.steady.now_ms(), &self.membership.starts());
         info!(entries = kept.len(), "kept texts of the earlier run believed");
         self.handle(Input::Recovered(kept));
         self.membership.known(SourceId::Service)
@@ -308,7 +308,7 @@
                 desk.borrow_mut().listed(kind, &rows);
             }
             self.handle(Input::Listed { kind, rows });
-            self.saves.send_replace(self.membership.save(now_ms, wall_ms()));
+            self.saves.send_replace(self.membership.save(now_ms, self.state.steady.now_ms()));
         }
         let asks = self.membership.asks(now_ms);
         self.wakes = self.membership.wakes_ms(now_ms).map(|at| Instant::now() + duration(at - now_ms));
--- a/crates/router/src/failover.rs
+++ b/crates/router/src/failover.rs
@@ -18,8 +18,9 @@
 use serde_json::{json, Value};
 use tracing::{info, warn};
 
-use crate::clock::{wall_ms, Clock};
+use crate::clock::Clock;
 use crate::files::write_whole;
+use crate::steady::SteadyClock;
 
 pub type Desked = Rc<RefCell<Desk>>;
 
@@ -142,11 +143,12 @@
 pub struct Words {
     file: PathBuf,
     zones: Vec<String>,
+    steady: SteadyClock,
 }
 
 impl Words {
-    pub fn new(settings: &RouterSettings) -> Self {
-        Words { file: settings.state_dir.join(FILE), zones: settings.names.zones.clone() }
+    pub fn new(settings: &RouterSettings, steady: SteadyClock) -> Self {
+        Words { file: settings.state_dir.join(FILE), zones: settings.names.zones.clone(), steady }
     }
 
     pub fn recover(&self, desk: &mut Desk, now_ms: f64) {
@@ -161,7 +163,7 @@
         for row in saved {
             // By name: settings may count zones otherwise now. A clock that went back makes no word longer.
             let Some(zone) = self.zones.iter().position(|zone| *zone == row.zone) else { continue };
-            let left_ms = row.left_ms - (wall_ms() - row.saved_at_ms).max(0.0);
+            let left_ms = row.left_ms - (self.steady.now_ms() - row.saved_at_ms).max(0.0);
             desk.sayings.hear(now_ms, Saying { zone: zone as u8, ..row.saying }, left_ms);
         }
     }
@@ -172,7 +174,7 @@
             .holding(now_ms)
             .filter_map(|(saying, left_ms)| {
                 let zone = self.zones.get(usize::from(saying.zone))?.clone();
-                Some(SavedWord { zone, saying, left_ms, saved_at_ms: wall_ms() })
+                Some(SavedWord { zone, saying, left_ms, saved_at_ms: self.steady.now_ms() })
             })
             .collect();
         let written = serde_json::to_vec(&saved).map_err(std::io::Error::from);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -17,6 +17,7 @@
 mod peers;
 mod polite;
 mod state;
+mod steady;
 mod words;
 
 use std::cell::{Cell, RefCell};
@@ -37,6 +38,7 @@
 use crate::core::Core;
 use crate::engines::Engines;
 use crate::front::Front;
+use crate::steady::SteadyClock;
 use crate::words::Told;
 
 /// Where a running router listens.
@@ -103,7 +105,8 @@
     let (core, told) = mpsc::channel(CORE_QUEUE);
     let (list, list_words) = mpsc::channel(8);
     let (saves, lists) = watch::channel(None);
-    let (store, left) = state::State::open(&dir, settings.decisions.own_number)?;
+    let steady = SteadyClock::open(&dir);
+    let (store, left) = state::State::open(&dir, settings.decisions.own_number, steady)?;
     let store = Rc::new(store);
     let own = (engines.clone(), core.clone());
     let mut state = Core::new(settings.clone(), clock, boot, seed, own.0, own.1, list, saves, store.clone());
@@ -120,7 +123,18 @@
             admission.borrow_mut().share(&floor.shares[1..], &floor.shares[1..], f64::INFINITY);
             state.begin_with(floor);
             let (settings, core, admission) = (settings.clone(), core.clone(), admission.clone());
-            Some(peers::Fellows { bound, rules, settings, peers: row, seed, clock, core, admission, desk })
+            Some(peers::Fellows {
+                bound,
+                rules,
+                settings,
+                peers: row,
+                seed,
+                clock,
+                steady,
+                core,
+                admission,
+                desk,
+            })
         }
         None => None,
     };
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -24,6 +24,7 @@
 use crate::clock::{duration, Clock};
 use crate::failover::{self, Desked, WordFor};
 use crate::files::write_whole;
+use crate::steady::SteadyClock;
 use crate::words::{ToCore, Told};
 
 /// Calls that may be open at once; further ones are closed, and their callers come again.
@@ -133,6 +134,7 @@
     pub peers: PeerSettings,
     pub seed: u64,
     pub clock: Clock,
+    pub steady: SteadyClock,
     pub core: ToCore,
     pub admission: Rc<RefCell<Admission>>,
     pub desk: Option<Desked>,
@@ -161,7 +163,7 @@
 
 /// Runs as long as the router does.
 pub async fn run(fellows: Fellows, mut asks: mpsc::Receiver<Ask>) {
-    let Fellows { bound, rules, settings, peers, seed, clock, core, admission, desk } = fellows;
+    let Fellows { bound, rules, settings, peers, seed, clock, steady, core, admission, desk } = fellows;
     let life_file = settings.state_dir.join(LIFE);
     let life = next_life(&life_file);
     let about = about(&settings, &peers, bound.address);
@@ -186,7 +188,7 @@
         asked: (clock.now_ms(), Vec::new()),
         needs: Vec::new(),
         outgoing: Rc::default(),
-        words: failover::Words::new(&settings),
+        words: failover::Words::new(&settings, steady),
         desk,
     };
     if let Some(desk) = &task.desk {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 use tracing::{error, info, warn};
 
-use crate::clock::wall_ms;
+use crate::steady::SteadyClock;
 
 /// A client does not wait longer than this for the disk; then its request is turned away.
 const DISK_WITHIN: Duration = Duration::from_millis(1000);
@@ -22,6 +22,8 @@
 /// Lives as long as the router.
 pub struct State {
     handle: RefCell<Option<(Handle, JoinHandle<()>)>>,
+    /// By which times are kept.
+    pub steady: SteadyClock,
     /// Writes that found no room in the queue, and durable ones that failed.
     pub skipped: Cell<u64>,
     pub failed: Cell<u64>,
@@ -37,9 +39,9 @@
 
 impl Left {
     /// What of it may be believed, given the processes that run now.
-    pub fn believed(&self, starts: &std::collections::BTreeMap<String, u64>) -> Vec<Kept> {
+    pub fn believed(&self, now_ms: f64, starts: &std::collections::BTreeMap<String, u64>) -> Vec<Kept> {
         let entries = self.kept.iter().map(|(key, value)| (key.as_slice(), value.as_slice()));
-        let rows = retention::believe(wall_ms(), &retention::TRUST, starts, retention::stored(entries));
+        let rows = retention::believe(now_ms, &retention::TRUST, starts, retention::stored(entries));
         rows.into_iter().map(Kept::from).collect()
     }
 }
@@ -50,8 +52,9 @@
     ///
     /// # Errors
     /// Such a mistake.
-    pub fn open(dir: &Path, router: usize) -> anyhow::Result<(State, Left)> {
-        let none = || State { handle: RefCell::new(None), skipped: Cell::new(0), failed: Cell::new(0) };
+    pub fn open(dir: &Path, router: usize, steady: SteadyClock) -> anyhow::Result<(State, Left)> {
+        let none =
+            || State { handle: RefCell::new(None), steady, skipped: Cell::new(0), failed: Cell::new(0) };
         let dir = dir.join(DIR);
         let disk = match Disk::open(&dir) {
             Ok(disk) => disk,
@@ -82,7 +85,7 @@
                 false => error!(segment, offset, what, "THE STORE IS DAMAGED; what is broken is kept aside"),
             }
         }
-        let now_ms = wall_ms();
+        let now_ms = steady.now_ms();
         let owned = |(key, value): (&[u8], &[u8])| (key.to_vec(), value.to_vec());
         let kept = store.of(Kind::Kept).map(owned).collect();
         let tokened = retention::tokened(now_ms, store.of(Kind::Tokened));
@@ -116,7 +119,7 @@
         tokens: f64,
         prefix: Option<(PrefixId, f64)>,
     ) {
-        let at_ms = wall_ms();
+        let at_ms = self.steady.now_ms();
         let op = |(text, tokens)| {
             let value = serde_json::to_vec(&retention::Kept { tokens, at_ms, start }).unwrap_or_default();
             Op::Put { key: retention::kept_key(text, &worker.0), value }
@@ -126,7 +129,7 @@
 
     /// Work with a key is about to be sent; on the disk when this returns true.
     pub async fn remember(&self, customer: &str, key: &str, wish: u64, window_ms: f64) -> bool {
-        let work = retention::Tokened { wish, until_ms: wall_ms() + window_ms };
+        let work = retention::Tokened { wish, until_ms: self.steady.now_ms() + window_ms };
         let value = serde_json::to_vec(&work).unwrap_or_default();
         let op = Op::Put { key: retention::tokened_key(customer, key), value };
         let done = self.handle.borrow().as_ref().and_then(|(handle, _)| handle.durable(vec![op]).ok());
@@ -148,7 +151,7 @@
 
     /// Lets go of what is outdated.
     pub fn sweep(&self) {
-        self.handle.borrow().iter().for_each(|(handle, _)| handle.sweep(wall_ms()));
+        self.handle.borrow().iter().for_each(|(handle, _)| handle.sweep(self.steady.now_ms()));
     }
 
     /// Writes what waits and lets go of the directory.
