--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -225,6 +225,9 @@
         /// Who decides on failover, where the day has it.
         #[arg(long, value_enum, default_value_t = DayFailover::Common)]
         failover: DayFailover,
+        /// System calls of routers that fail, as NAME=PART of their calls.
+        #[arg(long, value_delimiter = ',', value_parser = run::fault)]
+        faults: Vec<(paddleproxy_faults::Fault, f64)>,
         #[arg(long, value_enum, default_value_t = Format::Text)]
         format: Format,
     },
@@ -400,8 +403,9 @@
         Command::Check { files, format } => run::check(&files, format == Format::Json),
         Command::Demo { keep: true, .. } => run::keep(),
         Command::Demo { format, .. } => run::demo(format == Format::Json),
-        Command::Day { file, out, failover, format } => {
-            run::day(&file, out, failover.decides(), format == Format::Json)
+        Command::Day { file, out, failover, faults, format } => {
+            let varied = run::DayVaried { out, decides: failover.decides(), faults };
+            run::day(&file, varied, format == Format::Json)
         }
         Command::Days { files, failover, at_once, format } => {
             let ways: Vec<_> = failover.into_iter().map(DayFailover::name).collect();
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -6,6 +6,7 @@
 
 use anyhow::{Context, Result};
 use paddleproxy_day::{audit, play, report};
+use paddleproxy_faults::{Control, Fault, CONTROL_VARIABLE};
 use paddleproxy_fleet::record::Record;
 use paddleproxy_fleet::Fleet;
 use paddleproxy_settings as settings;
@@ -121,7 +122,9 @@
     let parts = DEMO.map(|(file, text)| (file.to_owned(), text.to_owned()));
     let day = settings::day::parse(&parts)?;
     let dir = std::env::temp_dir().join(format!("paddleproxy-demo-{}", std::process::id()));
-    let good = played(day, &dir, as_json)?;
+    std::fs::create_dir_all(&dir).with_context(|| format!("making {}", dir.display()))?;
+    let control = Control::create(&dir.join("faults"), day.seed)?;
+    let good = played(day, &[], &control, &dir, as_json)?;
     if good {
         std::fs::remove_dir_all(&dir).with_context(|| format!("removing {}", dir.display()))?;
     } else {
@@ -144,25 +147,73 @@
         let ready = |routers: &[std::net::SocketAddr]| {
             say(&json!({ "routers": routers, "models": models, "keys": keys }));
         };
-        play::keep(day.clone(), &program, &dir, ready, stop).await
+        play::keep(day.clone(), program.as_path(), &dir, ready, stop).await
     });
     std::fs::remove_dir_all(&dir).with_context(|| format!("removing {}", dir.display()))?;
     kept.map(|()| true)
 }
 
-pub fn day(file: &Path, out: Option<PathBuf>, decides: Decides, as_json: bool) -> Result<bool> {
+/// How a day differs from its document.
+pub struct DayVaried {
+    pub out: Option<PathBuf>,
+    pub decides: Decides,
+    /// System calls of routers that fail: each with the part of its calls.
+    pub faults: Vec<(Fault, f64)>,
+}
+
+/// Reads `NAME=PART`: a fault of system calls and the part of its calls that it hits.
+pub fn fault(text: &str) -> Result<(Fault, f64), String> {
+    let (name, part) = text.split_once('=').ok_or_else(|| format!("'{text}' is not NAME=PART"))?;
+    let known = || Fault::ALL.map(Fault::name).join(", ");
+    let fault =
+        Fault::named(name).ok_or_else(|| format!("no fault is called '{name}'; there are: {}", known()))?;
+    let part = part.parse().ok().filter(|part| (0.0..=1.0).contains(part));
+    part.map(|part| (fault, part)).ok_or_else(|| format!("'{text}' names no part between 0 and 1"))
+}
+
+/// The program with the fault-injecting library in its processes.
+fn with_faults(program: PathBuf, faults: &[(Fault, f64)], control: &Control) -> Result<play::Program> {
+    const MOST_STALL_MS: f64 = 140.0;
+    let library =
+        paddleproxy_faults::library().context("the fault-injecting library is not beside this program")?;
+    control.set_stall_ms(MOST_STALL_MS)?;
+    faults.iter().try_for_each(|(fault, part)| control.set_rate(*fault, *part))?;
+    let environment = vec![
+        ("LD_PRELOAD".to_owned(), library.into_os_string()),
+        (CONTROL_VARIABLE.to_owned(), control.path().as_os_str().to_owned()),
+    ];
+    Ok(play::Program { path: program, environment })
+}
+
+pub fn day(file: &Path, varied: DayVaried, as_json: bool) -> Result<bool> {
+    let DayVaried { out, decides, faults } = varied;
     let mut day = settings::day::load(file)?;
     day.deciding(decides);
     let dir =
         out.unwrap_or_else(|| std::env::temp_dir().join(format!("paddleproxy-day-{}", std::process::id())));
-    let good = played(day, &dir, as_json)?;
+    std::fs::create_dir_all(&dir).with_context(|| format!("making {}", dir.display()))?;
+    let control = Control::create(&dir.join("faults"), day.seed)?;
+    let good = played(day, &faults, &control, &dir, as_json)?;
+    for (fault, _) in &faults {
+        eprintln!("{}: injected {} times", fault.name(), control.injected(*fault)?);
+    }
     eprintln!("record: {}", dir.display());
     Ok(good)
 }
 
-fn played(day: settings::day::DaySettings, dir: &Path, as_json: bool) -> Result<bool> {
+fn played(
+    day: settings::day::DaySettings,
+    faults: &[(Fault, f64)],
+    control: &Control,
+    dir: &Path,
+    as_json: bool,
+) -> Result<bool> {
     let program = std::env::current_exe().context("finding this program")?;
-    let (facts, lines) = on_one_thread(play::play(day, &program, dir))?;
+    let program = match faults.is_empty() {
+        true => play::Program::from(program.as_path()),
+        false => with_faults(program, faults, control)?,
+    };
+    let (facts, lines) = on_one_thread(play::play(day, program, dir))?;
     Ok(judged(&facts, &lines, as_json))
 }
 
--- a/crates/cli/tests/signals.rs
+++ b/crates/cli/tests/signals.rs
@@ -109,6 +109,11 @@
 
 impl Router {
     fn start(host: &str) -> Router {
+        Router::start_with(host, "error", Stdio::inherit())
+    }
+
+    /// With so much logged, and where to.
+    fn start_with(host: &str, level: &str, log: Stdio) -> Router {
         let (sender, seen) = channel();
         let server = server(sender);
         let list = format!(
@@ -134,9 +139,10 @@
         let file = dir.path().join("config.json");
         std::fs::write(&file, config).unwrap();
         let process = Command::new(env!("CARGO_BIN_EXE_paddleproxy"))
-            .args(["--log", "error", "platform"])
+            .args(["--log", level, "platform"])
             .env("EDGE_CONFIG", &file)
             .stdout(Stdio::null())
+            .stderr(log)
             .spawn()
             .unwrap();
         let router = Router { process, listen, seen, _dir: dir };
@@ -255,3 +261,16 @@
     assert_eq!(kept.read_to_end(&mut rest).expect("an end, no reset"), 0);
     assert!(router.process.wait().unwrap().success(), "it ends by itself");
 }
+
+/// A log on a disk that is full costs lines of the log and nothing else.
+#[test]
+fn a_router_whose_log_can_not_be_written_serves_and_ends_well() {
+    let full = std::fs::File::options().write(true).open("/dev/full").unwrap();
+    let mut router = Router::start_with("127.0.83.3", "debug", full.into());
+    let mut kept = router.connect();
+    assert!(served(&router.ask(&mut kept, "a1")));
+    router.signal("HUP");
+    assert!(served(&router.ask(&mut kept, "a2")));
+    router.signal("TERM");
+    assert!(router.process.wait().unwrap().success(), "it ends by itself");
+}
--- a/crates/day/src/play.rs
+++ b/crates/day/src/play.rs
@@ -16,6 +16,7 @@
 use crate::audit::Facts;
 use crate::load::Clients;
 use crate::rig;
+pub use crate::stage::Program;
 use crate::stage::Stage;
 use crate::troubles::befall;
 
@@ -27,9 +28,9 @@
 ///
 /// # Errors
 /// What could not be started or written.
-pub async fn play(day: DaySettings, program: &Path, dir: &Path) -> Result<(Facts, Vec<Line>)> {
+pub async fn play(day: DaySettings, program: impl Into<Program>, dir: &Path) -> Result<(Facts, Vec<Line>)> {
     let day = Rc::new(day);
-    let stage = Stage::start(day.clone(), program, dir).await?;
+    let stage = Stage::start(day.clone(), program.into(), dir).await?;
     let record = stage.record.clone();
     // The day's clock starts once all are up.
     record.restart();
@@ -85,7 +86,7 @@
     ready: impl FnOnce(&[SocketAddr]),
     mut stop: tokio::sync::watch::Receiver<bool>,
 ) -> Result<()> {
-    let stage = Stage::start(Rc::new(day), program, dir).await?;
+    let stage = Stage::start(Rc::new(day), program.into(), dir).await?;
     ready(&stage.addresses.borrow());
     while !*stop.borrow_and_update() && stop.changed().await.is_ok() {}
     for router in 0..stage.day.routers {
--- a/crates/day/src/stage.rs
+++ b/crates/day/src/stage.rs
@@ -20,6 +20,19 @@
 use crate::load::Mood;
 use crate::mesh::{End, Mesh};
 
+/// The program whose `serve` is a router, and what its processes find in their environment.
+#[derive(Clone, Debug)]
+pub struct Program {
+    pub path: PathBuf,
+    pub environment: Vec<(String, std::ffi::OsString)>,
+}
+
+impl From<&Path> for Program {
+    fn from(path: &Path) -> Program {
+        Program { path: path.to_owned(), environment: Vec::new() }
+    }
+}
+
 /// Where a day is played.
 pub struct Stage {
     pub day: Rc<DaySettings>,
@@ -28,7 +41,7 @@
     pub mood: Rc<Mood>,
     /// Relays between the processes, where the day has fellows.
     pub mesh: Option<Rc<Mesh>>,
-    program: PathBuf,
+    program: Program,
     dir: PathBuf,
     /// Where clients reach each router, and where operators do.
     pub addresses: Rc<RefCell<Vec<SocketAddr>>>,
@@ -42,7 +55,7 @@
 
 impl Stage {
     /// Starts the fleet here and each router as a process, and waits until they have their list.
-    pub async fn start(day: Rc<DaySettings>, program: &Path, dir: &Path) -> Result<Rc<Stage>> {
+    pub async fn start(day: Rc<DaySettings>, program: Program, dir: &Path) -> Result<Rc<Stage>> {
         for router in 0..day.routers {
             let old = dir.join(format!("router-{router}"));
             if old.exists() {
@@ -71,7 +84,7 @@
             places: RefCell::new(vec![None; day.routers]),
             lists: RefCell::new(lists),
             mood: Rc::default(),
-            program: program.to_owned(),
+            program,
             dir: dir.to_owned(),
             addresses: Rc::new(RefCell::new(vec![nowhere; day.routers])),
             children: RefCell::new((0..day.routers).map(|_| None).collect()),
@@ -174,7 +187,8 @@
         std::fs::write(&config, self.day.router_document(&own))?;
         let log =
             std::fs::File::options().create(true).append(true).open(self.dir.join(format!("{name}.log")))?;
-        let mut child = Command::new(&self.program)
+        let mut child = Command::new(&self.program.path)
+            .envs(self.program.environment.iter().map(|(name, value)| (name, value)))
             .args(["--log", "info", "serve", "--config"])
             .arg(&config)
             .stdin(Stdio::null())
@@ -182,7 +196,7 @@
             .stderr(log)
             .kill_on_drop(true)
             .spawn()
-            .with_context(|| format!("starting {}", self.program.display()))?;
+            .with_context(|| format!("starting {}", self.program.path.display()))?;
         let out = child.stdout.take().context("no output")?;
         let mut lines = BufReader::new(out).lines();
         let line =
