A log that can not be written costs its lines and nothing else

Cause: crates/cli/src/main.rs built the log with tracing-subscriber's report of lines that it could not write; that report goes to standard error with eprintln!, and where standard error is what fails (a full disk, EIO) it panics: the first line ended the router.

Change: the report is off, and the program's last word is written without a panic. Other uses of println! in the crates that serve: none.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod stores;
 mod zones;
 
+use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -374,7 +375,11 @@
             return ExitCode::from(2);
         }
     };
-    let logs = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
+    // A line that can't be written is lost; telling of it would panic where standard error itself is what fails.
+    let logs = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .log_internal_errors(false);
     let set_log = match arguments.log_format {
         LogFormat::Text => {
             let logs = logs.with_filter_reloading();
@@ -439,7 +444,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(1),
         Err(cause) => {
-            eprintln!("paddleproxy: {cause:#}");
+            let _ = writeln!(std::io::stderr(), "paddleproxy: {cause:#}");
             ExitCode::from(2)
         }
     }
