A configuration that can't be read for a moment is read again

Cause: gateway lib.rs read EDGE_CONFIG once, at a start and with each SIGHUP: ENFILE or EMFILE at a start ended the process, and with SIGHUP, as a file that is half written, left the old configuration in place for good.

Change: read_again. At a start a want of descriptors is waited out for up to 8 s; with SIGHUP whatever is wrong is read again for 0.3 s, since other signals wait meanwhile. A file that is missing or wrong at a start is refused at once, as before.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,7 +22,7 @@
 use paddleproxy::interface::ListKind;
 use paddleproxy_platform::Config;
 use paddleproxy_router::clock::{duration, Clock};
-use paddleproxy_sockets::bind;
+use paddleproxy_sockets::{bind, Shortage};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{sleep, Instant};
@@ -45,6 +45,36 @@
     starts.read(|starts, now_ms| Config::parse(&text, starts, now_ms)).map_err(|cause| anyhow!(cause))
 }
 
+/// For how long a configuration that can't be read is read again, in ms: at a start, where nothing goes on without it, and
+/// with SIGHUP, where it may be half written and other signals wait. And the pause between two tries, in ms.
+const START_READS_MS: f64 = 8000.0;
+const RELOAD_READS_MS: f64 = 300.0;
+const READ_AGAIN_MS: f64 = 30.0;
+
+/// Whether the file was not there to be read for a moment: the machine is short of something.
+fn may_pass(cause: &anyhow::Error) -> bool {
+    cause.downcast_ref::<std::io::Error>().is_some_and(|cause| Shortage::of(cause).is_some())
+}
+
+/// Reads a configuration again while it can't be read for a reason that may pass.
+///
+/// # Errors
+/// As of the last try.
+async fn read_again(
+    path: &Path,
+    starts: &Starts,
+    within_ms: f64,
+    may_pass: impl Fn(&anyhow::Error) -> bool,
+) -> Result<Config> {
+    let until = Instant::now() + duration(within_ms);
+    loop {
+        match read(path, starts) {
+            Err(cause) if may_pass(&cause) && Instant::now() < until => sleep(duration(READ_AGAIN_MS)).await,
+            done => return done,
+        }
+    }
+}
+
 /// What a running router is told from outside.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Signal {
@@ -90,7 +120,8 @@
 ) -> Result<()> {
     let clock = Clock::start();
     let starts = Starts::new(clock);
-    let Config { name, listen, discovery, seed, limits, known, provision } = read(path, &starts)?;
+    let config = read_again(path, &starts, START_READS_MS, may_pass).await?;
+    let Config { name, listen, discovery, seed, limits, known, provision } = config;
     let shares = Shares::of(&limits);
     let listener = bind(listen).await.with_context(|| format!("listening on {listen}"))?;
     let listen = listener.local_addr()?;
@@ -129,7 +160,8 @@
 
     ready(listen);
     while let Some(Signal::Reload) = signals.recv().await {
-        match read(path, &starts) {
+        // Whatever is wrong with it: it may be half written.
+        match read_again(path, &starts, RELOAD_READS_MS, |_| true).await {
             Ok(config) => {
                 info!(discovery = %config.discovery, "configuration read again");
                 let shares = Shares::of(&config.limits);
