Work that may have run is checked again where attempts are told to the sockets

Cause: the rule on effects stood in the decisions alone (src/control/ranking.rs); a fault there would have sent work twice, and the ledger before the sockets would not have seen it. The client's presence at the write stood beside the write check, not in it.

Measured: routing, gateway and emulator tests pass; decisions that ask for a second run of work that may have run get one send and one breach.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -108,7 +108,7 @@
 
     /// What has to hold at the write itself.
     fn write_check(&self, address: SocketAddr) -> impl Fn() -> WriteCheck {
-        let (fleet, clock) = (self.fleet.clone(), self.clock);
+        let (fleet, clock, client) = (self.fleet.clone(), self.clock, self.request.client.clone());
         let Sending { until_ms, repeat_by_ms, .. } = self.sending;
         let worker = self.sending.worker.clone();
         move || WriteCheck {
@@ -116,6 +116,7 @@
             until_ms,
             repeat_by_ms,
             server_ready: fleet.borrow().is_ready(&worker, address),
+            client_gone: client.is_gone(),
         }
     }
 
--- a/crates/gateway/src/messages.rs
+++ b/crates/gateway/src/messages.rs
@@ -82,6 +82,10 @@
         self.left.notify_waiters();
     }
 
+    pub fn is_gone(&self) -> bool {
+        self.gone.get()
+    }
+
     /// Returns once the client has left.
     pub async fn left(&self) {
         let left = self.left.notified();
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -271,7 +271,7 @@
 
 fn metrics(front: &Front, status: &Status) -> String {
     let counts = &status.counts;
-    let rows: [(&str, u64); 27] = [
+    let rows: [(&str, u64); 28] = [
         ("completions_arrived_total", counts.arrived),
         ("completions_finished_total", counts.finished),
         ("completions_rate_limited_total", counts.rate_limited),
@@ -284,6 +284,7 @@
         ("answers_overdue_total", counts.overdue),
         ("answers_dropped_total", front.dropped.get()),
         ("states_unpinned_total", counts.unpinned),
+        ("invariant_breaches_total", counts.breaches),
         ("answers_again_total", front.answered_again.get()),
         ("refused_by_key_total", front.refused_by_key.get()),
         ("connections_refused_total", front.connections_refused.get()),
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -69,7 +69,13 @@
         let engines = self.engines.clone();
         let (clock, until_ms, repeat_by_ms) = (self.clock, self.sending.until_ms, self.sending.repeat_by_ms);
         let may_write = || {
-            let check = WriteCheck { now_ms: clock.now_ms(), until_ms, repeat_by_ms, server_ready: true };
+            let check = WriteCheck {
+                now_ms: clock.now_ms(),
+                until_ms,
+                repeat_by_ms,
+                server_ready: true,
+                client_gone: false,
+            };
             check.time_left_ms().map(|_| ())
         };
         let (response, connection) = tokio::select! {
--- a/crates/routing/src/ledger.rs
+++ b/crates/routing/src/ledger.rs
@@ -10,6 +10,7 @@
 use paddleproxy_engine::StateReference;
 
 use crate::outcomes::{never_ran, outcome, SocketEnd};
+use crate::repeat_guard::{self, Breach, MayHaveRun, Whereabouts};
 
 /// What a dispatch asks of its server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -200,6 +201,8 @@
     pub unpinned: u64,
     /// Reports of an end for a dispatch that had ended.
     pub ended_twice: u64,
+    /// Dispatches that the decisions asked for against the rule on effects; they were not sent.
+    pub breaches: u64,
 }
 
 /// Lives for one dispatch.
@@ -210,6 +213,8 @@
     /// Called off by the decisions, which are told of its end only.
     cancelled: bool,
     uses_state: bool,
+    /// When it was decided, as long as it may have run.
+    may_have_run_ms: Option<f64>,
 }
 
 struct Waiting {
@@ -289,7 +294,8 @@
     control: D,
     settings: Settings,
     answer_slack_ms: f64,
-    roles: BTreeMap<WorkerId, Role>,
+    /// Role and place of each listed server.
+    listed: BTreeMap<WorkerId, (Role, Whereabouts)>,
     open: BTreeMap<CompletionId, Entry>,
     events: VecDeque<Event>,
     touched: BTreeSet<CompletionId>,
@@ -309,7 +315,7 @@
             control: decisions,
             settings,
             answer_slack_ms,
-            roles: BTreeMap::new(),
+            listed: BTreeMap::new(),
             open: BTreeMap::new(),
             events: VecDeque::new(),
             touched: BTreeSet::new(),
@@ -381,16 +387,17 @@
             Input::Reported { worker, load } => self.events.push_back(Event::Reported { worker, load }),
             Input::Listed { kind, rows } => {
                 if matches!(kind, ListKind::Whole | ListKind::Saved) {
-                    self.roles.clear();
+                    self.listed.clear();
                 }
                 for row in rows.iter() {
                     match self.settings.kinds.get(row.kind.0) {
                         Some(kind) if row.readiness != Readiness::Gone => {
-                            self.roles.insert(row.worker.clone(), kind.role);
+                            let at = Whereabouts { zone: row.zone, cell: row.cell };
+                            self.listed.insert(row.worker.clone(), (kind.role, at));
                         }
                         // Nothing is sent to who is gone, and names never come back for ever.
                         _ => {
-                            self.roles.remove(&row.worker);
+                            self.listed.remove(&row.worker);
                         }
                     }
                 }
@@ -514,6 +521,9 @@
             (Outcome::Read, None) => result = Outcome::Error,
             _ => {}
         }
+        if let Some(dispatch) = entry.dispatches.get_mut(seq.0 as usize).filter(|_| never_ran(result)) {
+            dispatch.may_have_run_ms = None;
+        }
         if matches!(result, Outcome::Read | Outcome::Finished) {
             let (session, tokens, prefix) = (entry.session, entry.prompt_tokens, entry.prefix);
             effects.push(Effect::Keeps { worker: worker.clone(), session, tokens, prefix });
@@ -703,7 +713,8 @@
         timeout_ms: f64,
         effects: &mut Vec<Effect>,
     ) {
-        let role = self.roles.get(&worker).copied();
+        let (role, to) = self.listed.get(&worker).copied().unzip();
+        let breach = self.breach(now_ms, completion, to);
         let held_ms = self.held_ms();
         let Some(entry) = self.open.get_mut(&completion) else {
             self.counts.moot += 1;
@@ -715,7 +726,9 @@
         let seq = Seq(entry.dispatches.len() as u32);
         let second = entry.out() && !self.settings.second_copies;
         let beyond = entry.dispatches.len() >= self.settings.max_dispatches;
+        self.counts.breaches += u64::from(breach.is_some());
         let moot = !entry.owed || now_ms >= entry.deadline_ms || second || beyond || role.is_none();
+        let moot = moot || breach.is_some();
         let has_state = entry.state.is_some();
         let stage = match role {
             Some(Role::Reader) => Stage::Read,
@@ -726,8 +739,17 @@
         let stateless = role == Some(Role::Writer) && !has_state && !self.settings.writers_read;
         let uses_state = stage == Stage::Write;
         let out = !moot && !stateless;
-        entry.dispatches.push(Dispatch { worker: worker.clone(), stage, out, cancelled: false, uses_state });
+        let may_have_run_ms = Some(now_ms).filter(|_| out && stage != Stage::Read);
+        let worker_at = worker.clone();
+        let dispatch =
+            Dispatch { worker: worker_at, stage, out, cancelled: false, uses_state, may_have_run_ms };
+        entry.dispatches.push(dispatch);
         if !out {
+            if let Some(breach) = breach {
+                effects.push(Effect::Note(format!(
+                    "a dispatch against the rule on effects is not sent: {breach:?}"
+                )));
+            }
             self.counts.moot += u64::from(moot);
             let outcome = if moot { Outcome::Moot } else { Outcome::NoState };
             let over = entry.over();
@@ -766,6 +788,17 @@
         }));
     }
 
+    /// Why one more dispatch of a completion must not be sent there, if so.
+    fn breach(&self, now_ms: f64, completion: CompletionId, to: Option<Whereabouts>) -> Option<Breach> {
+        let entry = self.open.get(&completion)?;
+        let may_have_run = |dispatch: &Dispatch| {
+            let at = self.listed.get(&dispatch.worker).map(|(_, at)| *at);
+            Some(MayHaveRun { at, decided_ms: dispatch.may_have_run_ms? })
+        };
+        let earlier = entry.dispatches.iter().filter_map(may_have_run);
+        repeat_guard::check(entry.workload.as_ref()?, earlier, to?, now_ms).err()
+    }
+
     fn hold(&mut self, completion: CompletionId, worker: WorkerId, effects: &mut Vec<Effect>) {
         if !self.settings.holds_allowed {
             effects.push(Effect::Note("a place held ahead is not allowed by the settings".into()));
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod letgo;
 pub mod outcomes;
 pub mod pace;
+pub mod repeat_guard;
 pub mod repeats;
 pub mod write_check;
 
--- a/crates/routing/src/write_check.rs
+++ b/crates/routing/src/write_check.rs
@@ -23,6 +23,8 @@
     /// See `Sending::repeat_by_ms`.
     pub repeat_by_ms: f64,
     pub server_ready: bool,
+    /// The client is known to have closed.
+    pub client_gone: bool,
 }
 
 impl WriteCheck {
@@ -31,6 +33,9 @@
     /// # Errors
     /// Why the attempt must not be written.
     pub fn time_left_ms(&self) -> Result<f64, Withdrawal> {
+        if self.client_gone {
+            return Err(Withdrawal::ClientGone);
+        }
         let left_ms = (self.until_ms - self.now_ms).floor();
         if left_ms.is_nan() || left_ms < 1.0 {
             Err(Withdrawal::OutOfTime)
--- a/crates/routing/src/write_check/tests.rs
+++ b/crates/routing/src/write_check/tests.rs
@@ -17,6 +17,7 @@
                     until_ms: NOW_MS + left_ms,
                     repeat_by_ms: NOW_MS + window_left_ms,
                     server_ready,
+                    client_gone: false,
                 };
                 let expected = match (left_ms >= 1.0, window_left_ms > 0.0, server_ready) {
                     (false, _, _) => Err(Withdrawal::OutOfTime),
@@ -25,6 +26,8 @@
                     _ => Ok(left_ms),
                 };
                 assert_eq!(check.time_left_ms(), expected, "{check:?}");
+                let gone = WriteCheck { client_gone: true, ..check };
+                assert_eq!(gone.time_left_ms(), Err(Withdrawal::ClientGone), "{gone:?}");
             }
         }
     }
@@ -39,6 +42,7 @@
             until_ms: NOW_MS + left_ms,
             repeat_by_ms: f64::INFINITY,
             server_ready: true,
+            client_gone: false,
         };
         let told = check.time_left_ms().unwrap();
         // As it is written: seconds with three digits.
@@ -49,7 +53,12 @@
 
 #[test]
 fn no_time_at_all_is_no_time() {
-    let check =
-        WriteCheck { now_ms: NOW_MS, until_ms: f64::NAN, repeat_by_ms: f64::INFINITY, server_ready: true };
+    let check = WriteCheck {
+        now_ms: NOW_MS,
+        until_ms: f64::NAN,
+        repeat_by_ms: f64::INFINITY,
+        server_ready: true,
+        client_gone: false,
+    };
     assert_eq!(check.time_left_ms(), Err(Withdrawal::OutOfTime));
 }
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -32,6 +32,8 @@
     /// What fails in its processes.
     pub control: Control,
     child: RefCell<Option<Child>>,
+    /// The id of its process from its start until it is gone: one that is being ended is still to be let go on.
+    pid: Cell<Option<u32>>,
     /// One trouble at a time ends this router's process and starts the next.
     pub being_restarted: Cell<bool>,
 }
@@ -59,6 +61,7 @@
             log: dir.join(format!("router-{id}.log")),
             control,
             child: RefCell::default(),
+            pid: Cell::new(None),
             being_restarted: Cell::new(false),
         }))
     }
@@ -93,6 +96,7 @@
             .kill_on_drop(true)
             .spawn()
             .context("starting a router")?;
+        self.pid.set(child.id());
         *self.child.borrow_mut() = Some(child);
         let life = Life { started_ms: self.record.now_ms(), ..Life::default() };
         self.record.with(|seen| seen.lives[self.id].push(life));
@@ -133,7 +137,7 @@
 
     /// The id of its process.
     pub fn process(&self) -> Option<u32> {
-        self.child.borrow().as_ref().and_then(Child::id)
+        self.pid.get()
     }
 
     /// Sends a signal.
@@ -172,6 +176,7 @@
 
     async fn gone(&self, life: usize, child: &mut Child) {
         let Ok(status) = child.wait().await else { return };
+        self.pid.set(None);
         let code = status.code().ok_or(status.signal().unwrap_or(0));
         let now_ms = self.record.now_ms();
         self.change_life(life, |life| life.ended = Some((now_ms, code)));
@@ -181,6 +186,7 @@
     pub fn look_for_end(&self) -> bool {
         let ended = self.child.borrow_mut().as_mut().and_then(|child| child.try_wait().ok().flatten());
         let Some(status) = ended else { return false };
+        self.pid.set(None);
         let (life, now_ms) = (self.record.life(self.id), self.record.now_ms());
         let code = status.code().ok_or(status.signal().unwrap_or(0));
         self.change_life(life, |life| {
