--- a/crates/cli/tests/system_calls.rs
+++ b/crates/cli/tests/system_calls.rs
@@ -88,3 +88,11 @@
     assert!(!report.injected.is_empty(), "{:?}", report.injected);
     assert!(report.kept(), "{}", report.text());
 }
+
+/// What a server wrote while its router stood still is there when the router goes on: no silence of the server's.
+#[test]
+fn a_stream_that_was_written_while_the_router_stood_still_is_passed_on() {
+    let troubles = [1.0, 4.5, 8.0].map(|at_s| (Kind::RouterFreeze, at_s));
+    let report = Report::of(&played(&troubles, 12.0));
+    assert!(report.kept(), "{}", report.text());
+}
--- a/crates/gateway/tests/life.rs
+++ b/crates/gateway/tests/life.rs
@@ -306,3 +306,61 @@
         assert!(at[5] <= at[1] + 4, "descriptors by round: {at:?}");
     });
 }
+
+/// Configurations that can't be read are tried again; the word to stop does not wait for them.
+#[test]
+fn the_word_to_stop_does_not_wait_behind_configurations_that_can_not_be_read() {
+    local(async {
+        let worker = Worker::start("w-1", "combined", |_, _| vec![Step::Hang]).await;
+        let platform = Platform::with(&[&worker], |config| {
+            config["settings"]["services"][0]["slo_s"] = 19.0.into();
+        })
+        .await;
+        let mut open = TcpStream::connect(platform.clients).await.unwrap();
+        open.write_all(completion("a1", "", "{}").as_bytes()).await.unwrap();
+        wait_while(|| worker.asked().is_empty()).await;
+        std::fs::write(&platform.file, "{").unwrap();
+        let began = Instant::now();
+        for signal in [Signal::Reload, Signal::Reload, Signal::Reload, Signal::Stop] {
+            platform.signals.send(signal).await.unwrap();
+        }
+        let mut answer = Vec::new();
+        open.read_to_end(&mut answer).await.unwrap();
+        assert!(answer.starts_with(b"HTTP/1.1 502 "), "{}", String::from_utf8_lossy(&answer));
+        // The kill comes 3.7 s after the word to stop.
+        assert!(began.elapsed() < ms(3500), "{:?}", began.elapsed());
+        platform.router.await.unwrap().unwrap();
+    });
+}
+
+/// The word to stop comes while a router waits for a discovery that is silent; its start ends later than that, and makes
+/// it no router that takes more.
+#[test]
+fn a_router_that_is_told_to_stop_while_it_starts_ends() {
+    local(async {
+        let worker = Worker::start("w-1", "combined", |_, _| vec![Step::Wait(1900), Step::Say(good())]).await;
+        let silent = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut settings = config(&silent.local_addr().unwrap().to_string());
+        settings["known"] = list(1, &[&worker]);
+        settings["settings"]["caps"]["connect_timeout_s"] = 1.5.into();
+        settings["settings"]["services"][0]["slo_s"] = 19.0.into();
+        let dir = tempfile::tempdir().unwrap();
+        let file = dir.path().join("config.json");
+        std::fs::write(&file, settings.to_string()).unwrap();
+        let (signals, taken) = tokio::sync::mpsc::channel(4);
+        let (sender, ready) = tokio::sync::oneshot::channel();
+        let router = tokio::task::spawn_local(async move {
+            paddleproxy_gateway::serve(&file, taken, move |at| sender.send(at).unwrap()).await
+        });
+        let began = Instant::now();
+        let mut open = TcpStream::connect(ready.await.unwrap()).await.unwrap();
+        open.write_all(completion("a1", "", "{}").as_bytes()).await.unwrap();
+        signals.send(Signal::Stop).await.unwrap();
+        let mut answer = Vec::new();
+        open.read_to_end(&mut answer).await.unwrap();
+        assert!(body(&String::from_utf8(answer).unwrap()).1, "it is served");
+        // Answered at 1.9 s, and closed then: the last answers are given at 3 s.
+        assert!(began.elapsed() < ms(2600), "{:?}", began.elapsed());
+        router.await.unwrap().unwrap();
+    });
+}
--- a/crates/soak/src/troubles.rs
+++ b/crates/soak/src/troubles.rs
@@ -20,6 +20,8 @@
 /// How long a router is stopped, and how long it runs in between, in ms.
 const STALL_MS: u64 = 130;
 const RUNS_MS: u64 = 220;
+/// A router stands still for so long at most, in s.
+const FROZEN_S: f64 = 2.5;
 /// Connections that idle clients open at one router.
 const IDLE_CONNECTIONS: usize = 400;
 
@@ -62,7 +64,7 @@
         Kind::RouterKill => kill(stage, &some(trouble, routers, 4)).await,
         Kind::RouterReload => reload(stage, &some(trouble, routers, routers), ends).await,
         Kind::RouterStall => stall(stage, &some(trouble, routers, 4), ends).await,
-        Kind::RouterFreeze => freeze(stage, &some(trouble, routers, 2), 1.0 + rng.f64()).await,
+        Kind::RouterFreeze => freeze(stage, &some(trouble, routers, 2), trouble.for_s.min(FROZEN_S)).await,
         Kind::DiscoveryDown => {
             stage.catalog.down.set(true);
             tokio::time::sleep_until(ends).await;
