The word to stop goes before a reload, a start does not undo it, a stream is looked at

Cause and change: lib.rs read a refused configuration to the end of its time before the next signal: now the next signal goes first. lib.rs set the stage to ready whatever it was when the wait for discovery ended: now only where it was starting. attempt.rs took its own standing still for a server's silence: when the limit fires it asks the system whether bytes wait, and lets the runtime see them before it goes on.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -193,6 +193,11 @@
                 _ = self.words.recv() => return Err(SocketEnd::Stopped),
                 read = connection.read() => read,
                 () = sleep_until(limit) => {
+                    // A router that stood still itself has only not looked: the runtime is to see what has come.
+                    if connection.has_unread() {
+                        tokio::task::yield_now().await;
+                        continue;
+                    }
                     return Err(if stream.is_some() { SocketEnd::Stalled } else { SocketEnd::TimedOut });
                 }
             };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -155,13 +155,28 @@
     let started = life.clone();
     tokio::task::spawn_local(async move {
         let _ = tokio::time::timeout(duration(connect_ms), heard).await;
-        started.send_if_modified(|life| std::mem::replace(life, Lifecycle::Ready) == Lifecycle::Starting);
+        // One that was told to stop meanwhile stays so.
+        started.send_if_modified(|life| {
+            let starting = *life == Lifecycle::Starting;
+            if starting {
+                *life = Lifecycle::Ready;
+            }
+            starting
+        });
     });
 
     ready(listen);
-    while let Some(Signal::Reload) = signals.recv().await {
-        // Whatever is wrong with it: it may be half written.
-        match read_again(path, &starts, RELOAD_READS_MS, |_| true).await {
+    let mut signal = signals.recv().await;
+    while signal == Some(Signal::Reload) {
+        // Whatever is wrong with it: it may be half written. The next signal goes first.
+        let config = tokio::select! {
+            config = read_again(path, &starts, RELOAD_READS_MS, |_| true) => config,
+            next = signals.recv() => {
+                signal = next;
+                continue;
+            }
+        };
+        match config {
             Ok(config) => {
                 info!(discovery = %config.discovery, "configuration read again");
                 let shares = Shares::of(&config.limits);
@@ -177,6 +192,7 @@
                 warn!(cause = format!("{cause:#}"), "configuration refused; the last good one stays")
             }
         }
+        signal = signals.recv().await;
     }
     let stopped = Instant::now();
     let longest_ms = frontend.provision.borrow().client_timeouts_ms.iter().copied().fold(0.0, f64::max);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -69,6 +69,11 @@
         Ok(())
     }
 
+    /// Whether bytes have come, by the system itself, that were not read yet.
+    pub fn has_unread(&self) -> bool {
+        self.stream.bytes_wait()
+    }
+
     /// Reads more into `bytes`; false at the end of the connection.
     ///
     /// # Errors
