--- a/crates/soak/src/configuration.rs
+++ b/crates/soak/src/configuration.rs
@@ -22,7 +22,7 @@
 /// One of each kind.
 pub const CLASSES: [Class; 3] = [
     Class { name: "chat", repeats: Repeats::Harmless, deadline_s: 2.5, window_s: 0.0 },
-    Class { name: "notice", repeats: Repeats::ByKey, deadline_s: 2.0, window_s: 1.0 },
+    Class { name: "notice", repeats: Repeats::ByKey, deadline_s: 2.0, window_s: 0.5 },
     Class { name: "ledger", repeats: Repeats::Never, deadline_s: 2.5, window_s: 0.0 },
 ];
 
