What a router does not send for its own reasons blames no server

Cause: outcomes.rs told Withdrawn (the client gone, time or window over, the list changed) and a want of own connections as ConnectFailed, for which control.rs adds 0.6 to the server's distrust; at 0.5 it counts as silent and sessions pass it by.

Change: Outcome::Unsent, as ConnectFailed in all but the blame: it surely never ran, leaves a state's time running, and the server is not tried again for this request. SocketEnd::NoRoom stands for the want of own connections; a server whose address is not known is still a failure, as before.

--- a/crates/emulator/src/policies.rs
+++ b/crates/emulator/src/policies.rs
@@ -208,7 +208,12 @@
                 let workload = self.settings.workloads[open.facts.workload.0].effect;
                 let sure = matches!(
                     outcome,
-                    Outcome::Read | Outcome::Full | Outcome::NoState | Outcome::ConnectFailed | Outcome::Moot
+                    Outcome::Read
+                        | Outcome::Full
+                        | Outcome::NoState
+                        | Outcome::ConnectFailed
+                        | Outcome::Unsent
+                        | Outcome::Moot
                 );
                 if *over || *outcome == Outcome::Finished {
                     self.open.remove(completion);
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -324,6 +324,7 @@
         SocketEnd::Unreachable => "unreachable",
         SocketEnd::ConnectTimedOut => "connect-timed-out",
         SocketEnd::NoAddress => "no-address",
+        SocketEnd::NoRoom => "no-room",
         SocketEnd::NeverWritten => "never-written",
         SocketEnd::Withdrawn(Withdrawal::ClientGone) => "withdrawn-client-gone",
         SocketEnd::Withdrawn(Withdrawal::OutOfTime) => "withdrawn-out-of-time",
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -238,7 +238,7 @@
     /// None came up in time, or there is no descriptor left for it.
     pub async fn connect(&self, address: SocketAddr) -> Result<Connection, SocketEnd> {
         if self.held.get() >= self.most.get() && !self.give_up_one() {
-            return Err(SocketEnd::NoAddress);
+            return Err(SocketEnd::NoRoom);
         }
         self.held.set(self.held.get() + 1);
         let slot = Slot(self.held.clone());
@@ -251,7 +251,7 @@
             Ok(Err(cause)) => Err(match cause.kind() {
                 ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => SocketEnd::ConnectRefused,
                 ErrorKind::TimedOut => SocketEnd::ConnectTimedOut,
-                _ if Shortage::of(&cause).is_some() => SocketEnd::NoAddress,
+                _ if Shortage::of(&cause).is_some() => SocketEnd::NoRoom,
                 _ => SocketEnd::Unreachable,
             }),
         }
--- a/crates/gateway/src/pool/tests.rs
+++ b/crates/gateway/src/pool/tests.rs
@@ -90,7 +90,7 @@
         let other = TcpListener::bind("127.0.0.1:0").unwrap();
         let held = pool.take(address).await.unwrap_or_else(|end| panic!("{end:?}"));
         let refused = pool.take(other.local_addr().unwrap()).await;
-        assert!(matches!(refused, Err(SocketEnd::NoAddress)), "all are in use");
+        assert!(matches!(refused, Err(SocketEnd::NoRoom)), "all are in use");
         pool.keep(held);
         let taken = pool.take(other.local_addr().unwrap()).await;
         assert!(taken.is_ok(), "what rests gives way");
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -147,7 +147,7 @@
                 Ok(_) | Err(SocketEnd::ConnectRefused | SocketEnd::BrokeBeforeAnswer) => {
                     Call::Failed(Deaf::Refused)
                 }
-                Err(SocketEnd::NoAddress) => Call::Failed(Deaf::NoWay),
+                Err(SocketEnd::NoAddress | SocketEnd::NoRoom) => Call::Failed(Deaf::NoWay),
                 Err(_) => Call::Failed(Deaf::Silent),
             },
         };
--- a/crates/router/src/engines.rs
+++ b/crates/router/src/engines.rs
@@ -85,7 +85,7 @@
                     ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => SocketEnd::ConnectRefused,
                     ErrorKind::TimedOut => SocketEnd::ConnectTimedOut,
                     // Nothing was wrong with the server.
-                    _ if Shortage::of(&cause).is_some() => SocketEnd::NoAddress,
+                    _ if Shortage::of(&cause).is_some() => SocketEnd::NoRoom,
                     _ => SocketEnd::Unreachable,
                 });
             }
--- a/crates/router/src/failover.rs
+++ b/crates/router/src/failover.rs
@@ -69,7 +69,7 @@
             Some(Met::Broken)
         }
         ReadDone => began(target_ms, took_ms),
-        NeverWritten | Withdrawn(_) | TurnedAway(_) | Stopped | Nonsense(_) | AnswerDone => None,
+        NoRoom | NeverWritten | Withdrawn(_) | TurnedAway(_) | Stopped | Nonsense(_) | AnswerDone => None,
     }
 }
 
--- a/crates/routing/src/ledger.rs
+++ b/crates/routing/src/ledger.rs
@@ -555,7 +555,7 @@
         let writing = entry.out();
         if let Some(state) = entry.state.as_mut().filter(|_| !writing && result != Outcome::Read) {
             // What was never sent is no end of a dispatch to whoever holds the state: its time has run on.
-            if result != Outcome::ConnectFailed {
+            if !matches!(result, Outcome::ConnectFailed | Outcome::Unsent) {
                 state.since_ms = now_ms;
             }
             let in_ms = state.since_ms + held_ms - now_ms;
--- a/crates/routing/src/letgo.rs
+++ b/crates/routing/src/letgo.rs
@@ -88,7 +88,7 @@
             }
             ConnectRefused | Unreachable | ConnectTimedOut | NeverWritten | BrokeBeforeAnswer | Stalled
             | TimedOut => self.silent(worker, now_ms),
-            NoAddress | BrokeAfterFirst | Stopped | Withdrawn(_) => {}
+            NoAddress | NoRoom | BrokeAfterFirst | Stopped | Withdrawn(_) => {}
         }
     }
 
--- a/crates/routing/src/outcomes.rs
+++ b/crates/routing/src/outcomes.rs
@@ -15,6 +15,8 @@
     Unreachable,
     ConnectTimedOut,
     NoAddress,
+    /// This router has no connection left to give, or its machine is short of something.
+    NoRoom,
     /// A connection stood but closed before any byte of the request was written to it.
     NeverWritten,
     /// Decided and not written: what had to hold at the write no longer held.
@@ -50,8 +52,8 @@
         | SocketEnd::Unreachable
         | SocketEnd::ConnectTimedOut
         | SocketEnd::NoAddress
-        | SocketEnd::NeverWritten
-        | SocketEnd::Withdrawn(_) => Outcome::ConnectFailed,
+        | SocketEnd::NeverWritten => Outcome::ConnectFailed,
+        SocketEnd::NoRoom | SocketEnd::Withdrawn(_) => Outcome::Unsent,
         SocketEnd::TurnedAway(Refusal::Full | Refusal::Draining) => Outcome::Full,
         SocketEnd::TurnedAway(Refusal::StateGone) => Outcome::NoState,
         SocketEnd::ErrorStatus(_) | SocketEnd::Nonsense(_) => Outcome::Error,
@@ -70,6 +72,11 @@
 pub fn never_ran(outcome: Outcome) -> bool {
     matches!(
         outcome,
-        Outcome::ConnectFailed | Outcome::Full | Outcome::NoState | Outcome::Moot | Outcome::Read
+        Outcome::ConnectFailed
+            | Outcome::Unsent
+            | Outcome::Full
+            | Outcome::NoState
+            | Outcome::Moot
+            | Outcome::Read
     )
 }
--- a/crates/routing/tests/blame.rs
+++ b/crates/routing/tests/blame.rs
@@ -112,7 +112,7 @@
         SocketEnd::Withdrawn(Withdrawal::ClientGone),
         SocketEnd::Withdrawn(Withdrawal::OutOfTime),
         SocketEnd::Withdrawn(Withdrawal::RepeatTooLate),
-        SocketEnd::NoAddress,
+        SocketEnd::NoRoom,
     ] {
         let mut play = Play::new();
         let home = play.turn(end.clone());
--- a/src/control.rs
+++ b/src/control.rs
@@ -376,7 +376,7 @@
         let (began, wanted) = (d.phase == Phase::Streaming, d.wanted);
         let (worker, stage, believed, sent_ms) = (d.worker.clone(), d.stage, d.believed, d.sent_ms);
         (d.phase, d.wanted) = (Phase::Ended, false);
-        d.may_have_run &= !matches!(outcome, Full | NoState | ConnectFailed | Moot | Read);
+        d.may_have_run &= !matches!(outcome, Full | NoState | ConnectFailed | Unsent | Moot | Read);
         let tokens = std::mem::take(&mut d.tokens);
         c.over |= over;
         if let Some(w) = self.workers.get_mut(&worker) {
@@ -387,15 +387,16 @@
         }
         // What was never sent leaves a state's time running. Guards against writers that can't be reached by
         // its end, and that call gone what they can't reach. Harm: a prompt read anew.
-        let unsent = outcome == ConnectFailed && self.now_ms >= c.idle_ms + HELD * self.settings.pin_limit_ms;
+        let never_sent = matches!(outcome, ConnectFailed | Unsent);
+        let unsent = never_sent && self.now_ms >= c.idle_ms + HELD * self.settings.pin_limit_ms;
         c.let_go |= c.state_at.is_some() && (unsent || outcome == NoState);
-        c.idle_ms = if outcome == ConnectFailed { c.idle_ms } else { self.now_ms };
+        c.idle_ms = if never_sent { c.idle_ms } else { self.now_ms };
         c.state_at = match outcome {
             Read => Some(worker.clone()),
             Finished | NoState => None,
             _ => c.state_at.take().filter(|_| !unsent),
         };
-        if matches!(outcome, Full | Error | Broken | ConnectFailed | TimedOut) {
+        if matches!(outcome, Full | Error | Broken | ConnectFailed | Unsent | TimedOut) {
             c.avoid.push(worker.clone());
         }
         let blame = match outcome {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -147,6 +147,8 @@
     NoState,
     TimedOut,
     ConnectFailed,
+    /// Not sent, for a reason of the router's own or of the client's: it says nothing of the worker.
+    Unsent,
     Broken,
     Cancelled,
     /// Never sent.
