--- a/src/control/placement.rs
+++ b/src/control/placement.rs
@@ -12,7 +12,8 @@
     cell_has_reader: bool,
 }
 
-/// What puts a reader before others: whether it is where the prompt goes, how far it is, whether it keeps the session.
+/// What puts a reader before others: whether it is where the prompt goes, how far it is, whether it keeps the
+/// session.
 type Choice<'a> = (bool, Option<&'a u8>, bool);
 
 impl Control {
@@ -36,7 +37,7 @@
 
     /// Sessions that begin alike share homes: the first by hash of the beginning, as many as its part of the
     /// arrivals fills. Guards against texts read anew everywhere, where none stays kept. Harm: uneven homes.
-    /// The key of that order, and the place of the last of them in it; none where the prompt shares no beginning.
+    /// The key of that order, and the place of the last of them in it; none where the prompt shares none.
     fn last_home_of_beginning(
         &self,
         c: &Completion,
@@ -97,7 +98,7 @@
         alone.filter(|worker| !self.strained(c, worker, true)).zip(Some(Stage::Whole))
     }
 
-    /// Readers that may have a prompt, the first choice first: those of home's cell by hash, and few of others.
+    /// Readers that may have a prompt, the first choice first: those of home's cell, and few of others.
     fn readers(&self, c: &Completion, home: &Home) -> Vec<Ranked<'_>> {
         let key = c.facts.prefix.map_or(c.facts.session.0, |prefix| prefix.0);
         let mut all = self.ranked(c, key, Scope::All, &[Role::Reader]);
@@ -123,8 +124,8 @@
         choices.into_iter().map(|(_, one)| one).collect()
     }
 
-    /// Guards against few readers beside many homes, unseen by who sent under one dispatch of late: what is beyond
-    /// their even part goes elsewhere, by session. Harm: the history is kept there.
+    /// Guards against few readers beside many homes, unseen by who sent under one dispatch of late: what is
+    /// beyond their even part goes elsewhere, by session. Harm: the history is kept there.
     fn goes_away(&self, c: &Completion, home: &Home) -> bool {
         let half_ms = self.settings.fall_ms;
         let mut sent = 0.0;
--- a/src/control/ranking.rs
+++ b/src/control/ranking.rs
@@ -3,7 +3,8 @@
 use super::roster::{Scope, Slot};
 use super::*;
 
-/// A worker's place in the order for a key: by hash, and by weight where weights act and differ. The least is first.
+/// A worker's place in the order for a key: by hash, and by weight where weights act and differ. The least
+/// is first.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Place(u128);
 
@@ -12,7 +13,7 @@
     pub fn of(slot: &Slot, key: u64, weighted: bool) -> Place {
         let rank = slot.name_hash.rank(key);
         let drawn = || ((rank as f64 + 0.5) / u64::MAX as f64).min(1.0 - f64::EPSILON);
-        // Never above 0, and the greatest is first: the bits of a number below 0 grow with its distance from 0.
+        // Never above 0, and the greatest is first: the bits of such a number grow with its distance from 0.
         let pull = if weighted { (drawn().ln() / slot.weight).to_bits() } else { 0 };
         Place(u128::from(pull) << 64 | u128::from(!rank))
     }
@@ -49,8 +50,8 @@
         found
     }
 
-    /// Whether weights make the order of these. Weighted rendezvous: each gets its weight's share of sessions. Equal
-    /// weights change nothing.
+    /// Whether weights make the order of these. Weighted rendezvous: each gets its weight's share of
+    /// sessions. Equal weights change nothing.
     pub(super) fn weighted(&self, found: &[&Slot]) -> bool {
         let even = || found.windows(2).all(|pair| pair[0].weight == pair[1].weight);
         self.settings.weights_act && !even()
--- a/src/control/roster.rs
+++ b/src/control/roster.rs
@@ -1,5 +1,5 @@
-//! The listed workers by role, each role in the order of names, with what every decision looks at of all of them,
-//! closely packed: a decision looks through whole roles several times, and a list may be long.
+//! The listed workers by role, each role in the order of names, with what every decision looks at of all of
+//! them, closely packed: a decision looks through whole roles several times, and a list may be long.
 
 use super::*;
 
--- a/src/control/silence.rs
+++ b/src/control/silence.rs
@@ -1,4 +1,4 @@
-//! Workers that were not heard from of late: asked before they are sent to, and zones in which nobody answers.
+//! Workers that were not heard from of late: asked before they are sent to; zones in which nobody answers.
 
 use super::placement::Home;
 use super::*;
--- a/src/control/slow_start.rs
+++ b/src/control/slow_start.rs
@@ -31,7 +31,7 @@
             && sent + 1.0 <= (budget / at_once).max(1.0)
     }
 
-    /// What the warm workers of a kind were sent of late in the mean, or all warm ones where the kind has none.
+    /// What the warm workers of a kind were sent of late in the mean, or all where the kind has no warm ones.
     fn warm_mean(&self, kind: KindId) -> f64 {
         let known = self.of_plan.warm_means.borrow().get(&kind).copied();
         known.unwrap_or_else(|| {
