--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -141,9 +141,6 @@
     pub const WALL_OFFSET_MS: usize = 8;
     /// The longest stall before a write, in microseconds, 8 bytes.
     pub const STALL_US: usize = 16;
-    /// For how many further calls each `bind`, `listen`, `socket` and `accept` fault may be injected one after the
-    /// other is bounded by its rate alone; a count here, 8 bytes, bounds injections in all. 0 is no bound.
-    pub const MOST: usize = 24;
     /// One rate a fault, 4 bytes each.
     pub const RATES: usize = 64;
     /// One count of injections a fault, 8 bytes each.
@@ -211,14 +208,6 @@
         self.file.write_all_at(&stall_us.to_ne_bytes(), layout::STALL_US as u64)
     }
 
-    /// Bounds how many faults are injected in all; 0 takes the bound away.
-    ///
-    /// # Errors
-    /// The file can't be written.
-    pub fn set_most(&self, most: u64) -> Result<()> {
-        self.file.write_all_at(&most.to_ne_bytes(), layout::MOST as u64)
-    }
-
     /// How often a fault was injected so far.
     ///
     /// # Errors
--- a/crates/interpose/src/control.rs
+++ b/crates/interpose/src/control.rs
@@ -14,7 +14,6 @@
 static STATE: AtomicU8 = AtomicU8::new(NOT_LOOKED);
 static MAPPED: AtomicPtr<u8> = AtomicPtr::new(std::ptr::null_mut());
 static THREADS: AtomicU64 = AtomicU64::new(1);
-static INJECTED: AtomicU64 = AtomicU64::new(0);
 
 thread_local! {
     static CHANCE: Cell<u64> = const { Cell::new(0) };
@@ -93,12 +92,7 @@
     }
     // SAFETY: within the mapping and aligned to 4 bytes.
     let rate = unsafe { mapped.add(layout::RATES + 4 * fault as usize).cast::<u32>().read_volatile() };
-    rate > 0 && (draw() >> 48) < u64::from(rate) && within_bound()
-}
-
-fn within_bound() -> bool {
-    let most = read_u64(layout::MOST);
-    most == 0 || INJECTED.fetch_add(1, Ordering::Relaxed) < most
+    rate > 0 && (draw() >> 48) < u64::from(rate)
 }
 
 /// Counts one injection.
--- a/crates/soak/src/discovery.rs
+++ b/crates/soak/src/discovery.rs
@@ -200,9 +200,7 @@
 
     /// Breaks every open connection with a reset.
     pub fn reset_watches(&self) {
-        self.link.set(crate::link::Weather { resets: true, ..self.link.weather() });
         self.connections.borrow_mut().abort_all();
-        self.link.set(crate::link::Weather { resets: false, ..self.link.weather() });
     }
 
     async fn serve(&self, mut stream: TcpStream) -> Result<()> {
