Endings of requests and connections are typed, counted and logged with their reasons

Change: crates/gateway/src/endings.rs: one line for each end of a request and of a client's connection, level debug, from SIGTERM on level info; open requests are listed as the last answers are given; phases of the shutdown are logged; counts by kind stand in the line 'stopped' in place of the faults by status. No behaviour changes.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -13,17 +13,45 @@
 use tokio::sync::mpsc;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
+use crate::endings::{ConnectionEnd, OpenRequest, RequestEnd};
 use crate::frontend::{reached, Activity, ConnectionSlot, Lifecycle};
 use crate::inbound::Inbound;
 use crate::limits::{AHEAD_BYTES, CLIENT_IDLE, GIVEN_UP_LINGER_MS, LINGER_MS, REQUEST_MS, SLOW_CLIENT_MS};
 use crate::messages::{BodyBytes, ClientPresence, ClientRequest, CoreEvent, Reply, StreamPart};
 
-/// Why a connection ends.
+/// Why a connection ends, and how.
+#[derive(Clone, Copy, Debug)]
 enum ConnectionOver {
     /// Nothing more to say on it.
-    Close,
-    /// Nobody is there any more, or its descriptor is wanted elsewhere.
-    Left,
+    Close(ConnectionEnd),
+    /// Nobody is there any more, or its descriptor is wanted elsewhere: there is nothing to wait for.
+    Left(ConnectionEnd),
+}
+
+impl ConnectionOver {
+    const CLIENT_LEFT: ConnectionOver = ConnectionOver::Left(ConnectionEnd::ClientLeft);
+
+    fn end(self) -> ConnectionEnd {
+        let (ConnectionOver::Close(end) | ConnectionOver::Left(end)) = self;
+        end
+    }
+
+    /// How the request ended during which the connection did.
+    fn request_end(self) -> RequestEnd {
+        match self.end() {
+            ConnectionEnd::StreamBroke => RequestEnd::Broken,
+            _ => RequestEnd::ClientLeft,
+        }
+    }
+}
+
+/// A request that was read to its last byte.
+struct WholeRequest {
+    head: RequestHead,
+    body: Bytes,
+    held: BodyBytes,
+    /// When its last byte came.
+    received_ms: f64,
 }
 
 /// Between two looks for the end of a connection that has something else to say, in ms.
@@ -39,16 +67,19 @@
 /// Serves one connection until it closes.
 pub async fn serve(slot: ConnectionSlot, mut stream: Stream) {
     let mut inbound = Inbound::new(slot.frontend.clock);
-    loop {
+    let over = loop {
         match slot.serve_request(&mut stream, &mut inbound).await {
             Ok(()) => {
                 // An idle connection holds no buffer.
                 inbound.rest();
                 slot.set_activity(Activity::Idle);
             }
-            Err(ConnectionOver::Close) => break,
-            Err(ConnectionOver::Left) => return,
+            Err(over) => break over,
         }
+    };
+    slot.frontend.endings.connection(slot.number, slot.requests.get(), over.end());
+    if matches!(over, ConnectionOver::Left(_)) {
+        return;
     }
     slot.set_activity(Activity::NoRequest);
     // Unread bytes would turn the close into a reset, and the client might never read its answer.
@@ -78,38 +109,75 @@
             () = sleep_until(by) => Err(Fault::new(408, "the request did not come whole in time")),
             () = self.close.notified() => Err(GIVES_WAY),
         };
-        let (head, body, held) = match taken {
-            Ok(taken) => taken,
+        let whole = match taken {
+            Ok(whole) => whole,
             Err(fault) => {
+                self.frontend.endings.refused_unread(fault.status);
                 self.refuse(stream, fault, true).await?;
-                return Err(ConnectionOver::Close);
+                return Err(ConnectionOver::Close(ConnectionEnd::Unreadable));
             }
         };
         self.set_activity(Activity::Busy);
-        let received_ms = inbound.taken_came_ms();
-        let close = head.close;
-        let answered = match (head.method.as_str(), path(&head.target)) {
+        let close = whole.head.close;
+        let request = self.opened(&whole.head);
+        let answered = self.answer_whole(stream, inbound, &request, whole).await;
+        self.over(&request, answered.unwrap_or_else(ConnectionOver::request_end));
+        answered?;
+        if close {
+            return Err(ConnectionOver::Close(ConnectionEnd::AsAsked));
+        }
+        if self.closes(stream, inbound) {
+            let stops = self.frontend.life() >= Lifecycle::Draining;
+            let end = if stops { ConnectionEnd::AnsweredAtStop } else { ConnectionEnd::GaveWay };
+            return Err(ConnectionOver::Close(end));
+        }
+        Ok(())
+    }
+
+    /// The answer to a request that was read whole.
+    async fn answer_whole(
+        &self,
+        stream: &mut Stream,
+        inbound: &mut Inbound,
+        request: &OpenRequest,
+        whole: WholeRequest,
+    ) -> Result<RequestEnd, ConnectionOver> {
+        let close = whole.head.close;
+        let answered = match (whole.head.method.as_str(), path(&whole.head.target)) {
             ("GET", "/_health") => match self.frontend.life() {
                 Lifecycle::Starting => Err(Fault::new(503, "not ready yet")),
                 _ => {
                     let closes = close || self.closes(stream, inbound);
-                    Ok(self.answer(stream, 200, "OK", "", "{\"ready\":true}", closes).await?)
+                    self.answer(stream, 200, "OK", "", "{\"ready\":true}", closes).await?;
+                    Ok(RequestEnd::Answered)
                 }
             },
-            ("POST", "/v1/chat/completions") => {
-                self.answer_request(stream, inbound, head, body, held, received_ms).await?
-            }
+            ("POST", "/v1/chat/completions") => self.answer_request(stream, inbound, request, whole).await?,
             (_, "/_health" | "/v1/chat/completions") => Err(Fault::new(405, "not with this method")),
             _ => Err(Fault::new(404, "nothing is served here")),
         };
         match answered {
-            Ok(()) => {}
-            Err(fault) => self.refuse(stream, fault, close || self.closes(stream, inbound)).await?,
-        }
-        if close || self.closes(stream, inbound) {
-            return Err(ConnectionOver::Close);
+            Ok(end) => Ok(end),
+            Err(fault) => {
+                self.refuse(stream, fault, close || self.closes(stream, inbound)).await?;
+                let stops = fault == STOPS;
+                Ok(if stops { RequestEnd::RefusedStopping } else { RequestEnd::Refused(fault.status) })
+            }
         }
-        Ok(())
+    }
+
+    /// One more request is open on this connection.
+    fn opened(&self, head: &RequestHead) -> Rc<OpenRequest> {
+        self.requests.set(self.requests.get() + 1);
+        let id = head.fields.id.as_deref().unwrap_or_default().into();
+        let request = Rc::new(OpenRequest::new(id, self.number, self.requests.get()));
+        self.set_open(Some(request.clone()));
+        request
+    }
+
+    fn over(&self, request: &OpenRequest, end: RequestEnd) {
+        self.set_open(None);
+        self.frontend.endings.request(request, end);
     }
 
     /// Whether the connection closes after an answer. What has come on it already is answered first: a request that
@@ -140,11 +208,11 @@
             biased;
             more = inbound.read(stream) => return match more {
                 Ok(more) if more > 0 => Ok(()),
-                _ => Err(ConnectionOver::Left),
+                _ => Err(ConnectionOver::CLIENT_LEFT),
             },
-            () = sleep_until(until) => ConnectionOver::Close,
-            () = self.close.notified() => ConnectionOver::Left,
-            () = reached(&mut life, stage) => ConnectionOver::Close,
+            () = sleep_until(until) => ConnectionOver::Close(ConnectionEnd::Idle),
+            () = self.close.notified() => ConnectionOver::Left(ConnectionEnd::GaveWay),
+            () = reached(&mut life, stage) => ConnectionOver::Close(ConnectionEnd::RestedAtStop),
         };
         // A request that has come in this very moment is answered rather than closed upon.
         if stream.bytes_wait() {
@@ -158,7 +226,7 @@
         &self,
         stream: &mut Stream,
         inbound: &mut Inbound,
-    ) -> Result<Result<(RequestHead, Bytes, BodyBytes), Fault>, ConnectionOver> {
+    ) -> Result<Result<WholeRequest, Fault>, ConnectionOver> {
         let head = loop {
             match head::request(inbound) {
                 Ok(Some(head)) => break head,
@@ -166,7 +234,7 @@
                 Err(fault) => return Ok(Err(fault)),
             }
             if !inbound.read(stream).await.is_ok_and(|more| more > 0) {
-                return Err(ConnectionOver::Left);
+                return Err(ConnectionOver::CLIENT_LEFT);
             }
         };
         inbound.advance(head.bytes);
@@ -189,7 +257,7 @@
                     // A copy of its own size: the buffer may be much larger, and stays with the connection.
                     let body = Bytes::copy_from_slice(&inbound[..length]);
                     inbound.advance(length);
-                    return Ok(Ok((head, body, held)));
+                    return Ok(Ok(WholeRequest { head, body, held, received_ms: inbound.taken_came_ms() }));
                 }
                 Framing::Length(_) => {}
                 _ => match chunks.take(inbound, &mut body) {
@@ -198,14 +266,15 @@
                     }
                     Ok(true) => {
                         held.shrink(body.len());
-                        return Ok(Ok((head, Bytes::copy_from_slice(&body), held)));
+                        let (body, received_ms) = (Bytes::copy_from_slice(&body), inbound.taken_came_ms());
+                        return Ok(Ok(WholeRequest { head, body, held, received_ms }));
                     }
                     Ok(false) => {}
                     Err(_) => return Ok(Err(Fault::new(400, "the body's chunks can't be read"))),
                 },
             }
             if !inbound.read(stream).await.is_ok_and(|more| more > 0) {
-                return Err(ConnectionOver::Left);
+                return Err(ConnectionOver::CLIENT_LEFT);
             }
         }
     }
@@ -214,15 +283,14 @@
         &self,
         stream: &mut Stream,
         inbound: &mut Inbound,
-        head: RequestHead,
-        body: Bytes,
-        held: BodyBytes,
-        received_ms: f64,
-    ) -> Result<Result<(), Fault>, ConnectionOver> {
+        open: &OpenRequest,
+        whole: WholeRequest,
+    ) -> Result<Result<RequestEnd, Fault>, ConnectionOver> {
         let frontend = &self.frontend;
         if frontend.life() == Lifecycle::Refusing {
             return Ok(Err(STOPS));
         }
+        let WholeRequest { head, body, held, received_ms } = whole;
         let close = head.close;
         let id: Rc<str> = match request::id(&head.fields) {
             Ok(id) => id.into(),
@@ -254,7 +322,7 @@
             () = client_closed(stream, inbound) => {
                 client.leave();
                 let _ = frontend.core.send(CoreEvent::Left { completion }).await;
-                return Err(ConnectionOver::Left);
+                return Err(ConnectionOver::CLIENT_LEFT);
             }
         };
         match reply {
@@ -273,20 +341,20 @@
                     close || self.closes(stream, inbound),
                 )
                 .await?;
-                Ok(Ok(()))
+                Ok(Ok(RequestEnd::RateLimited))
             }
             Reply::Aborted => {
                 let body = error("the answer was lost; it may have run");
                 self.answer(stream, 502, "Bad Gateway", "", &body, close || self.closes(stream, inbound))
                     .await?;
-                Ok(Ok(()))
+                Ok(Ok(RequestEnd::Aborted))
             }
             Reply::Stream(pieces) => {
-                let streamed = self.stream(stream, inbound, pieces).await;
+                let streamed = self.stream(stream, inbound, open, pieces).await;
                 if streamed.is_err() {
                     let _ = frontend.core.send(CoreEvent::Left { completion }).await;
                 }
-                streamed.map(Ok)
+                streamed.map(|()| Ok(RequestEnd::Served))
             }
         }
     }
@@ -295,6 +363,7 @@
         &self,
         stream: &mut Stream,
         inbound: &mut Inbound,
+        open: &OpenRequest,
         mut pieces: mpsc::Receiver<StreamPart>,
     ) -> Result<(), ConnectionOver> {
         let mut out = BytesMut::from(
@@ -305,7 +374,7 @@
             let piece = tokio::select! {
                 biased;
                 piece = pieces.recv() => piece,
-                () = client_closed(stream, inbound) => return Err(ConnectionOver::Left),
+                () = client_closed(stream, inbound) => return Err(ConnectionOver::CLIENT_LEFT),
             };
             match piece {
                 Some(StreamPart::Events(events)) => {
@@ -313,17 +382,17 @@
                     out.extend_from_slice(&events);
                     out.extend_from_slice(b"\r\n");
                     self.write(stream, &out).await?;
+                    open.passed_on();
                     out.clear();
                 }
                 Some(StreamPart::End) => return self.write(stream, b"0\r\n\r\n").await,
                 // Broken off: the connection ends without the last chunk, and with all that was written before.
-                None => return Err(ConnectionOver::Close),
+                None => return Err(ConnectionOver::Close(ConnectionEnd::StreamBroke)),
             }
         }
     }
 
     async fn refuse(&self, stream: &mut Stream, fault: Fault, close: bool) -> Result<(), ConnectionOver> {
-        *self.frontend.faults.borrow_mut().entry(fault.status).or_default() += 1;
         self.answer(stream, fault.status, "Refused", "", &error(fault.why), close).await
     }
 
@@ -347,7 +416,7 @@
     async fn write(&self, stream: &mut Stream, bytes: &[u8]) -> Result<(), ConnectionOver> {
         match timeout(duration(SLOW_CLIENT_MS), stream.write_all(bytes)).await {
             Ok(Ok(())) => Ok(()),
-            _ => Err(ConnectionOver::Left),
+            _ => Err(ConnectionOver::CLIENT_LEFT),
         }
     }
 }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -15,6 +15,7 @@
 use tokio::time::{sleep, Instant};
 
 use crate::clients::serve;
+use crate::endings::{Endings, OpenRequest};
 use crate::limits::Shares;
 use crate::messages::CoreSender;
 
@@ -23,6 +24,9 @@
 /// Connections that the system may have accepted by the time the listener closes.
 const BACKLOG: usize = 4096;
 
+/// Open requests that are logged at one time.
+const LOGGED_OPEN: usize = 64;
+
 /// Failed tries, one after the other, to take those who wait as the listener closes.
 const LAST_ACCEPTS: usize = 100;
 /// Failures for want of own descriptors after which a connection gives way: fewer may pass by themselves.
@@ -80,6 +84,8 @@
     activity: Activity,
     since: Instant,
     close: Rc<Notify>,
+    /// The request that it answers now.
+    open: Option<Rc<OpenRequest>>,
 }
 
 /// What all connections of clients share.
@@ -97,7 +103,8 @@
     pub standing: Cell<usize>,
     open_ids: RefCell<BTreeSet<Rc<str>>>,
     pub body_bytes: Rc<Cell<usize>>,
-    pub faults: RefCell<BTreeMap<u16, u64>>,
+    /// How requests and connections have ended.
+    pub endings: Endings,
     pub given_up: Cell<u64>,
 }
 
@@ -116,7 +123,10 @@
 /// A client's place among the connections.
 pub struct ConnectionSlot {
     pub frontend: Rc<Frontend>,
-    row: u64,
+    /// Its number, unlike that of any other connection of this process.
+    pub number: u64,
+    /// Requests that were read whole on it.
+    pub requests: Cell<u32>,
     /// Told when its descriptor is wanted elsewhere.
     pub close: Rc<Notify>,
     /// Whether its client was told that the connection closes.
@@ -125,25 +135,37 @@
 
 impl ConnectionSlot {
     pub fn set_activity(&self, activity: Activity) {
-        if let Some(row) = self.frontend.rows.borrow_mut().get_mut(&self.row) {
+        if let Some(row) = self.frontend.rows.borrow_mut().get_mut(&self.number) {
             (row.activity, row.since) = (activity, Instant::now());
         }
     }
 
+    /// Notes the request that it answers now.
+    pub fn set_open(&self, open: Option<Rc<OpenRequest>>) {
+        if let Some(row) = self.frontend.rows.borrow_mut().get_mut(&self.number) {
+            row.open = open;
+        }
+    }
+
     /// Since when it has been doing this, if it is.
     pub fn since(&self, activity: Activity) -> Option<Instant> {
-        self.frontend.rows.borrow().get(&self.row).filter(|row| row.activity == activity).map(|row| row.since)
+        self.frontend
+            .rows
+            .borrow()
+            .get(&self.number)
+            .filter(|row| row.activity == activity)
+            .map(|row| row.since)
     }
 
     /// Whether its descriptor is wanted elsewhere.
     pub fn given_up(&self) -> bool {
-        !self.frontend.rows.borrow().contains_key(&self.row)
+        !self.frontend.rows.borrow().contains_key(&self.number)
     }
 }
 
 impl Drop for ConnectionSlot {
     fn drop(&mut self) {
-        self.frontend.rows.borrow_mut().remove(&self.row);
+        self.frontend.rows.borrow_mut().remove(&self.number);
         self.frontend.standing.set(self.frontend.standing.get() - 1);
     }
 }
@@ -169,7 +191,7 @@
             standing: Cell::new(0),
             open_ids: RefCell::default(),
             body_bytes: Rc::default(),
-            faults: RefCell::default(),
+            endings: Endings::default(),
             given_up: Cell::new(0),
         }
     }
@@ -250,9 +272,18 @@
         let (row, close) = (self.next_row.get(), Rc::new(Notify::new()));
         self.next_row.set(row + 1);
         self.standing.set(self.standing.get() + 1);
-        let entry = Row { activity: Activity::NoRequest, since: Instant::now(), close: close.clone() };
+        let entry =
+            Row { activity: Activity::NoRequest, since: Instant::now(), close: close.clone(), open: None };
         self.rows.borrow_mut().insert(row, entry);
-        ConnectionSlot { frontend: self.clone(), row, close, closing: Cell::new(false) }
+        let requests = Cell::new(0);
+        ConnectionSlot { frontend: self.clone(), number: row, requests, close, closing: Cell::new(false) }
+    }
+
+    /// Logs the requests that are open, at most [`LOGGED_OPEN`] of them.
+    pub fn log_open(&self) {
+        let rows = self.rows.borrow();
+        let open = rows.values().filter_map(|row| row.open.as_ref());
+        open.take(LOGGED_OPEN).for_each(|request| self.endings.still_open(request));
     }
 
     fn give_up_one(&self) -> bool {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 mod clients;
 mod core;
 mod discovery;
+mod endings;
 mod frontend;
 mod inbound;
 mod limits;
@@ -197,12 +198,18 @@
     let stopped = Instant::now();
     let longest_ms = frontend.provision.borrow().client_timeouts_ms.iter().copied().fold(0.0, f64::max);
     let answers_ms = last_answers_ms(longest_ms);
-    info!(standing = frontend.standing.get(), answers_ms, "stopping");
+    frontend.endings.stopping(stopped);
+    info!(standing = frontend.standing.get(), longest_ms, answers_ms, "stopping");
     // Guards against clients that have a connection here and nobody else to go to: those that rest stay as long as
     // new ones come. Harm: a request or two more meet a router that ends.
     sleep(duration(LAST_CALL_MS)).await;
     life.send_replace(Lifecycle::Draining);
     let _ = accepting.await;
+    info!(
+        standing = frontend.standing.get(),
+        after_ms = since_ms(stopped),
+        "no connections are taken any more"
+    );
     let mut answered = false;
     // Open means more than connections: what is held at workers is let go of before the end.
     while frontend.standing.get() + figures(&core).await.0 > 0 {
@@ -210,13 +217,16 @@
             answered = true;
             // Before the word to the core: what comes from now on is refused, whatever came before gets its answer.
             life.send_replace(Lifecycle::Refusing);
+            info!(standing = frontend.standing.get(), after_ms = since_ms(stopped), "last answers");
+            frontend.log_open();
             let _ = core.send(CoreEvent::LastAnswers).await;
         }
         sleep(duration(LOOK_MS)).await;
     }
     info!(
         figures = figures(&core).await.1,
-        faults = ?frontend.faults.borrow(),
+        endings = frontend.endings.figures(),
+        after_ms = since_ms(stopped),
         given_up = frontend.given_up.get(),
         dropped = frontend.dropped.get(),
         "stopped"
@@ -224,6 +234,11 @@
     Ok(())
 }
 
+/// Time since a moment, in ms.
+fn since_ms(moment: Instant) -> f64 {
+    moment.elapsed().as_secs_f64() * 1e3
+}
+
 async fn figures(core: &crate::messages::CoreSender) -> (usize, String) {
     let (to, from) = oneshot::channel();
     let _ = core.send(CoreEvent::Tell(to)).await;
