--- a/crates/cli/tests/platform_process/mod.rs
+++ b/crates/cli/tests/platform_process/mod.rs
@@ -42,8 +42,11 @@
     Some(id)
 }
 
-/// Requests with such ids get a first event and then nothing; or the rest of the stream only after [`LASTS`].
+/// Requests whose ids begin so get a first event and then nothing; or an event each [`DRIP`] for a minute; or the rest of
+/// the stream only after [`LASTS`].
 pub const HANGS: &str = "hangs";
+pub const DRIPS: &str = "drips";
+const DRIP: Duration = Duration::from_millis(100);
 pub const LASTING: &str = "lasts";
 /// How long the stream of a lasting answer takes.
 pub const LASTS: Duration = Duration::from_millis(1000);
@@ -73,6 +76,13 @@
 
 fn answer_by_id(stream: &mut TcpStream, id: &str) -> std::io::Result<()> {
     let event = |event: &str| format!("{:x}\r\n{event}\r\n", event.len());
+    if id.starts_with(DRIPS) {
+        stream.write_all(ANSWER.as_bytes())?;
+        for _ in 0..600 {
+            stream.write_all(event(FIRST_EVENT).as_bytes())?;
+            thread::sleep(DRIP);
+        }
+    }
     if id.starts_with(HANGS) || id.starts_with(LASTING) {
         stream.write_all(format!("{ANSWER}{}", event(FIRST_EVENT)).as_bytes())?;
         if id.starts_with(HANGS) {
--- a/crates/cli/tests/shutdown.rs
+++ b/crates/cli/tests/shutdown.rs
@@ -1,15 +1,16 @@
 //! A router process on the operators' platform that is told to end while clients go on sending on the connections that they
-//! have and servers hang within their streams. SIGKILL comes as early as the platform allows: the longest deadline (3 s at
+//! have and servers hang within their streams or take long for them. SIGKILL comes as early as the platform allows: the longest deadline (3 s at
 //! most) and 0.7 s after SIGTERM. What was sent over 0.7 s after SIGTERM has its whole answer by then.
 
 mod platform_process;
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
+use std::process::Stdio;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use platform_process::{request, served, Router, HANGS, LASTING};
+use platform_process::{request, served, Router, DRIPS, HANGS, LASTING};
 
 /// The only class's deadline.
 const DEADLINE: Duration = Duration::from_millis(1500);
@@ -29,13 +30,19 @@
     Unanswered(String),
 }
 
-/// Sends part of a request at a time after SIGTERM and reads until the connection ends or the process is killed.
-fn exchange(mut stream: TcpStream, parts: &[(Duration, &[u8])], stopped: Instant) -> Seen {
-    for (at, part) in parts {
-        thread::sleep((stopped + *at).saturating_duration_since(Instant::now()));
-        if stream.write_all(part).is_err() {
-            return Seen::ClosedUnread;
-        }
+/// What a client sends on a connection, and how long after SIGTERM.
+struct Late {
+    stream: TcpStream,
+    at: Duration,
+    bytes: Vec<u8>,
+}
+
+/// Sends, and reads until the connection ends or the process is killed.
+fn exchange(late: Late, stopped: Instant) -> Seen {
+    let Late { mut stream, at, bytes } = late;
+    thread::sleep((stopped + at).saturating_duration_since(Instant::now()));
+    if stream.write_all(&bytes).is_err() {
+        return Seen::ClosedUnread;
     }
     let mut text = String::new();
     let mut part = [0; 4096];
@@ -59,31 +66,24 @@
     }
 }
 
-/// Begins exchanges on these connections, tells the process to end, kills it at the earliest; what became of each.
-fn shut_down(mut router: Router, exchanges: Vec<(TcpStream, Vec<(Duration, Vec<u8>)>)>) -> Vec<Seen> {
+/// Tells the process to end, plays what is sent late, and kills it at the earliest; what became of each.
+fn shut_down(mut router: Router, late: Vec<Late>) -> Vec<Seen> {
     router.signal("TERM");
     let stopped = Instant::now();
-    let clients: Vec<_> = exchanges
-        .into_iter()
-        .map(|(stream, parts)| {
-            thread::spawn(move || {
-                let parts: Vec<_> = parts.iter().map(|(at, part)| (*at, part.as_slice())).collect();
-                exchange(stream, &parts, stopped)
-            })
-        })
-        .collect();
+    let clients: Vec<_> =
+        late.into_iter().map(|late| thread::spawn(move || exchange(late, stopped))).collect();
     thread::sleep((stopped + KILLED_AFTER).saturating_duration_since(Instant::now()));
     let _ = router.process.kill();
     let _ = router.process.wait();
     clients.into_iter().map(|client| client.join().unwrap()).collect()
 }
 
-fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
+fn start(host: &str) -> Router {
+    Router::start_with(host, DEADLINE.as_secs_f64(), "error", Stdio::inherit())
 }
 
-fn whole(at: Duration, id: &str) -> Vec<(Duration, Vec<u8>)> {
-    vec![(at, request(id).into_bytes())]
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
 }
 
 fn answered(seen: &Seen) -> bool {
@@ -91,43 +91,40 @@
 }
 
 /// Connections that were opened and not used yet: what comes on them late in a shutdown must not be left to a server that may
-/// hang.
+/// hang or take longer than the router has.
 #[test]
 fn late_requests_on_unused_connections_have_an_answer_before_the_kill() {
-    let router =
-        Router::start_with("127.0.84.1", DEADLINE.as_secs_f64(), "error", std::process::Stdio::inherit());
-    let exchanges = [800, 1000, 1200, 1500, 1800, 2050]
-        .into_iter()
-        .map(|at| (router.connect(), whole(ms(at), &format!("{HANGS}-{at}"))))
-        .collect();
-    let seen = shut_down(router, exchanges);
+    let router = start("127.0.84.1");
+    let send = |(at, server)| {
+        let bytes = request(&format!("{server}-{at}")).into_bytes();
+        Late { stream: router.connect(), at: ms(at), bytes }
+    };
+    let sent = [800, 1000, 1200, 1500, 1800, 2050].into_iter().zip([HANGS, DRIPS].into_iter().cycle());
+    let late = sent.map(send).collect();
+    let seen = shut_down(router, late);
     assert!(seen.iter().all(answered), "{seen:?}");
 }
 
 /// A request came half before SIGTERM and whole after it.
 #[test]
 fn requests_that_come_whole_late_in_a_shutdown_have_an_answer_before_the_kill() {
-    let router =
-        Router::start_with("127.0.84.2", DEADLINE.as_secs_f64(), "error", std::process::Stdio::inherit());
-    let exchanges = [800, 1200, 1600, 2050]
-        .into_iter()
-        .map(|at| {
-            let text = request(&format!("{HANGS}-{at}")).into_bytes();
-            let (first, rest) = text.split_at(70);
-            let mut stream = router.connect();
-            stream.write_all(first).unwrap();
-            (stream, vec![(ms(at), rest.to_vec())])
-        })
-        .collect();
-    let seen = shut_down(router, exchanges);
+    let router = start("127.0.84.2");
+    let send = |at| {
+        let text = request(&format!("{HANGS}-{at}")).into_bytes();
+        let (first, rest) = text.split_at(70);
+        let mut stream = router.connect();
+        stream.write_all(first).unwrap();
+        Late { stream, at: ms(at), bytes: rest.to_vec() }
+    };
+    let late = [800, 1200, 1600, 2050].into_iter().map(send).collect();
+    let seen = shut_down(router, late);
     assert!(seen.iter().all(answered), "{seen:?}");
 }
 
 /// A connection whose stream ends late in a shutdown, and behind it the next request.
 #[test]
 fn requests_sent_behind_a_stream_late_in_a_shutdown_are_not_sent_on() {
-    let router =
-        Router::start_with("127.0.84.3", DEADLINE.as_secs_f64(), "error", std::process::Stdio::inherit());
+    let router = start("127.0.84.3");
     let mut stream = router.connect();
     stream.write_all(request(&format!("{LASTING}-1")).as_bytes()).unwrap();
     assert_eq!(router.seen.recv().unwrap(), "lasts-1");
