Nothing that comes late in a shutdown is sent on; it is refused at once

Cause: between SIGTERM and the last answers nobody asked how long ago SIGTERM was. Lines at fault, in crates/gateway/src before this: clients.rs answer_request refused only from Lifecycle::Refusing on, 0.2 s before the kill; wait_for_request kept connections without a first request open until then; so what came 0.7 s and more after SIGTERM went to servers, and a stream that outlasts the process is cut by SIGKILL. Ruled out: last answers late, kill early, silent servers as the only cause.

Change: src/shutdown.rs, under policy, is the schedule of a router told to end: what comes from 0.5 s on (0.7 s, less 0.2 s for a late signal and a stall) is refused at once with a time to come back, by the clock at the door; connections without a request close then, used or not; the listener closes then (0.65 s before); last answers run in a task of their own, whatever closing the listener takes. The loop that empties a listener's queue moved to paddleproxy-sockets.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use paddleproxy::interface::CompletionId;
+use paddleproxy::shutdown::retry_after_ms;
 use paddleproxy_platform::head::{self, Fault, Framing, RequestHead};
 use paddleproxy_platform::{request, Chunks, BODY_BYTES};
 use paddleproxy_router::clock::duration;
@@ -159,9 +160,15 @@
         match answered {
             Ok(end) => Ok(end),
             Err(fault) => {
-                self.refuse(stream, fault, close || self.closes(stream, inbound)).await?;
-                let stops = fault == STOPS;
-                Ok(if stops { RequestEnd::RefusedStopping } else { RequestEnd::Refused(fault.status) })
+                let closes = close || self.closes(stream, inbound);
+                if fault != STOPS {
+                    self.refuse(stream, fault, closes).await?;
+                    return Ok(RequestEnd::Refused(fault.status));
+                }
+                let settings = &self.frontend.provision.borrow().clone().settings;
+                let after = retry_after(retry_after_ms(settings.retry_after, settings.max_retry_after_ms));
+                self.answer(stream, fault.status, "Refused", &after, &error(fault.why), closes).await?;
+                Ok(RequestEnd::RefusedStopping)
             }
         }
     }
@@ -201,8 +208,6 @@
         }
         let idle_ms = self.frontend.provision.borrow().idle_ms * CLIENT_IDLE;
         let until = first.map_or(Instant::now() + duration(idle_ms), |since| since + duration(REQUEST_MS));
-        // A connection that rests closes at once; one that has just come may still bring its request.
-        let stage = if first.is_some() { Lifecycle::Refusing } else { Lifecycle::Draining };
         let mut life = self.frontend.life.clone();
         let over = tokio::select! {
             biased;
@@ -212,7 +217,7 @@
             },
             () = sleep_until(until) => ConnectionOver::Close(ConnectionEnd::Idle),
             () = self.close.notified() => ConnectionOver::Left(ConnectionEnd::GaveWay),
-            () = reached(&mut life, stage) => ConnectionOver::Close(ConnectionEnd::RestedAtStop),
+            () = reached(&mut life, Lifecycle::Draining) => ConnectionOver::Close(ConnectionEnd::RestedAtStop),
         };
         // A request that has come in this very moment is answered rather than closed upon.
         if stream.bytes_wait() {
@@ -287,7 +292,7 @@
         whole: WholeRequest,
     ) -> Result<Result<RequestEnd, Fault>, ConnectionOver> {
         let frontend = &self.frontend;
-        if frontend.life() == Lifecycle::Refusing {
+        if !frontend.takes_requests() {
             return Ok(Err(STOPS));
         }
         let WholeRequest { head, body, held, received_ms } = whole;
@@ -327,10 +332,7 @@
         };
         match reply {
             Reply::RateLimited { retry_after_ms } => {
-                let after = match retry_after_ms > 0.0 {
-                    true => format!("Retry-After: {:.3}\r\n", retry_after_ms / 1e3),
-                    false => String::new(),
-                };
+                let after = retry_after(retry_after_ms);
                 let body = error("no worker can take this now; trying again is harmless");
                 self.answer(
                     stream,
@@ -439,6 +441,15 @@
     target.split('?').next().unwrap_or_default()
 }
 
+/// The field that names a time to come back; nothing for 0.
+fn retry_after(ms: f64) -> String {
+    if ms > 0.0 {
+        format!("Retry-After: {:.3}\r\n", ms / 1e3)
+    } else {
+        String::new()
+    }
+}
+
 fn error(why: &str) -> String {
     format!("{{\"error\":{{\"message\":\"{why}\"}}}}")
 }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -3,13 +3,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::ErrorKind;
 use std::rc::Rc;
 
+use paddleproxy::shutdown::Shutdown;
 use paddleproxy_platform::Provision;
 use paddleproxy_router::clock::{duration, Clock};
 use paddleproxy_router::duty::Dropped;
-use paddleproxy_sockets::Shortage;
+use paddleproxy_sockets::{close_listener, Shortage};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
 use tokio::time::{sleep, Instant};
@@ -21,14 +21,10 @@
 
 /// After a connect that could not be taken, in ms.
 const ACCEPT_AGAIN_MS: f64 = 5.0;
-/// Connections that the system may have accepted by the time the listener closes.
-const BACKLOG: usize = 4096;
 
 /// Open requests that are logged at one time.
 const LOGGED_OPEN: usize = 64;
 
-/// Failed tries, one after the other, to take those who wait as the listener closes.
-const LAST_ACCEPTS: usize = 100;
 /// Failures for want of own descriptors after which a connection gives way: fewer may pass by themselves.
 const STARVED: u32 = 4;
 
@@ -57,9 +53,10 @@
 pub enum Lifecycle {
     Starting,
     Ready,
-    /// Told to stop, and no connections come any more: each closes after its answer, and at once where it rests.
+    /// Told to stop some time ago: no connections are taken any more, and no requests. Each connection closes after its
+    /// answer, and at once where it has no request.
     Draining,
-    /// All that was open has its final answer: what still comes is refused.
+    /// The last answers are given: what has not come whole by now is refused as it is.
     Refusing,
 }
 
@@ -95,6 +92,8 @@
     pub provision: RefCell<Rc<Provision>>,
     pub shares: Cell<Shares>,
     pub life: watch::Receiver<Lifecycle>,
+    /// Once the router was told to stop.
+    shutdown: Cell<Option<Shutdown>>,
     pub dropped: Dropped,
     pub next: Cell<u32>,
     next_row: Cell<u64>,
@@ -184,6 +183,7 @@
             provision: RefCell::new(provision),
             shares: Cell::new(shares),
             life,
+            shutdown: Cell::new(None),
             dropped: Rc::default(),
             next: Cell::new(0),
             next_row: Cell::new(0),
@@ -200,6 +200,18 @@
         *self.life.borrow()
     }
 
+    /// From now on what comes is taken by this schedule.
+    pub fn stop(&self, shutdown: Shutdown) {
+        self.shutdown.set(Some(shutdown));
+        self.endings.stopping(Instant::now());
+    }
+
+    /// Whether a request may still be sent to servers. By the clock: a task may look before the router's next stage is told.
+    pub fn takes_requests(&self) -> bool {
+        let in_time = |shutdown: Shutdown| shutdown.takes_requests(self.clock.now_ms());
+        self.life() < Lifecycle::Draining && self.shutdown.get().is_none_or(in_time)
+    }
+
     /// Opens an id; none where a request of that id is open.
     pub fn open_id(self: &Rc<Self>, id: &Rc<str>) -> Option<OpenId> {
         let new = self.open_ids.borrow_mut().insert(id.clone());
@@ -233,31 +245,7 @@
                 }
             }
         }
-        self.admit_accepted(listener).await;
-    }
-
-    /// Admits those whom the system has accepted but nobody has taken: closing the listener would reset them, and with
-    /// them requests that they have sent. Asks the system itself, so that nothing comes between the last answer and
-    /// the close. Where it is short of something it is asked again for a while.
-    async fn admit_accepted(self: &Rc<Self>, listener: TcpListener) {
-        let Ok(listener) = listener.into_std() else { return };
-        let (mut admitted, mut failed) = (0, 0);
-        while admitted < BACKLOG && failed < LAST_ACCEPTS {
-            match listener.accept() {
-                Ok((stream, _)) => {
-                    admitted += 1;
-                    let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-                    stream.into_iter().for_each(|stream| self.admit(stream));
-                }
-                Err(cause) if cause.kind() == ErrorKind::WouldBlock => return,
-                Err(cause) => {
-                    failed += 1;
-                    if Shortage::of(&cause) != Some(Shortage::Nothing) {
-                        sleep(duration(ACCEPT_AGAIN_MS)).await;
-                    }
-                }
-            }
-        }
+        close_listener(listener, |stream| self.admit(stream)).await;
     }
 
     fn admit(self: &Rc<Self>, stream: TcpStream) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,19 +21,20 @@
 
 use anyhow::{anyhow, Context, Result};
 use paddleproxy::interface::ListKind;
+use paddleproxy::shutdown::Shutdown;
 use paddleproxy_platform::Config;
 use paddleproxy_router::clock::{duration, Clock};
 use paddleproxy_sockets::{bind, Shortage};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 use tracing::{info, warn};
 
 use crate::core::Core;
 use crate::discovery::{Source, Starts};
 use crate::frontend::{Frontend, Lifecycle};
-use crate::limits::{last_answers_ms, Shares, CORE_QUEUE, LAST_CALL_MS};
-use crate::messages::CoreEvent;
+use crate::limits::{notice, Shares, CORE_QUEUE};
+use crate::messages::{CoreEvent, CoreSender};
 use crate::pool::Pool;
 
 /// How often idle connections are looked through, and the clocks are looked at, in ms.
@@ -195,38 +196,29 @@
         }
         signal = signals.recv().await;
     }
-    let stopped = Instant::now();
     let longest_ms = frontend.provision.borrow().client_timeouts_ms.iter().copied().fold(0.0, f64::max);
-    let answers_ms = last_answers_ms(longest_ms);
-    frontend.endings.stopping(stopped);
-    info!(standing = frontend.standing.get(), longest_ms, answers_ms, "stopping");
+    let shutdown = Shutdown::new(clock.now_ms(), notice(longest_ms));
+    frontend.stop(shutdown);
+    info!(standing = frontend.standing.get(), longest_ms, ?shutdown, "stopping");
+    // Whatever else is waited for below, the last answers are given at their time.
+    let answering =
+        tokio::task::spawn_local(last_answers(clock, shutdown, life.clone(), frontend.clone(), core.clone()));
     // Guards against clients that have a connection here and nobody else to go to: those that rest stay as long as
     // new ones come. Harm: a request or two more meet a router that ends.
-    sleep(duration(LAST_CALL_MS)).await;
+    sleep_until(clock.at(shutdown.takes_until_ms)).await;
     life.send_replace(Lifecycle::Draining);
     let _ = accepting.await;
-    info!(
-        standing = frontend.standing.get(),
-        after_ms = since_ms(stopped),
-        "no connections are taken any more"
-    );
-    let mut answered = false;
+    let after_ms = clock.now_ms() - shutdown.told_ms;
+    info!(standing = frontend.standing.get(), after_ms, "no connections are taken any more");
     // Open means more than connections: what is held at workers is let go of before the end.
     while frontend.standing.get() + figures(&core).await.0 > 0 {
-        if !answered && stopped.elapsed() >= duration(answers_ms) {
-            answered = true;
-            // Before the word to the core: what comes from now on is refused, whatever came before gets its answer.
-            life.send_replace(Lifecycle::Refusing);
-            info!(standing = frontend.standing.get(), after_ms = since_ms(stopped), "last answers");
-            frontend.log_open();
-            let _ = core.send(CoreEvent::LastAnswers).await;
-        }
         sleep(duration(LOOK_MS)).await;
     }
+    answering.abort();
     info!(
         figures = figures(&core).await.1,
         endings = frontend.endings.figures(),
-        after_ms = since_ms(stopped),
+        after_ms = clock.now_ms() - shutdown.told_ms,
         given_up = frontend.given_up.get(),
         dropped = frontend.dropped.get(),
         "stopped"
@@ -234,12 +226,23 @@
     Ok(())
 }
 
-/// Time since a moment, in ms.
-fn since_ms(moment: Instant) -> f64 {
-    moment.elapsed().as_secs_f64() * 1e3
+/// Gives what has no answer yet its last one, at the time for that.
+async fn last_answers(
+    clock: Clock,
+    shutdown: Shutdown,
+    life: watch::Sender<Lifecycle>,
+    frontend: Rc<Frontend>,
+    core: CoreSender,
+) {
+    sleep_until(clock.at(shutdown.last_answers_ms)).await;
+    let after_ms = clock.now_ms() - shutdown.told_ms;
+    info!(standing = frontend.standing.get(), after_ms, "last answers");
+    frontend.log_open();
+    life.send_replace(Lifecycle::Refusing);
+    let _ = core.send(CoreEvent::LastAnswers).await;
 }
 
-async fn figures(core: &crate::messages::CoreSender) -> (usize, String) {
+async fn figures(core: &CoreSender) -> (usize, String) {
     let (to, from) = oneshot::channel();
     let _ = core.send(CoreEvent::Tell(to)).await;
     from.await.unwrap_or_default()
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -1,6 +1,7 @@
 //! How the limits that a router is told are shared out, by name. Resource limits only: nothing here says what is best
 //! for a completion.
 
+use paddleproxy::shutdown::Notice;
 use paddleproxy_platform::config::Limits;
 use paddleproxy_platform::BODY_BYTES;
 
@@ -52,20 +53,17 @@
 pub const WATCH_SLACK_MOST_MS: f64 = 2800.0;
 /// After a call that failed discovery is asked again after this, in ms: a watch goes on if it comes within 200 ms.
 pub const ASK_AGAIN_MS: f64 = 100.0;
-/// New connections are taken for so long, in ms, after SIGTERM: the platform sends some for up to 400.
-pub const LAST_CALL_MS: f64 = 650.0;
 /// Words that may wait for the core.
 pub const CORE_QUEUE: usize = 1024;
 
 /// The platform kills a router no earlier after SIGTERM than this, in ms, and the longest client timeout, which counts
-/// as the second at most.
+/// as the second at most. What came before the first may be unanswered then.
 const KILL_MS: f64 = 700.0;
 const KILL_LONGEST_MS: f64 = 3000.0;
-/// Answers are given so long before that, in ms: time for the last bytes to be written.
-const KILL_MARGIN_MS: f64 = 200.0;
-/// Time after SIGTERM, in ms, by which every completion has its final answer.
-pub fn last_answers_ms(longest_ms: f64) -> f64 {
-    KILL_MS + longest_ms.min(KILL_LONGEST_MS) - KILL_MARGIN_MS
+
+/// What the platform promises a router after SIGTERM whose longest client timeout is this, in ms.
+pub fn notice(longest_ms: f64) -> Notice {
+    Notice { owed_from_ms: KILL_MS, killed_after_ms: KILL_MS + longest_ms.min(KILL_LONGEST_MS) }
 }
 
 /// Descriptors and bytes by name.
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -3,8 +3,10 @@
 
 #![deny(missing_docs)]
 
+mod backlog;
 mod stream;
 mod transient;
 
+pub use backlog::close_listener;
 pub use stream::{Stream, READ_BYTES};
 pub use transient::{bind, connect, Shortage};
