Failing tests: three more ways in which a router that ends takes what it can't finish

Not reproduced: serve kept from ending by connections that come without a pause (four threads, one play: it ended).

--- a/crates/cli/tests/restarts.rs
+++ b/crates/cli/tests/restarts.rs
@@ -290,3 +290,20 @@
         assert!(finished(&asked(&router, &asking("after", "after", "notice", "s", &question)).await));
     });
 }
+
+/// Descriptors are used up as a router is told to end, and somebody waits to be accepted: its time for open answers runs all the
+/// same, and it ends.
+#[test]
+fn a_router_that_can_accept_nobody_ends_in_time() {
+    local(async {
+        let stage = Stage::start().await;
+        let mut router = stage.router().await;
+        stage.faults.set_rate(paddleproxy_faults::Fault::AcceptNoFiles, 1.0).unwrap();
+        let _waits = tokio::net::TcpStream::connect(router.clients).await.unwrap();
+        let process = router.child.id().unwrap().to_string();
+        assert!(Command::new("kill").args(["-TERM", &process]).status().await.unwrap().success());
+        // `stop-within` is 3 s.
+        let ended = tokio::time::timeout(Duration::from_secs(5), router.child.wait()).await;
+        assert!(ended.expect("it ends").unwrap().success());
+    });
+}
--- a/crates/gateway/tests/life.rs
+++ b/crates/gateway/tests/life.rs
@@ -333,6 +333,30 @@
     });
 }
 
+/// The word to stop comes while the address is still in use: a router that listened later than that would take requests in the
+/// time that is left to the kill.
+#[test]
+fn a_router_told_to_stop_before_it_listens_never_does() {
+    local(async {
+        let holder = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut settings = config("127.0.0.1:9");
+        settings["listen"] = holder.local_addr().unwrap().to_string().into();
+        let dir = tempfile::tempdir().unwrap();
+        let file = dir.path().join("config.json");
+        std::fs::write(&file, settings.to_string()).unwrap();
+        let (signals, taken) = tokio::sync::mpsc::channel(4);
+        let router = tokio::task::spawn_local(async move {
+            paddleproxy_gateway::serve(&file, taken, |_| panic!("it listens")).await
+        });
+        sleep(ms(50)).await;
+        for signal in [Signal::Reload, Signal::Stop] {
+            signals.send(signal).await.unwrap();
+        }
+        let ended = timeout(ms(1000), router).await.expect("it ends at once");
+        ended.unwrap().unwrap();
+    });
+}
+
 /// The word to stop comes while a router waits for a discovery that is silent; its start ends later than that, and makes
 /// it no router that takes more.
 #[test]
--- a/crates/routing/tests/ledger.rs
+++ b/crates/routing/tests/ledger.rs
@@ -252,6 +252,16 @@
     }
 }
 
+/// Its body came late, or it waited for the core: nobody would be there for its answer.
+#[test]
+fn what_arrives_after_the_last_answers_is_refused_and_sent_nowhere() {
+    let mut play = Play::new();
+    play.tell("the router ends", Input::Stop { streams: false }).pass(1.0).arrive(0, 900.0, true);
+    assert!(play.trace.contains("rate-limit"), "{}", play.trace);
+    assert!(!play.trace.contains("send "), "{}", play.trace);
+    assert_eq!((play.ledger.open(), play.ledger.counts().rate_limited), (0, 1));
+}
+
 #[test]
 fn an_overdue_answer_is_an_abort_and_counted() {
     let mut play = Play::new();
