A router that ends takes nothing after its last answers, in serve too

Causes, by lines: routing/src/ledger.rs took Input::Arrived after Input::Stop as any other, so that a body that came late in serve, or waited for the core, was sent on with nobody left to wait for it; gateway/src/lib.rs heard signals only once it listened, up to 8 s of config and 8 s of bind later, and counted its time from then; router/src/front.rs looked at the listener first for ever where accept fails at once (EMFILE), so that stop-within never began; router/src/lib.rs told peers before it refused, up to 200 ms.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -122,10 +122,22 @@
 ) -> Result<()> {
     let clock = Clock::start();
     let starts = Starts::new(clock);
-    let config = read_again(path, &starts, START_READS_MS, may_pass).await?;
-    let Config { name, listen, discovery, seed, limits, known, provision } = config;
+    let starting = async {
+        let config = read_again(path, &starts, START_READS_MS, may_pass).await?;
+        let listen = config.listen;
+        let listener = bind(listen).await.with_context(|| format!("listening on {listen}"))?;
+        anyhow::Ok((config, listener))
+    };
+    let (config, listener) = tokio::select! {
+        biased;
+        () = told_to_stop(&mut signals) => {
+            info!("told to stop before it listened");
+            return Ok(());
+        }
+        started = starting => started?,
+    };
+    let Config { name, discovery, seed, limits, known, provision, .. } = config;
     let shares = Shares::of(&limits);
-    let listener = bind(listen).await.with_context(|| format!("listening on {listen}"))?;
     let listen = listener.local_addr()?;
     info!(name, %listen, %discovery, ?limits, ?shares, known = known.rows.len(), "starting");
 
@@ -226,6 +238,11 @@
     Ok(())
 }
 
+/// Returns once the word to stop has come. A new configuration says nothing before the first was read.
+async fn told_to_stop(signals: &mut mpsc::Receiver<Signal>) {
+    while signals.recv().await == Some(Signal::Reload) {}
+}
+
 /// Gives what has no answer yet its last one, at the time for that.
 async fn last_answers(
     clock: Clock,
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -19,7 +19,7 @@
 use paddleproxy_routing::facts::{Headers, KeyRule};
 use paddleproxy_routing::{Admission, Facts, Key, Place, Reason, Repeats, Requests, TurnedAway, Verdict};
 use paddleproxy_settings::router::FrontSettings;
-use paddleproxy_sockets::Stream;
+use paddleproxy_sockets::{close_listener, Stream};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -180,40 +180,51 @@
     ApiError::new(kind, message).with_retry(turned.retry_after_ms)
 }
 
-/// After the word to stop the door stays open for this time, in ms, and then until nobody waits before it: whoever the
-/// system took on our behalf is told that this router stops.
+/// After the word to stop connections are accepted for this time, in ms, and then those that the system has accepted by then:
+/// each is told that this router stops.
 const LAST_LOOK_MS: f64 = 50.0;
 
 /// Where the tokens of a messages request are counted.
 const COUNT_TOKENS: &str = "/v1/messages/count_tokens";
 
 impl Front {
-    /// Accepts until told to stop.
+    /// Accepts until told to stop, and for a moment after that.
     pub async fn listen(self: Rc<Self>, listener: TcpListener, mut stop: tokio::sync::watch::Receiver<bool>) {
-        let mut closes = None;
+        let stops = stop.clone();
+        let closes = async {
+            let _ = stop.changed().await;
+            tokio::time::sleep(duration(LAST_LOOK_MS)).await;
+        };
+        tokio::select! {
+            biased;
+            () = closes => {}
+            () = self.accept(&listener, &stops) => {}
+        }
+        close_listener(listener, |stream| self.take(stream, &stops)).await;
+    }
+
+    async fn accept(self: &Rc<Self>, listener: &TcpListener, stop: &tokio::sync::watch::Receiver<bool>) {
         loop {
-            let last_look = closes.unwrap_or_else(tokio::time::Instant::now);
-            tokio::select! {
-                biased;
-                _ = stop.changed(), if closes.is_none() => {
-                    closes = Some(tokio::time::Instant::now() + duration(LAST_LOOK_MS));
-                }
-                accepted = listener.accept() => match accepted {
-                    // Beyond the bound a connection is closed at once; nothing of it was taken.
-                    Ok(_) if self.connections.get() >= self.settings.connections => {
-                        self.connections_refused.set(self.connections_refused.get() + 1);
-                    }
-                    Ok((stream, _)) => {
-                        tokio::task::spawn_local(self.clone().serve(stream, stop.clone()));
-                    }
-                    // Out of descriptors, or a connection gone before it was taken: a short pause.
-                    Err(_) => tokio::time::sleep(duration(10.0)).await,
-                },
-                () = tokio::time::sleep_until(last_look), if closes.is_some() => return,
+            match listener.accept().await {
+                Ok((stream, _)) => self.take(stream, stop),
+                // Out of descriptors, or a connection gone before it was taken: a short pause.
+                Err(_) => tokio::time::sleep(duration(10.0)).await,
             }
         }
     }
 
+    /// Beyond the bound a connection is closed at once; nothing of it was taken.
+    fn take(self: &Rc<Self>, stream: TcpStream, stop: &tokio::sync::watch::Receiver<bool>) {
+        if self.connections.get() >= self.settings.connections {
+            self.connections_refused.set(self.connections_refused.get() + 1);
+            return;
+        }
+        // Who comes after the word to stop is not cut off by it before it has said anything.
+        let mut stop = stop.clone();
+        stop.mark_unchanged();
+        tokio::task::spawn_local(self.clone().serve(stream, stop));
+    }
+
     async fn serve(self: Rc<Self>, stream: TcpStream, mut stop: tokio::sync::watch::Receiver<bool>) {
         self.connections.set(self.connections.get() + 1);
         let _ = stream.set_nodelay(true);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -197,10 +197,11 @@
         }
     }
     info!(open = admission.borrow().open(), "stopping");
+    // First of all: what comes while peers are told is refused too.
+    admission.borrow_mut().stop();
     if let Some(fellows) = &front.fellows {
         peers::leave(fellows).await;
     }
-    admission.borrow_mut().stop();
     closing.send_replace(true);
     let _ = accepting.await;
     let until = tokio::time::Instant::now() + duration(settings.front.stop_ms);
@@ -209,6 +210,7 @@
         tokio::time::sleep(duration(5.0)).await;
     }
     if admission.borrow().open() > 0 {
+        info!(open = admission.borrow().open(), connections = front.connections.get(), "last answers");
         let _ = core.send(Told::Stop).await;
         let until = tokio::time::Instant::now() + duration(settings.front.slow_client_ms);
         while open() && tokio::time::Instant::now() < until {
--- a/crates/router/src/steady/tests.rs
+++ b/crates/router/src/steady/tests.rs
@@ -20,6 +20,17 @@
     assert_eq!(Anchor::of(Some(spoilt), "boot-1", 1.8e12, 6000.0).offset_ms, 1.8e12 - 6000.0);
 }
 
+/// Offsets of every fraction of a ms: what a folder says is what was written to it.
+#[test]
+fn an_anchor_is_read_as_it_was_written() {
+    for step in 0..100_000 {
+        let wall_ms = 1_796_221_999_526.0 + f64::from(step) * 0.000_244_140_625 * 7.0;
+        let written = Anchor::of(None, "boot-1", wall_ms, 5000.0);
+        let read: Anchor = serde_json::from_slice(&serde_json::to_vec(&written).unwrap()).unwrap();
+        assert_eq!(read, written);
+    }
+}
+
 #[test]
 fn a_folder_keeps_its_clock() {
     let dir = tempfile::tempdir().unwrap();
--- a/crates/routing/src/ledger.rs
+++ b/crates/routing/src/ledger.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use paddleproxy::interface::{self, *};
+use paddleproxy::shutdown::retry_after_ms;
 use paddleproxy::Control;
 use paddleproxy_engine::StateReference;
 
@@ -300,6 +301,8 @@
     events: VecDeque<Event>,
     touched: BTreeSet<CompletionId>,
     counts: Counts,
+    /// The last answers were given.
+    stopped: bool,
 }
 
 impl Ledger {
@@ -320,6 +323,7 @@
             events: VecDeque::new(),
             touched: BTreeSet::new(),
             counts: Counts::default(),
+            stopped: false,
         }
     }
 
@@ -355,6 +359,7 @@
 
     fn take_in(&mut self, now_ms: f64, input: Input, effects: &mut Vec<Effect>) {
         match input {
+            Input::Arrived { arrival, .. } if self.stopped => self.refuse(arrival.completion, effects),
             Input::Arrived { arrival, streamed } => {
                 self.counts.arrived += 1;
                 let entry = Entry {
@@ -572,9 +577,23 @@
         self.touched.insert(completion);
     }
 
+    /// What comes after the last answers: nobody would be there for its own.
+    fn refuse(&mut self, completion: CompletionId, effects: &mut Vec<Effect>) {
+        self.counts.arrived += 1;
+        self.counts.rate_limited += 1;
+        effects.push(Effect::RateLimit { completion, retry_after_ms: self.stop_retry_after_ms() });
+        effects.push(Effect::Forget { completion });
+    }
+
+    fn stop_retry_after_ms(&self) -> f64 {
+        retry_after_ms(self.settings.retry_after, self.settings.max_retry_after_ms)
+    }
+
     /// Each completion is answered by what is known of it: one that surely never ran may be tried at another router. With
     /// a read out that is sure only of a workload that may run again anywhere.
     fn stop(&mut self, streams: bool, effects: &mut Vec<Effect>) {
+        self.stopped = true;
+        let retry_after_ms = self.stop_retry_after_ms();
         for (completion, entry) in &mut self.open {
             let completion = *completion;
             if entry.owed {
@@ -586,7 +605,7 @@
                 });
                 if !entry.may_have_run && (anywhere || !entry.out()) {
                     self.counts.rate_limited += 1;
-                    effects.push(Effect::RateLimit { completion, retry_after_ms: 0.0 });
+                    effects.push(Effect::RateLimit { completion, retry_after_ms });
                 } else {
                     self.counts.aborted += 1;
                     effects.push(Effect::Abort { completion });
