The clock of a state directory is kept in whole milliseconds

Cause: crates/router/src/steady.rs wrote the offset with fractions of a ms, and serde_json reads one in nine of them back one unit in the last place off: two starts on one directory differ by 0.2 us, and a test failed now and then. Ruled out: a failed write, a step of the wall clock. Change: the offset is rounded when it is made.

--- a/crates/router/src/steady.rs
+++ b/crates/router/src/steady.rs
@@ -29,7 +29,9 @@
     /// The anchor to go by in this boot: the one that was kept, if it is of this boot.
     fn of(kept: Option<Anchor>, boot: &str, wall_ms: f64, since_boot_ms: f64) -> Anchor {
         let kept = kept.filter(|kept| kept.boot == boot && !boot.is_empty() && kept.offset_ms.is_finite());
-        kept.unwrap_or_else(|| Anchor { boot: boot.to_owned(), offset_ms: wall_ms - since_boot_ms })
+        // Whole: a fraction may be read back off by its last place, and two starts would go by different clocks.
+        let offset_ms = (wall_ms - since_boot_ms).round();
+        kept.unwrap_or_else(|| Anchor { boot: boot.to_owned(), offset_ms })
     }
 }
 
