Failing test: half a request stands past the last answers

With short deadlines the kill comes 0.8 s and more after SIGTERM, half a request stands for 2 s: its rest may come right before the kill, and it counts as taken then. Seen: the test gets its 408 after 2 s where 503 is owed with the last answers.

--- a/crates/gateway/src/frontend/tests.rs
+++ b/crates/gateway/src/frontend/tests.rs
@@ -260,6 +260,24 @@
     });
 }
 
+/// The rest of it may come in the moment of the kill, and would have no answer.
+#[test]
+fn half_a_request_is_refused_with_the_last_answers() {
+    local(async {
+        let scene = Scene::start(256).await;
+        let mut half = connect(scene.address);
+        half.write_all(&request("half").as_bytes()[..60]).unwrap();
+        scene.settle().await;
+        scene.life.send_replace(Lifecycle::Draining);
+        scene.settle().await;
+        scene.life.send_replace(Lifecycle::Refusing);
+        let asked = Instant::now();
+        let answer = scene.rest(&half).await;
+        assert!(answer.starts_with("HTTP/1.1 503 ") && answer.contains("Retry-After: "), "{answer}");
+        assert!(asked.elapsed() < Duration::from_millis(150), "{:?}", asked.elapsed());
+    });
+}
+
 /// A client that sends more ahead than is read has gone all the same when it closes.
 #[test]
 fn the_end_of_a_connection_shows_behind_bytes_that_are_not_read() {
