Half a request is refused with the last answers

Cause: crates/gateway/src/clients.rs bounded the reading of a request by its own 2 s alone. Change: once the last answers are given, what has not come whole is refused as it is, with a time to come back.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -104,9 +104,12 @@
         let first = self.since(Activity::NoRequest);
         self.wait_for_request(stream, inbound, first).await?;
         let by = first.unwrap_or_else(Instant::now) + duration(REQUEST_MS);
+        let mut life = self.frontend.life.clone();
         let taken = tokio::select! {
             biased;
             taken = self.read_request(stream, inbound) => taken?,
+            // Whole later, it might have no answer when the process is killed.
+            () = reached(&mut life, Lifecycle::Refusing) => Err(STOPS),
             () = sleep_until(by) => Err(Fault::new(408, "the request did not come whole in time")),
             () = self.close.notified() => Err(GIVES_WAY),
         };
@@ -160,15 +163,9 @@
         match answered {
             Ok(end) => Ok(end),
             Err(fault) => {
-                let closes = close || self.closes(stream, inbound);
-                if fault != STOPS {
-                    self.refuse(stream, fault, closes).await?;
-                    return Ok(RequestEnd::Refused(fault.status));
-                }
-                let settings = &self.frontend.provision.borrow().clone().settings;
-                let after = retry_after(retry_after_ms(settings.retry_after, settings.max_retry_after_ms));
-                self.answer(stream, fault.status, "Refused", &after, &error(fault.why), closes).await?;
-                Ok(RequestEnd::RefusedStopping)
+                self.refuse(stream, fault, close || self.closes(stream, inbound)).await?;
+                let stops = fault == STOPS;
+                Ok(if stops { RequestEnd::RefusedStopping } else { RequestEnd::Refused(fault.status) })
             }
         }
     }
@@ -395,7 +392,14 @@
     }
 
     async fn refuse(&self, stream: &mut Stream, fault: Fault, close: bool) -> Result<(), ConnectionOver> {
-        self.answer(stream, fault.status, "Refused", "", &error(fault.why), close).await
+        let after = if fault == STOPS { self.come_back() } else { String::new() };
+        self.answer(stream, fault.status, "Refused", &after, &error(fault.why), close).await
+    }
+
+    /// When a client that is refused because the router stops may come again, as a field.
+    fn come_back(&self) -> String {
+        let provision = self.frontend.provision.borrow();
+        retry_after(retry_after_ms(provision.settings.retry_after, provision.settings.max_retry_after_ms))
     }
 
     async fn answer(
