Soak: clients use their connections until SIGKILL, which comes as early as it may

Cause why the soak was silent: SIGKILL came 3.7 s after SIGTERM whatever the deadlines, clients closed with the router, and a stream cut at the kill was let go wherever servers hung. Change: deadlines are drawn, 0.4 to 5 s, and the kill comes at the longest (3 s at most) and 0.7 s; ten clients a restart hold connections from before and after SIGTERM, rest, send half or send, until these close or the process dies; routers end one after another with SIGHUP and SIGTERM in series, in each play, while servers go on with their streams, hang or are slow, in a third of the plays with a crowd of idle connections; the judge has a rule for what is unanswered at the kill and one for what came late and was sent on; each play says how many shutdowns, kills and late requests it has crossed.

--- a/crates/cli/tests/system_calls.rs
+++ b/crates/cli/tests/system_calls.rs
@@ -2,7 +2,7 @@
 //! stand-ins.
 
 use paddleproxy_faults::Fault;
-use paddleproxy_soak::configuration::Allowed;
+use paddleproxy_soak::configuration::{Allowed, LONGEST_DEADLINE_S};
 use paddleproxy_soak::plan::{Kind, Plan, Trouble};
 use paddleproxy_soak::play::{play, Played};
 use paddleproxy_soak::report::Report;
@@ -12,7 +12,8 @@
     let trouble = |(kind, at_s): &(Kind, f64)| Trouble { kind: *kind, at_s: *at_s, for_s: 4.0, pick: 0 };
     let allowed = Allowed { probes: true, cancel: true, second_copies: false };
     let troubles = troubles.iter().map(trouble).collect();
-    let plan = Plan { seed: 3, length_s, routers: 3, allowed, troubles };
+    let longest_deadline_s = LONGEST_DEADLINE_S;
+    let plan = Plan { seed: 3, length_s, routers: 3, allowed, longest_deadline_s, troubles };
     let dir = tempfile::tempdir().unwrap();
     let program = std::path::Path::new(env!("CARGO_BIN_EXE_paddleproxy"));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
--- a/crates/soak/examples/size.rs
+++ b/crates/soak/examples/size.rs
@@ -8,7 +8,9 @@
 
 use anyhow::{Context, Result};
 use paddleproxy_soak::client::Clients;
-use paddleproxy_soak::configuration::{configuration, kind_of, Allowed, Wanted, FIRST_SERVERS, ZONES};
+use paddleproxy_soak::configuration::{
+    configuration, kind_of, Allowed, Wanted, FIRST_SERVERS, LONGEST_DEADLINE_S, ZONES,
+};
 use paddleproxy_soak::discovery::{Agent, Catalog, Entry};
 use paddleproxy_soak::process::Router;
 use paddleproxy_soak::record::Record;
@@ -77,10 +79,11 @@
         known,
         allowed,
         seed: 1,
+        longest_deadline_s: LONGEST_DEADLINE_S,
     }))?;
     router.start()?;
     anyhow::ensure!(router.until_ready(Duration::from_secs(20)).await, "the router is never ready");
-    let clients = Clients::new(record.clone(), vec![listen], 1);
+    let clients = Clients::new(record.clone(), vec![listen], 1, LONGEST_DEADLINE_S);
     let asking: Vec<_> = (0..AT_ONCE)
         .map(|_| {
             let clients = clients.clone();
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -46,32 +46,40 @@
     /// Requests that are open.
     pub open: Cell<usize>,
     next: Cell<u64>,
-    seed: u64,
+    pub(crate) seed: u64,
+    longest_deadline_s: f64,
 }
 
 /// A connection to a router, with how many answers came on it.
-struct Connection {
-    stream: TcpStream,
+pub(crate) struct Connection {
+    pub(crate) stream: TcpStream,
     incoming: Incoming,
     answers: usize,
     router: RouterId,
-    life: usize,
+    pub(crate) life: usize,
 }
 
 /// What a client is about to do.
-struct Intent {
+pub(crate) struct Intent {
     class: Class,
     leaves_after_ms: Option<f64>,
     half: bool,
     pieces: bool,
+    /// The second half of the request follows the first after this.
+    pub(crate) pause_ms: Option<f64>,
     deadline_ms: f64,
     tokens: u64,
     session: u64,
 }
 
 impl Clients {
-    /// Clients of routers at these addresses.
-    pub fn new(record: Record, addresses: Vec<SocketAddr>, seed: u64) -> Rc<Clients> {
+    /// Clients of routers at these addresses, whose longest deadline is this.
+    pub fn new(
+        record: Record,
+        addresses: Vec<SocketAddr>,
+        seed: u64,
+        longest_deadline_s: f64,
+    ) -> Rc<Clients> {
         let admitted = RefCell::new(vec![false; addresses.len()]);
         Rc::new(Clients {
             record,
@@ -82,6 +90,7 @@
             open: Cell::new(0),
             next: Cell::new(0),
             seed,
+            longest_deadline_s,
         })
     }
 
@@ -110,12 +119,13 @@
         let connection = Connection { stream, incoming, answers: 0, router, life };
         let class = CLASSES[0];
         let session = fastrand::Rng::with_seed(self.next.get()).u64(..);
-        let deadline_ms = class.deadline_s * 1e3;
+        let deadline_ms = self.deadline_ms(&class);
         let intent = Intent {
             class,
             leaves_after_ms: None,
             half: false,
             pieces: false,
+            pause_ms: None,
             deadline_ms,
             tokens: 100,
             session,
@@ -132,6 +142,10 @@
             (0..admitted.len()).filter(|router| admitted[*router]).collect()
         };
         let router = *admitted.get(rng.usize(..admitted.len().max(1)))?;
+        self.connect_to(router).await
+    }
+
+    pub(crate) async fn connect_to(&self, router: RouterId) -> Option<Connection> {
         let address = self.addresses[router];
         let life = self.record.life(router);
         let stream = timeout(Duration::from_secs(1), TcpStream::connect(address)).await.ok()?.ok()?;
@@ -139,7 +153,11 @@
         Some(Connection { stream, incoming: Incoming::default(), answers: 0, router, life })
     }
 
-    fn intent(&self, rng: &mut fastrand::Rng) -> Intent {
+    fn deadline_ms(&self, class: &Class) -> f64 {
+        class.deadline_share * self.longest_deadline_s * 1e3
+    }
+
+    pub(crate) fn intent(&self, rng: &mut fastrand::Rng) -> Intent {
         let manners = self.manners.get();
         let class = CLASSES[rng.usize(..CLASSES.len())];
         let hurried = rng.f64() < manners.hurried;
@@ -149,19 +167,25 @@
             leaves_after_ms: leaves.then(|| rng.f64() * 120.0),
             half: rng.f64() < manners.halves,
             pieces: rng.f64() < manners.pieces,
-            deadline_ms: if hurried { 20.0 + 200.0 * rng.f64() } else { class.deadline_s * 1e3 },
+            pause_ms: None,
+            deadline_ms: if hurried { 20.0 + 200.0 * rng.f64() } else { self.deadline_ms(&class) },
             tokens: if rng.bool() { 100 } else { 20_000 },
             session: rng.u64(..64),
         }
     }
 
+    /// The process that a router runs now.
+    pub(crate) fn life(&self, router: RouterId) -> usize {
+        self.record.life(router)
+    }
+
     fn id(&self) -> String {
         let next = self.next.get();
         self.next.set(next + 1);
         format!("{next:x}")
     }
 
-    async fn ask(&self, connection: Connection, intent: Intent) -> Option<Connection> {
+    pub(crate) async fn ask(&self, connection: Connection, intent: Intent) -> Option<Connection> {
         let id = self.id();
         self.open.set(self.open.get() + 1);
         let rest = self.exchange(connection, intent, &id).await;
@@ -242,6 +266,15 @@
         if intent.half {
             return stream.write_all(&text[..text.len() / 2]).await;
         }
+        if let Some(pause_ms) = intent.pause_ms {
+            let (first, rest) = text.split_at(text.len() / 2);
+            stream.write_all(first).await?;
+            // Who is answered meanwhile sends no more.
+            if timeout(Duration::from_secs_f64(pause_ms / 1e3), stream.readable()).await.is_ok() {
+                return Err(std::io::ErrorKind::ConnectionAborted.into());
+            }
+            return stream.write_all(rest).await;
+        }
         if intent.pieces {
             for piece in text.chunks(40) {
                 stream.write_all(piece).await?;
--- a/crates/soak/src/configuration.rs
+++ b/crates/soak/src/configuration.rs
@@ -13,19 +13,35 @@
     pub name: &'static str,
     /// What may happen when it runs again.
     pub repeats: Repeats,
-    /// How long its clients wait for the first byte, in s.
-    pub deadline_s: f64,
+    /// How long its clients wait for the first byte, as a part of the longest deadline of the play.
+    pub deadline_share: f64,
     /// In which its servers drop repeats by key, in s.
     pub window_s: f64,
 }
 
 /// One of each kind.
 pub const CLASSES: [Class; 3] = [
-    Class { name: "chat", repeats: Repeats::Harmless, deadline_s: 2.5, window_s: 0.0 },
-    Class { name: "notice", repeats: Repeats::ByKey, deadline_s: 2.0, window_s: 0.5 },
-    Class { name: "ledger", repeats: Repeats::Never, deadline_s: 2.5, window_s: 0.0 },
+    Class { name: "chat", repeats: Repeats::Harmless, deadline_share: 1.0, window_s: 0.0 },
+    Class { name: "notice", repeats: Repeats::ByKey, deadline_share: 0.8, window_s: 0.5 },
+    Class { name: "ledger", repeats: Repeats::Never, deadline_share: 1.0, window_s: 0.0 },
 ];
 
+/// The longest deadline of plays that name none, in s.
+pub const LONGEST_DEADLINE_S: f64 = 2.5;
+/// The latency target of all classes: this, in s, and no more than a part of the deadline.
+const TARGET_S: f64 = 0.5;
+const TARGET_SHARE: f64 = 0.4;
+
+/// What comes later than this after SIGTERM, in s, has to be answered before SIGKILL, which comes no earlier than this and the
+/// longest deadline, counted as the second at most.
+pub const OWED_AFTER_S: f64 = 0.7;
+const KILL_LONGEST_S: f64 = 3.0;
+
+/// When the platform kills a router at the earliest, in s after SIGTERM.
+pub fn kill_after_s(longest_deadline_s: f64) -> f64 {
+    OWED_AFTER_S + longest_deadline_s.min(KILL_LONGEST_S)
+}
+
 /// The limit on what is held, in ms.
 pub const HELD_LIMIT_MS: f64 = 500.0;
 /// The grace of drains, in ms: the shortest that a deployment has.
@@ -89,6 +105,8 @@
     pub allowed: Allowed,
     /// The seed of its chance.
     pub seed: u64,
+    /// The longest deadline of its classes, in s.
+    pub longest_deadline_s: f64,
 }
 
 /// The whole object.
@@ -101,7 +119,9 @@
                 Repeats::ByKey => "by_key",
                 Repeats::Never => "once",
             };
-            json!({ "name": class.name, "slo_s": 0.5, "deadline_s": class.deadline_s, "idempotency": idempotency,
+            let deadline_s = class.deadline_share * wanted.longest_deadline_s;
+            let target_s = TARGET_S.min(TARGET_SHARE * deadline_s);
+            json!({ "name": class.name, "slo_s": target_s, "deadline_s": deadline_s, "idempotency": idempotency,
                     "dedup_scope": "all", "window_s": class.window_s, "importance": 1.0, "stream": true })
         })
         .collect();
--- a/crates/soak/src/oracle/answers.rs
+++ b/crates/soak/src/oracle/answers.rs
@@ -1,5 +1,6 @@
 //! One final answer, in time, for each request that was taken.
 
+use super::shutdowns::{crossed_the_end, ended_by_the_kill};
 use super::{violation, Case, Rule, Violation};
 use crate::record::{Attempt, Ending, Fate, Request};
 
@@ -66,6 +67,7 @@
                 }
             }
             Ending::Left => {}
+            _ if ended_by_the_kill(case, id, request, (ended_ms, ending), found) => {}
             _ if died_with_it(case, request, ended_ms) => {}
             Ending::Silent if case.was_on(&FROZEN, sent_ms, ended_ms) => {}
             Ending::Silent => {
@@ -122,7 +124,8 @@
 fn closed(case: &Case, id: &str, request: &Request, sent_ms: f64, ended_ms: f64, found: &mut Vec<Violation>) {
     let attempted = !case.attempts(id).is_empty();
     // Closed as the request came, and not read: the client sends it once more.
-    let crossed = request.kept_connection && !attempted;
+    let crossed =
+        !attempted && request.kept_connection || crossed_the_end(case, request, ended_ms, case.attempts(id));
     let crowded = case.was_on(&CROWDED, sent_ms - 1000.0, ended_ms) && !attempted;
     if !crossed && !crowded && !case.was_on(&BROKEN, sent_ms, ended_ms) {
         let what =
--- a/crates/soak/src/oracle/mod.rs
+++ b/crates/soak/src/oracle/mod.rs
@@ -6,6 +6,7 @@
 mod cold;
 mod held;
 mod processes;
+mod shutdowns;
 
 use std::collections::BTreeMap;
 
@@ -13,6 +14,8 @@
 
 use crate::record::{Attempt, Life, Request, Seen};
 
+pub use shutdowns::Shutdowns;
+
 /// What was broken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -31,6 +34,9 @@
     SlowStart,
     /// A state was left held.
     Held,
+    /// A request that came late in the shutdown of its router was sent to a server: whether its answer would be whole at the
+    /// kill was left to luck.
+    TakenLate,
     /// An attempt began after its client had gone.
     ClientGone,
     /// A server was told more time than was left.
@@ -80,6 +86,7 @@
     held::judge(&case, &mut found);
     cold::judge(&case, &mut found);
     processes::judge(&case, &mut found);
+    shutdowns::judge(&case, &mut found);
     found.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
     found
 }
--- /dev/null
+++ b/crates/soak/src/oracle/shutdowns/tests.rs
@@ -0,0 +1,87 @@
+//! Records of one process that was told to end at 1 s and killed at 2 s.
+
+use super::*;
+use crate::oracle::{judge, Terms};
+use crate::record::{Life, Repeats};
+
+const TERMS: Terms = Terms { routers: 1, second_copies: false };
+const TOLD_MS: f64 = 1000.0;
+const KILLED_MS: f64 = 2000.0;
+
+/// A request sent at a time that ended at another.
+fn seen(sent_ms: f64, ended_ms: f64, ending: Ending) -> Seen {
+    let life = Life {
+        terminated_ms: Some(TOLD_MS),
+        killed_ms: Some(KILLED_MS),
+        ended: Some((KILLED_MS + 1.0, Err(9))),
+        ..Life::default()
+    };
+    let request = Request {
+        router: 0,
+        life: 0,
+        repeats: Repeats::Harmless,
+        kept_connection: false,
+        begun_ms: sent_ms,
+        sent_ms: Some(sent_ms),
+        deadline_ms: 300.0,
+        began_ms: None,
+        events_ms: Vec::new(),
+        ended: Some((ended_ms, ending)),
+        half: false,
+    };
+    let requests = [("a1".to_owned(), request)].into();
+    Seen { requests, lives: vec![vec![life]], ..Seen::default() }
+}
+
+fn broken(sent_ms: f64, ended_ms: f64, ending: Ending) -> Vec<Rule> {
+    judge(&seen(sent_ms, ended_ms, ending), &TERMS).into_iter().map(|violation| violation.rule).collect()
+}
+
+#[test]
+fn what_came_late_and_has_no_whole_answer_at_the_kill_is_lost() {
+    for ending in [Ending::Cut, Ending::Closed] {
+        assert_eq!(broken(TOLD_MS + 850.0, KILLED_MS + 2.0, ending), [Rule::Lost], "{ending:?}");
+    }
+    assert_eq!(broken(TOLD_MS + 850.0, KILLED_MS - 50.0, Ending::Whole { status: 503 }), []);
+}
+
+#[test]
+fn a_stream_that_came_in_time_may_run_to_the_kill_and_nothing_else_may() {
+    assert_eq!(broken(TOLD_MS + 500.0, KILLED_MS + 2.0, Ending::Cut), []);
+    assert_eq!(broken(TOLD_MS + 500.0, KILLED_MS + 2.0, Ending::Closed), [Rule::Lost]);
+}
+
+#[test]
+fn a_request_that_crosses_the_close_of_its_connection_is_sent_again() {
+    assert_eq!(broken(TOLD_MS + 600.0, TOLD_MS + 605.0, Ending::Closed), []);
+    assert_eq!(broken(TOLD_MS + 600.0, TOLD_MS + 900.0, Ending::Closed), [Rule::Lost]);
+    assert_eq!(broken(TOLD_MS - 600.0, TOLD_MS - 595.0, Ending::Closed), [Rule::Lost], "no end of a process");
+}
+
+#[test]
+fn what_was_crossed_is_counted() {
+    let counts = Shutdowns::of(&seen(TOLD_MS + 850.0, KILLED_MS, Ending::Cut));
+    let wanted =
+        Shutdowns { told: 1, killed: 1, requests: 1, late: 1, late_unanswered: 1, ..Shutdowns::default() };
+    assert_eq!(counts, wanted);
+}
+
+#[test]
+fn what_came_late_is_sent_to_no_server() {
+    for (sent_ms, rules) in [(TOLD_MS + 850.0, vec![Rule::TakenLate]), (TOLD_MS + 500.0, vec![])] {
+        let mut seen = seen(sent_ms, sent_ms + 50.0, Ending::Whole { status: 200 });
+        seen.attempts.push(Attempt {
+            request: "a1".into(),
+            server: 0,
+            first_byte_ms: sent_ms + 1.0,
+            whole_ms: sent_ms + 1.0,
+            told_ms: Some(200.0),
+            reads: false,
+            fate: crate::record::Fate::Finished,
+            events_ms: Vec::new(),
+            over_ms: Some(sent_ms + 50.0),
+        });
+        let found: Vec<_> = judge(&seen, &TERMS).into_iter().map(|violation| violation.rule).collect();
+        assert_eq!(found, rules, "sent at {sent_ms}");
+    }
+}
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -1,10 +1,12 @@
 //! What goes wrong in a play, and when: drawn from a seed, or read from a script.
 
+use std::time::Duration;
+
 use anyhow::{bail, Result};
 use paddleproxy_faults::Fault;
 use serde::{Deserialize, Serialize};
 
-use crate::configuration::Allowed;
+use crate::configuration::{kill_after_s, Allowed, LONGEST_DEADLINE_S};
 
 /// A kind of trouble.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -12,6 +14,8 @@
 pub enum Kind {
     /// One router is told to end and started again.
     RouterRestart,
+    /// Routers are told to end one after another, with further signals around that, while clients go on.
+    RouterSeries,
     /// A third of the routers is told to end at once and started again.
     RouterBatch,
     /// Routers are killed and started again.
@@ -46,6 +50,8 @@
     ServersHang,
     /// Servers stop within their streams.
     ServersHangMidway,
+    /// Servers go on with their streams for as long as this lasts.
+    ServersLong,
     /// Servers turn everything away.
     ServersDecline,
     /// Servers answer 500.
@@ -88,8 +94,9 @@
     System(Fault),
 }
 
-const NAMES: [(Kind, &str); 37] = [
+const NAMES: [(Kind, &str); 39] = [
     (Kind::RouterRestart, "router-restart"),
+    (Kind::RouterSeries, "router-series"),
     (Kind::RouterBatch, "router-batch"),
     (Kind::RouterKill, "router-kill"),
     (Kind::RouterReload, "router-reload"),
@@ -107,6 +114,7 @@
     (Kind::WallAheadAnHour, "wall-ahead-an-hour"),
     (Kind::ServersHang, "servers-hang"),
     (Kind::ServersHangMidway, "servers-hang-midway"),
+    (Kind::ServersLong, "servers-long"),
     (Kind::ServersDecline, "servers-decline"),
     (Kind::ServersFail, "servers-fail"),
     (Kind::ServersBreak, "servers-break"),
@@ -192,6 +200,9 @@
     pub routers: usize,
     /// What the settings allow.
     pub allowed: Allowed,
+    /// The longest deadline of requests, in s: a router is killed that long and 0.7 s after SIGTERM.
+    #[serde(default = "longest_deadline_s")]
+    pub longest_deadline_s: f64,
     /// What goes wrong.
     pub troubles: Vec<Trouble>,
 }
@@ -206,13 +217,39 @@
 /// Router processes of a play.
 const ROUTERS: std::ops::RangeInclusive<usize> = 10..=14;
 
+fn longest_deadline_s() -> f64 {
+    LONGEST_DEADLINE_S
+}
+
+/// Longest deadlines that are drawn, in s.
+const DEADLINES_S: [f64; 5] = [0.4, 0.8, 1.5, 2.5, 5.0];
+/// What servers do while routers end, in plays where all may come; and how often a crowd is there as well.
+const WHILE_ROUTERS_END: [Kind; 5] =
+    [Kind::ServersLong, Kind::ServersLong, Kind::ServersHangMidway, Kind::ServersSlow, Kind::ServersHang];
+const CROWDED: f64 = 0.35;
+/// How long routers are ended one after another, in s.
+const SERIES_S: f64 = 4.0;
+
+/// Routers that end one after another, and what goes on meanwhile.
+fn shutdowns(rng: &mut fastrand::Rng) -> Vec<Trouble> {
+    let mut kinds = vec![Kind::RouterSeries, WHILE_ROUTERS_END[rng.usize(..WHILE_ROUTERS_END.len())]];
+    if rng.f64() < CROWDED {
+        kinds.push(Kind::ClientsIdle);
+    }
+    let at_s = FIRST_S + rng.f64();
+    let trouble = |kind| Trouble { kind, at_s, for_s: SERIES_S, pick: rng.u64(1..1 << 32) };
+    kinds.into_iter().map(trouble).collect()
+}
+
 impl Plan {
     /// The play of a seed.
     pub fn draw(seed: u64, length_s: f64, routers: Option<usize>, kinds: &[Kind]) -> Plan {
         let mut rng = fastrand::Rng::with_seed(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ 0x51ab);
         let routers = routers.unwrap_or_else(|| rng.usize(ROUTERS));
         let allowed = Allowed { probes: rng.bool(), cancel: rng.f64() < 0.8, second_copies: rng.bool() };
-        let mut troubles = Vec::new();
+        let longest_deadline_s = DEADLINES_S[rng.usize(..DEADLINES_S.len())];
+        let ends = kinds.contains(&Kind::RouterSeries);
+        let mut troubles = if ends { shutdowns(&mut rng) } else { Vec::new() };
         let mut at_s = FIRST_S;
         while !kinds.is_empty() && at_s + GROUPS_S + LAST_S <= length_s + 2.0 {
             for _ in 0..rng.usize(TOGETHER) {
@@ -225,7 +262,7 @@
             }
             at_s += GROUPS_S;
         }
-        Plan { seed, length_s, routers, allowed, troubles }
+        Plan { seed, length_s, routers, allowed, longest_deadline_s, troubles }
     }
 
     /// Reads a script.
@@ -240,6 +277,9 @@
         if !(1..=MOST_ROUTERS).contains(&plan.routers) {
             bail!("routers is {}, not between 1 and {MOST_ROUTERS}", plan.routers);
         }
+        if !(0.1..=60.0).contains(&plan.longest_deadline_s) {
+            bail!("longest_deadline_s is {}, not between 0.1 and 60", plan.longest_deadline_s);
+        }
         for trouble in &plan.troubles {
             let timed = |time_s: f64| time_s.is_finite() && (0.0..=3600.0).contains(&time_s);
             if !timed(trouble.at_s) || !timed(trouble.for_s) {
@@ -249,6 +289,11 @@
         Ok(plan)
     }
 
+    /// How long after SIGTERM a router is killed: as early as the platform may.
+    pub fn kill_after(&self) -> Duration {
+        Duration::from_secs_f64(kill_after_s(self.longest_deadline_s))
+    }
+
     /// Pairs of kinds that were on at once.
     pub fn pairs(&self) -> Vec<(Kind, Kind)> {
         let mut pairs = Vec::new();
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -27,8 +27,6 @@
 const PAUSE_MS: f64 = 120.0;
 /// A router may take so long to be ready.
 const READY: Duration = Duration::from_secs(30);
-/// A process told to end is killed after this: the longest deadline and 0.7 s.
-pub const KILL_AFTER: Duration = Duration::from_millis(3700);
 /// Where routers listen, each on an address of its own.
 const PORT: u16 = 9000;
 /// How often this process looks whether it was held up, in ms, and what counts as that.
@@ -92,7 +90,7 @@
             agents.push(Agent::start(catalog.clone(), id).await?);
             routers.push(Router::new(record.clone(), id, *listen, program, dir, plan.seed)?);
         }
-        let clients = Clients::new(record.clone(), addresses, plan.seed);
+        let clients = Clients::new(record.clone(), addresses, plan.seed, plan.longest_deadline_s);
         let stage = Rc::new(Stage {
             record,
             plan: plan.clone(),
@@ -154,6 +152,7 @@
             known: self.catalog.whole(),
             allowed: self.plan.allowed,
             seed: self.plan.seed.wrapping_add(router as u64),
+            longest_deadline_s: self.plan.longest_deadline_s,
         })
     }
 
@@ -265,7 +264,9 @@
     let ends: Vec<_> = (0..plan.routers)
         .map(|router| {
             let stage = stage.clone();
-            tokio::task::spawn_local(async move { stage.routers[router].terminate(KILL_AFTER).await })
+            tokio::task::spawn_local(
+                async move { stage.routers[router].terminate(stage.plan.kill_after()).await },
+            )
         })
         .collect();
     for task in ends {
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use crate::oracle::{judge, Rule, Terms, Violation};
+use crate::oracle::{judge, Rule, Shutdowns, Terms, Violation};
 use crate::play::Played;
 use crate::record::Ending;
 
@@ -29,6 +29,8 @@
     pub pairs: Vec<(String, String)>,
     /// Longest time for which the judge's own process was held up, in ms.
     pub longest_lag_ms: f64,
+    /// What was crossed at the ends of processes.
+    pub shutdowns: Shutdowns,
     /// What was broken.
     pub violations: Vec<Violation>,
 }
@@ -57,6 +59,7 @@
             troubles,
             pairs: pairs.map(|(one, other)| (one.name().to_owned(), other.name().to_owned())).collect(),
             longest_lag_ms: seen.lags.iter().map(|(_, late_ms)| *late_ms).fold(0.0, f64::max),
+            shutdowns: Shutdowns::of(seen),
             violations: judge(seen, &terms),
         }
     }
@@ -85,15 +88,26 @@
         let verdict = if self.kept() { "kept".to_owned() } else { format!("BROKEN {:?}", self.rules()) };
         let troubles: Vec<_> = self.troubles.keys().map(String::as_str).collect();
         let injected: u64 = self.injected.values().sum();
+        let ends = &self.shutdowns;
         let mut text = format!(
             "seed {}: {verdict}; {} requests, {} served, {} attempts, {} processes; {injected} system calls failed{}; \
-             lag {:.0} ms; {}\n",
+             {} told to end, {} of them killed, {} requests after SIGTERM, {} over 0.7 s after it ({} served, \
+             {} refused, {} failed, {} closed upon, {} unanswered); lag {:.0} ms; {}\n",
             self.seed,
             self.requests,
             self.served,
             self.attempts,
             self.processes,
             if injected == 0 && self.plans_failures() { " (NONE INJECTED)" } else { "" },
+            ends.told,
+            ends.killed,
+            ends.requests,
+            ends.late,
+            ends.late_served,
+            ends.late_refused,
+            ends.late_failed,
+            ends.late_closed,
+            ends.late_unanswered,
             self.longest_lag_ms,
             troubles.join(" ")
         );
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -23,6 +23,8 @@
 const READ_MS: u64 = 25;
 const FETCH_MS: u64 = 8;
 const EVENT_MS: u64 = 12;
+/// Between two events of a stream that goes on, in ms.
+const LONG_EVENT_MS: u64 = 60;
 /// Connections that wait to be accepted at most.
 const BACKLOG: i32 = 1024;
 /// How often a server looks whether it has gone deaf, or hears again, in ms.
@@ -37,6 +39,8 @@
     pub hangs: bool,
     /// Stops within its streams and says nothing more.
     pub hangs_midway: bool,
+    /// Goes on with its streams.
+    pub long: bool,
     /// Turns everything away.
     pub declines: bool,
     /// Answers 500.
@@ -60,6 +64,7 @@
         Mood {
             hangs: false,
             hangs_midway: false,
+            long: false,
             declines: false,
             fails: false,
             breaks: false,
@@ -394,6 +399,10 @@
                 return Err(ErrorKind::ConnectionReset.into());
             }
         }
+        while self.mood.get().long {
+            self.event(peer, row, FIRST.to_owned()).await?;
+            self.pause(peer, LONG_EVENT_MS).await?;
+        }
         self.event(peer, row, LAST.to_owned()).await?;
         self.say(peer, "0\r\n\r\n".into()).await?;
         self.set_fate(row, Fate::Finished);
--- a/crates/soak/src/troubles.rs
+++ b/crates/soak/src/troubles.rs
@@ -10,9 +10,10 @@
 
 use crate::link::Weather;
 use crate::plan::{Kind, Trouble};
-use crate::play::{Stage, KILL_AFTER};
+use crate::play::Stage;
 use crate::record::Window;
 use crate::server::Mood;
+use crate::shutdown::{self, Series};
 
 /// Steps of the wall clock, in ms.
 const WALL_STEPS_MS: [i64; 4] = [-7_000, 7_000, -1_500, 1_500];
@@ -58,9 +59,14 @@
     let routers = stage.plan.routers;
     let mut rng = fastrand::Rng::with_seed(!trouble.pick);
     match trouble.kind {
-        Kind::RouterRestart => restart(stage, &some(trouble, routers, 2), false).await,
-        Kind::RouterBatch => restart(stage, &some(trouble, routers, routers / 2), false).await,
-        Kind::ReloadThenStop => restart(stage, &some(trouble, routers, 3), true).await,
+        Kind::RouterRestart => restart(stage, trouble, &some(trouble, routers, 2), Series::TERM).await,
+        Kind::RouterSeries => restart_in_turn(stage, trouble, &some(trouble, routers, routers / 2)).await,
+        Kind::RouterBatch => {
+            restart(stage, trouble, &some(trouble, routers, routers / 2), Series::TERM).await
+        }
+        Kind::ReloadThenStop => {
+            restart(stage, trouble, &some(trouble, routers, 3), Series::RELOAD_FIRST).await
+        }
         Kind::RouterKill => kill(stage, &some(trouble, routers, 4)).await,
         Kind::RouterReload => reload(stage, &some(trouble, routers, routers), ends).await,
         Kind::RouterStall => stall(stage, &some(trouble, routers, 4), ends).await,
@@ -118,27 +124,11 @@
 }
 
 /// Tells routers to end, all at once, and starts them again.
-async fn restart(stage: &Rc<Stage>, routers: &[usize], reload_first: bool) {
+async fn restart(stage: &Rc<Stage>, trouble: &Trouble, routers: &[usize], series: Series) {
     let each: Vec<_> = taken(stage, routers)
-        .iter()
+        .into_iter()
         .map(|router| {
-            let (stage, router) = (stage.clone(), *router);
-            tokio::task::spawn_local(async move {
-                if reload_first {
-                    let _ = stage.routers[router].configure(&stage.configuration(router));
-                    stage.routers[router].signal(Signal::HUP);
-                }
-                // The front sends on for a moment.
-                let withdrawn = stage.clone();
-                tokio::task::spawn_local(async move {
-                    sleep(Duration::from_millis(300)).await;
-                    withdrawn.withdraw(router);
-                });
-                stage.routers[router].terminate(KILL_AFTER).await;
-                stage.withdraw(router);
-                stage.start_router(router).await;
-                stage.routers[router].being_restarted.set(false);
-            })
+            tokio::task::spawn_local(shutdown::restart(stage.clone(), router, series, trouble.pick))
         })
         .collect();
     for task in each {
@@ -146,6 +136,22 @@
     }
 }
 
+/// Tells routers to end one after another, before the first is there again, each with a series of signals of its own.
+async fn restart_in_turn(stage: &Rc<Stage>, trouble: &Trouble, routers: &[usize]) {
+    let mut rng = fastrand::Rng::with_seed(trouble.pick);
+    let routers = taken(stage, routers);
+    let apart = seconds(trouble.for_s / routers.len().max(1) as f64);
+    let mut each = Vec::new();
+    for router in routers {
+        let (series, seed) = (Series::draw(&mut rng), rng.u64(..));
+        each.push(tokio::task::spawn_local(shutdown::restart(stage.clone(), router, series, seed)));
+        sleep(apart).await;
+    }
+    for task in each {
+        let _ = task.await;
+    }
+}
+
 async fn kill(stage: &Rc<Stage>, routers: &[usize]) {
     let routers = taken(stage, routers);
     for router in &routers {
@@ -238,6 +244,7 @@
     Some(match kind {
         Kind::ServersHang => |mood, on| mood.hangs = on,
         Kind::ServersHangMidway => |mood, on| mood.hangs_midway = on,
+        Kind::ServersLong => |mood, on| mood.long = on,
         Kind::ServersDecline => |mood, on| mood.declines = on,
         Kind::ServersFail => |mood, on| mood.fails = on,
         Kind::ServersBreak => |mood, on| mood.breaks = on,
