--- a/crates/soak/src/oracle/answers.rs
+++ b/crates/soak/src/oracle/answers.rs
@@ -151,7 +151,9 @@
             true => "its stream was cut although the server wrote all of it",
             false => "its stream was cut while the server wrote",
         };
-        found.push(violation(Rule::Lost, from_ms, (id, request), what.into()));
+        let attempts: Vec<_> = case.attempts(id).iter().map(|attempt| attempt.text()).collect();
+        let what = format!("{what}, {:.0} ms after it was sent; {}", ended_ms - from_ms, attempts.join(", "));
+        found.push(violation(Rule::Lost, from_ms, (id, request), what));
     }
 }
 
--- a/crates/soak/src/oracle/attempts.rs
+++ b/crates/soak/src/oracle/attempts.rs
@@ -38,7 +38,9 @@
         }
         if let Some((told_ms, sent_ms)) = attempt.told_ms.zip(request.sent_ms) {
             let left_ms = sent_ms + request.deadline_ms - attempt.first_byte_ms;
-            if told_ms > left_ms + STALL_MS + slack_ms && !frozen {
+            // What came while the router stood still has its time counted from when it could be read.
+            let unread_ms = case.goes_on_ms(&FROZEN, sent_ms);
+            if told_ms > left_ms + unread_ms + STALL_MS + slack_ms && !frozen {
                 let what = format!("told {told_ms:.0} ms where {left_ms:.0} were left");
                 found.push(violation(Rule::DeadlineTold, attempt.first_byte_ms, at, what));
             }
--- a/crates/soak/src/oracle/mod.rs
+++ b/crates/soak/src/oracle/mod.rs
@@ -135,6 +135,14 @@
         STAMP_MS + lags.map(|(_, late_ms)| late_ms).sum::<f64>()
     }
 
+    /// How long, from a moment on, a trouble went on that was on then, in ms.
+    fn goes_on_ms(&self, troubles: &[&str], at_ms: f64) -> f64 {
+        let on = |window: &&crate::record::Window| {
+            troubles.contains(&window.trouble.as_str()) && window.from_ms <= at_ms && window.to_ms >= at_ms
+        };
+        self.seen.windows.iter().filter(on).map(|window| window.to_ms - at_ms).fold(0.0, f64::max)
+    }
+
     /// Whether a trouble was on at some moment between two times.
     fn was_on(&self, troubles: &[&str], from_ms: f64, to_ms: f64) -> bool {
         let on = |window: &&crate::record::Window| {
--- a/crates/soak/src/oracle/shutdowns.rs
+++ b/crates/soak/src/oracle/shutdowns.rs
@@ -59,6 +59,10 @@
         return false;
     };
     let (Some(sent_ms), Some(terminated_ms)) = (request.sent_ms, life.terminated_ms) else { return false };
+    if sent_ms >= killed_ms {
+        // The process was gone, and with it the connection.
+        return true;
+    }
     let after_ms = sent_ms - terminated_ms;
     let owed = is_owed(case, request, after_ms);
     // Its stream had begun and it had come in time: the platform lets it go.
--- a/crates/soak/src/oracle/shutdowns/tests.rs
+++ b/crates/soak/src/oracle/shutdowns/tests.rs
@@ -70,18 +70,53 @@
 fn what_came_late_is_sent_to_no_server() {
     for (sent_ms, rules) in [(TOLD_MS + 850.0, vec![Rule::TakenLate]), (TOLD_MS + 500.0, vec![])] {
         let mut seen = seen(sent_ms, sent_ms + 50.0, Ending::Whole { status: 200 });
-        seen.attempts.push(Attempt {
-            request: "a1".into(),
-            server: 0,
-            first_byte_ms: sent_ms + 1.0,
-            whole_ms: sent_ms + 1.0,
-            told_ms: Some(200.0),
-            reads: false,
-            fate: crate::record::Fate::Finished,
-            events_ms: Vec::new(),
-            over_ms: Some(sent_ms + 50.0),
-        });
+        seen.attempts.push(attempt(crate::record::Fate::Finished, sent_ms + 1.0, 200.0));
         let found: Vec<_> = judge(&seen, &TERMS).into_iter().map(|violation| violation.rule).collect();
         assert_eq!(found, rules, "sent at {sent_ms}");
     }
 }
+
+/// Its connection had ended with the process before.
+#[test]
+fn what_is_sent_after_the_kill_reaches_nobody() {
+    assert_eq!(broken(KILLED_MS + 50.0, KILLED_MS + 51.0, Ending::Closed), []);
+}
+
+fn attempt(fate: crate::record::Fate, from_ms: f64, told_ms: f64) -> Attempt {
+    Attempt {
+        request: "a1".into(),
+        server: 0,
+        first_byte_ms: from_ms,
+        whole_ms: from_ms,
+        told_ms: Some(told_ms),
+        reads: false,
+        fate,
+        events_ms: Vec::new(),
+        over_ms: Some(from_ms + 1.0),
+    }
+}
+
+/// A 500 is no whole stream: the next server hung within its own, and the router gave it up.
+#[test]
+fn a_stream_that_is_given_up_after_a_failure_elsewhere_is_not_lost() {
+    use crate::record::Fate;
+    for (fate, rules) in [(Fate::Failed, vec![]), (Fate::Finished, vec![Rule::Lost])] {
+        let mut seen = seen(100.0, 800.0, Ending::Cut);
+        seen.attempts.push(attempt(fate, 101.0, 200.0));
+        let found: Vec<_> = judge(&seen, &TERMS).into_iter().map(|violation| violation.rule).collect();
+        assert_eq!(found, rules, "{fate:?}");
+    }
+}
+
+/// A request that came while its router stood still may be told that much more time, and no more.
+#[test]
+fn the_time_told_of_what_came_to_a_frozen_router() {
+    use crate::record::{Fate, Window};
+    for (told_ms, rules) in [(230.0, vec![]), (700.0, vec![Rule::DeadlineTold])] {
+        let mut seen = seen(100.0, 650.0, Ending::Whole { status: 200 });
+        seen.windows.push(Window { trouble: "router-freeze".into(), from_ms: 50.0, to_ms: 350.0 });
+        seen.attempts.push(attempt(Fate::Finished, 600.0, told_ms));
+        let found: Vec<_> = judge(&seen, &TERMS).into_iter().map(|violation| violation.rule).collect();
+        assert_eq!(found, rules, "told {told_ms}");
+    }
+}
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -78,6 +78,8 @@
     Read,
     /// Answered to the last chunk.
     Finished,
+    /// Answered 500: it may have run.
+    Failed,
     /// Broken by the server.
     Broken,
 }
@@ -105,6 +107,18 @@
     pub over_ms: Option<f64>,
 }
 
+impl Attempt {
+    /// In a line: where it came and when, how it ended, and the events that were written.
+    pub fn text(&self) -> String {
+        let over_ms = self.over_ms.unwrap_or(f64::INFINITY);
+        let (server, fate, events) = (self.server, self.fate, self.events_ms.len());
+        format!(
+            "server {server} from {:.0} to {over_ms:.0} ms: {fate:?}, {events} events",
+            self.first_byte_ms
+        )
+    }
+}
+
 /// A state or a place that a server holds for a request.
 #[derive(Clone, Debug)]
 pub struct Held {
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -332,7 +332,7 @@
             return Err(ErrorKind::ConnectionReset.into());
         }
         if mood.fails {
-            self.set_fate(row, Fate::Finished);
+            self.set_fate(row, Fate::Failed);
             return self.say(peer, plain("500 Wrong", "", "")).await;
         }
         if mood.declines || self.in_hand.get() > MOST_IN_HAND {
