--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -118,7 +118,7 @@
             Err(fault) => {
                 self.frontend.endings.refused_unread(fault.status);
                 self.refuse(stream, fault, true).await?;
-                return Err(ConnectionOver::Close(ConnectionEnd::Unreadable));
+                return Err(ConnectionOver::Close(ConnectionEnd::BadRequest));
             }
         };
         self.set_activity(Activity::Busy);
@@ -128,11 +128,11 @@
         self.over(&request, answered.unwrap_or_else(ConnectionOver::request_end));
         answered?;
         if close {
-            return Err(ConnectionOver::Close(ConnectionEnd::AsAsked));
+            return Err(ConnectionOver::Close(ConnectionEnd::ClientRequestedClose));
         }
         if self.closes(stream, inbound) {
             let stops = self.frontend.life() >= Lifecycle::Draining;
-            let end = if stops { ConnectionEnd::AnsweredAtStop } else { ConnectionEnd::GaveWay };
+            let end = if stops { ConnectionEnd::AnsweredAtShutdown } else { ConnectionEnd::Evicted };
             return Err(ConnectionOver::Close(end));
         }
         Ok(())
@@ -165,7 +165,7 @@
             Err(fault) => {
                 self.refuse(stream, fault, close || self.closes(stream, inbound)).await?;
                 let stops = fault == STOPS;
-                Ok(if stops { RequestEnd::RefusedStopping } else { RequestEnd::Refused(fault.status) })
+                Ok(if stops { RequestEnd::RefusedShutdown } else { RequestEnd::Refused(fault.status) })
             }
         }
     }
@@ -213,8 +213,8 @@
                 _ => Err(ConnectionOver::CLIENT_LEFT),
             },
             () = sleep_until(until) => ConnectionOver::Close(ConnectionEnd::Idle),
-            () = self.close.notified() => ConnectionOver::Left(ConnectionEnd::GaveWay),
-            () = reached(&mut life, Lifecycle::Draining) => ConnectionOver::Close(ConnectionEnd::RestedAtStop),
+            () = self.close.notified() => ConnectionOver::Left(ConnectionEnd::Evicted),
+            () = reached(&mut life, Lifecycle::Draining) => ConnectionOver::Close(ConnectionEnd::IdleAtShutdown),
         };
         // A request that has come in this very moment is answered rather than closed upon.
         if stream.bytes_wait() {
@@ -289,7 +289,7 @@
         whole: WholeRequest,
     ) -> Result<Result<RequestEnd, Fault>, ConnectionOver> {
         let frontend = &self.frontend;
-        if !frontend.takes_requests() {
+        if !frontend.accepts_requests() {
             return Ok(Err(STOPS));
         }
         let WholeRequest { head, body, held, received_ms } = whole;
@@ -381,7 +381,7 @@
                     out.extend_from_slice(&events);
                     out.extend_from_slice(b"\r\n");
                     self.write(stream, &out).await?;
-                    open.passed_on();
+                    open.part_forwarded();
                     out.clear();
                 }
                 Some(StreamPart::End) => return self.write(stream, b"0\r\n\r\n").await,
--- a/crates/gateway/src/endings.rs
+++ b/crates/gateway/src/endings.rs
@@ -1,5 +1,5 @@
-//! How requests and clients' connections end: typed reasons, counted by kind, with one log line for each. The lines are of
-//! level `debug`, and `info` from SIGTERM on: what a router did with the last that came is asked for afterwards.
+//! How requests and client connections end: typed reasons, counted, with one log line each. The lines have level `debug`, and
+//! `info` during a shutdown.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -12,53 +12,54 @@
 pub enum RequestEnd {
     /// Answered by the router itself, `/_health`.
     Answered,
-    /// The whole stream was passed on.
+    /// The whole stream was forwarded.
     Served,
-    /// Refused by the decisions: trying again is harmless.
+    /// Rate-limited by the decisions: a retry is harmless.
     RateLimited,
-    /// Given up on; it may have run.
+    /// Given up; it may have run.
     Aborted,
     /// The stream broke after its first event.
     Broken,
-    /// The client closed, or took nothing for too long.
+    /// The client closed, or did not read its answer.
     ClientLeft,
-    /// Refused with this status before the decisions heard of it.
+    /// Rejected with this status; the decisions never saw it.
     Refused(u16),
-    /// Refused because the router stops.
-    RefusedStopping,
+    /// Rejected because the router shuts down.
+    RefusedShutdown,
 }
 
 /// Why a client's connection was closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ConnectionEnd {
-    /// The client asked for it with its request.
-    AsAsked,
-    /// The client closed first, or took nothing for too long.
+    /// The client sent `Connection: close`.
+    ClientRequestedClose,
+    /// The client closed first, or did not read its answer.
     ClientLeft,
-    /// It rested for too long, or brought no request in time.
+    /// Idle for too long, or no request in time.
     Idle,
-    /// It rested as the router stopped.
-    RestedAtStop,
-    /// Its last answer came as the router stopped.
-    AnsweredAtStop,
-    /// What came could not be read, or not in time.
-    Unreadable,
-    /// A stream broke: its client is told by the close.
+    /// No request during a shutdown.
+    IdleAtShutdown,
+    /// Answered during a shutdown.
+    AnsweredAtShutdown,
+    /// A request that is malformed or incomplete.
+    BadRequest,
+    /// A stream broke: the close tells its client.
     StreamBroke,
-    /// Its descriptor was wanted elsewhere.
-    GaveWay,
+    /// Its descriptor was needed for another connection.
+    Evicted,
 }
 
-/// One request that was read whole, as long as it is open.
+/// A request that was read to its end and has no whole answer yet.
 #[derive(Debug)]
 pub struct OpenRequest {
     /// Its `Req-Id`; empty where it has none.
     pub id: Rc<str>,
-    /// The number of its connection, and its own on that connection from 1 on.
+    /// Number of its connection.
     pub connection: u64,
+    /// Its own number on that connection, from 1.
     pub nth: u32,
     read: Instant,
-    /// Parts of its stream that were passed on, and when the last was.
+    /// Parts of its stream that were forwarded, and when the last was.
     parts: Cell<u64>,
     last_part: Cell<Option<Instant>>,
 }
@@ -69,31 +70,31 @@
         OpenRequest { id, connection, nth, read, parts: Cell::new(0), last_part: Cell::new(None) }
     }
 
-    /// One more part of its stream was passed on.
-    pub fn passed_on(&self) {
+    /// Notes a forwarded part of its stream.
+    pub fn part_forwarded(&self) {
         self.parts.set(self.parts.get() + 1);
         self.last_part.set(Some(Instant::now()));
     }
 }
 
-/// Time from one moment to a later one, in ms.
+/// Time from one instant to a later one, in ms.
 fn between_ms(from: Instant, to: Instant) -> f64 {
     to.saturating_duration_since(from).as_secs_f64() * 1e3
 }
 
-/// The endings of one router, by kind.
+/// Counts of endings.
 #[derive(Default)]
 pub struct Endings {
     requests: RefCell<BTreeMap<RequestEnd, u64>>,
     connections: RefCell<BTreeMap<ConnectionEnd, u64>>,
-    /// When SIGTERM was seen.
-    stopped: Cell<Option<Instant>>,
+    /// Set during a shutdown.
+    shutdown_since: Cell<Option<Instant>>,
 }
 
-/// One line with the same fields at the level that holds now.
+/// A log line at level `info` during a shutdown, `debug` otherwise.
 macro_rules! line {
-    ($stopping:expr, $($fields:tt)*) => {
-        if $stopping {
+    ($shutdown:expr, $($fields:tt)*) => {
+        if $shutdown {
             tracing::info!($($fields)*);
         } else {
             tracing::debug!($($fields)*);
@@ -102,14 +103,14 @@
 }
 
 impl Endings {
-    /// From now on each ending is logged at level `info`.
-    pub fn stopping(&self, at: Instant) {
-        self.stopped.set(Some(at));
+    /// A shutdown began.
+    pub fn shutdown_began(&self, at: Instant) {
+        self.shutdown_since.set(Some(at));
     }
 
-    /// Time from SIGTERM to a moment, in ms; none before SIGTERM.
-    fn since_stop_ms(&self, at: Instant) -> Option<f64> {
-        self.stopped.get().map(|stopped| between_ms(stopped, at))
+    /// Time since the shutdown began, in ms.
+    fn since_shutdown_ms(&self, at: Instant) -> Option<f64> {
+        self.shutdown_since.get().map(|since| between_ms(since, at))
     }
 
     /// Counts and logs the end of a request.
@@ -117,33 +118,33 @@
         *self.requests.borrow_mut().entry(end).or_default() += 1;
         let now = Instant::now();
         line!(
-            self.stopped.get().is_some(),
+            self.shutdown_since.get().is_some(),
             id = %request.id,
             connection = request.connection,
             nth = request.nth,
             ?end,
             took_ms = between_ms(request.read, now),
             parts = request.parts.get(),
-            read_after_stop_ms = self.since_stop_ms(request.read),
+            received_after_shutdown_ms = self.since_shutdown_ms(request.read),
             "request over"
         );
     }
 
-    /// Counts a refusal of what was never a whole request.
+    /// Counts the rejection of an incomplete or malformed request.
     pub fn refused_unread(&self, status: u16) {
         *self.requests.borrow_mut().entry(RequestEnd::Refused(status)).or_default() += 1;
     }
 
-    /// Counts and logs the end of a connection that carried so many requests.
+    /// Counts and logs the end of a connection, with the number of its requests.
     pub fn connection(&self, number: u64, requests: u32, end: ConnectionEnd) {
         *self.connections.borrow_mut().entry(end).or_default() += 1;
-        let after_stop_ms = self.since_stop_ms(Instant::now());
+        let after_shutdown_ms = self.since_shutdown_ms(Instant::now());
         line!(
-            self.stopped.get().is_some(),
+            self.shutdown_since.get().is_some(),
             connection = number,
             requests,
             ?end,
-            after_stop_ms,
+            after_shutdown_ms,
             "connection over"
         );
     }
@@ -158,7 +159,7 @@
             open_ms = between_ms(request.read, now),
             parts = request.parts.get(),
             silent_ms = request.last_part.get().map(|last| between_ms(last, now)),
-            read_after_stop_ms = self.since_stop_ms(request.read),
+            received_after_shutdown_ms = self.since_shutdown_ms(request.read),
             "still open"
         );
     }
--- a/crates/gateway/src/endings/tests.rs
+++ b/crates/gateway/src/endings/tests.rs
@@ -6,15 +6,15 @@
 fn endings_are_counted_by_kind() {
     let endings = Endings::default();
     let request = OpenRequest::new("a1".into(), 7, 1);
-    request.passed_on();
+    request.part_forwarded();
     endings.request(&request, RequestEnd::Served);
-    endings.stopping(Instant::now());
-    endings.request(&request, RequestEnd::RefusedStopping);
-    endings.request(&request, RequestEnd::RefusedStopping);
+    endings.shutdown_began(Instant::now());
+    endings.request(&request, RequestEnd::RefusedShutdown);
+    endings.request(&request, RequestEnd::RefusedShutdown);
     endings.refused_unread(408);
-    endings.connection(7, 2, ConnectionEnd::RestedAtStop);
+    endings.connection(7, 2, ConnectionEnd::IdleAtShutdown);
     let figures = endings.figures();
-    for counted in ["Served: 1", "RefusedStopping: 2", "Refused(408): 1", "RestedAtStop: 1"] {
+    for counted in ["Served: 1", "RefusedShutdown: 2", "Refused(408): 1", "IdleAtShutdown: 1"] {
         assert!(figures.contains(counted), "{figures}");
     }
 }
--- a/crates/gateway/src/frontend.rs
+++ b/crates/gateway/src/frontend.rs
@@ -53,10 +53,10 @@
 pub enum Lifecycle {
     Starting,
     Ready,
-    /// Told to stop some time ago: no connections are taken any more, and no requests. Each connection closes after its
-    /// answer, and at once where it has no request.
+    /// No connections and no requests are accepted any more. Each connection closes after its answer, at once if it has no
+    /// request.
     Draining,
-    /// The last answers are given: what has not come whole by now is refused as it is.
+    /// Every request has its final answer: incomplete requests are rejected as they are.
     Refusing,
 }
 
@@ -92,7 +92,7 @@
     pub provision: RefCell<Rc<Provision>>,
     pub shares: Cell<Shares>,
     pub life: watch::Receiver<Lifecycle>,
-    /// Once the router was told to stop.
+    /// Set during a shutdown.
     shutdown: Cell<Option<Shutdown>>,
     pub dropped: Dropped,
     pub next: Cell<u32>,
@@ -200,15 +200,15 @@
         *self.life.borrow()
     }
 
-    /// From now on what comes is taken by this schedule.
+    /// Begins a shutdown.
     pub fn stop(&self, shutdown: Shutdown) {
         self.shutdown.set(Some(shutdown));
-        self.endings.stopping(Instant::now());
+        self.endings.shutdown_began(Instant::now());
     }
 
-    /// Whether a request may still be sent to servers. By the clock: a task may look before the router's next stage is told.
-    pub fn takes_requests(&self) -> bool {
-        let in_time = |shutdown: Shutdown| shutdown.takes_requests(self.clock.now_ms());
+    /// Whether a request may still be forwarded. Decided by the clock: a task may run before the next stage is announced.
+    pub fn accepts_requests(&self) -> bool {
+        let in_time = |shutdown: Shutdown| shutdown.accepts_requests(self.clock.now_ms());
         self.life() < Lifecycle::Draining && self.shutdown.get().is_none_or(in_time)
     }
 
--- a/crates/gateway/src/frontend/tests.rs
+++ b/crates/gateway/src/frontend/tests.rs
@@ -5,7 +5,7 @@
 use std::net::{Shutdown as Ending, SocketAddr, TcpStream as Blocking};
 use std::time::Duration;
 
-use paddleproxy::shutdown::Notice;
+use paddleproxy::shutdown::GracePeriod;
 use paddleproxy_platform::config::Limits;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
@@ -228,12 +228,12 @@
     local(async {
         let scene = Scene::start(256).await;
         let mut client = scene.resting().await;
-        let notice = Notice { owed_from_ms: 300.0, killed_after_ms: 1000.0 };
-        let shutdown = Shutdown::new(scene.frontend.clock.now_ms(), notice);
+        let grace_period = GracePeriod { answers_owed_after_ms: 300.0, kill_after_ms: 1000.0 };
+        let shutdown = Shutdown::new(scene.frontend.clock.now_ms(), grace_period);
         scene.frontend.stop(shutdown);
         client.write_all(request("in-time").as_bytes()).unwrap();
         assert!(scene.answer(&client).await.starts_with("HTTP/1.1 429 "));
-        tokio::time::sleep_until(scene.frontend.clock.at(shutdown.takes_until_ms + 5.0)).await;
+        tokio::time::sleep_until(scene.frontend.clock.at(shutdown.accepts_until_ms + 5.0)).await;
         client.write_all(request("late").as_bytes()).unwrap();
         assert!(scene.answer(&client).await.starts_with("HTTP/1.1 503 "));
         assert_eq!(scene.arrived.get(), 2);
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -1,7 +1,7 @@
 //! How the limits that a router is told are shared out, by name. Resource limits only: nothing here says what is best
 //! for a completion.
 
-use paddleproxy::shutdown::Notice;
+use paddleproxy::shutdown::GracePeriod;
 use paddleproxy_platform::config::Limits;
 use paddleproxy_platform::BODY_BYTES;
 
@@ -62,8 +62,8 @@
 const KILL_LONGEST_MS: f64 = 3000.0;
 
 /// What the platform promises a router after SIGTERM whose longest client timeout is this, in ms.
-pub fn notice(longest_ms: f64) -> Notice {
-    Notice { owed_from_ms: KILL_MS, killed_after_ms: KILL_MS + longest_ms.min(KILL_LONGEST_MS) }
+pub fn grace_period(longest_ms: f64) -> GracePeriod {
+    GracePeriod { answers_owed_after_ms: KILL_MS, kill_after_ms: KILL_MS + longest_ms.min(KILL_LONGEST_MS) }
 }
 
 /// Descriptors and bytes by name.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 //! paddleproxy: schedules prompts and answers over pools of model servers.
 //!
 //! `interface` holds what a caller tells the decisions and what they ask for; `control` decides. `shutdown`
-//! says what a router that was told to end still takes.
+//! is the schedule of a graceful shutdown.
 
 pub mod control;
 mod decay;
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -1,6 +1,6 @@
 //! The schedule of a router that was told to end.
 
-use paddleproxy::shutdown::{retry_after_ms, Notice, Shutdown};
+use paddleproxy::shutdown::{retry_after_ms, GracePeriod, Shutdown};
 
 /// The longest stall of a router by the platform's terms, in ms.
 const STALL_MS: f64 = 150.0;
@@ -10,12 +10,13 @@
 #[test]
 fn nothing_that_is_owed_at_the_kill_is_taken() {
     for longest_deadline_ms in [0.0, 50.0, 300.0, 1500.0, 3000.0] {
-        let notice = Notice { owed_from_ms: 700.0, killed_after_ms: 700.0 + longest_deadline_ms };
+        let grace_period =
+            GracePeriod { answers_owed_after_ms: 700.0, kill_after_ms: 700.0 + longest_deadline_ms };
         for late_ms in [0.0, STALL_MS] {
-            let shutdown = Shutdown::new(late_ms, notice);
-            assert!(!shutdown.takes_requests(notice.owed_from_ms), "{shutdown:?}");
-            assert!(shutdown.last_answers_ms < notice.killed_after_ms, "{shutdown:?}");
-            assert!(shutdown.last_answers_ms >= shutdown.takes_until_ms, "{shutdown:?}");
+            let shutdown = Shutdown::new(late_ms, grace_period);
+            assert!(!shutdown.accepts_requests(grace_period.answers_owed_after_ms), "{shutdown:?}");
+            assert!(shutdown.last_answers_ms < grace_period.kill_after_ms, "{shutdown:?}");
+            assert!(shutdown.last_answers_ms >= shutdown.accepts_until_ms, "{shutdown:?}");
         }
     }
 }
@@ -23,8 +24,8 @@
 /// New connections come for up to 400 ms after the word to end: their requests are taken.
 #[test]
 fn what_comes_with_the_last_new_connections_is_taken() {
-    let shutdown = Shutdown::new(1000.0, Notice { owed_from_ms: 700.0, killed_after_ms: 3700.0 });
-    assert!(shutdown.takes_requests(1000.0) && shutdown.takes_requests(1400.0));
+    let shutdown = Shutdown::new(1000.0, GracePeriod { answers_owed_after_ms: 700.0, kill_after_ms: 3700.0 });
+    assert!(shutdown.accepts_requests(1000.0) && shutdown.accepts_requests(1400.0));
     assert_eq!(shutdown.last_answers_ms, 4500.0);
 }
 
