--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -59,6 +59,13 @@
     pub(crate) life: usize,
 }
 
+impl Connection {
+    /// Whether the router has closed it: a client that sees that does not use it.
+    pub(crate) fn closed(&self) -> bool {
+        matches!(self.stream.try_read(&mut [0]), Ok(0))
+    }
+}
+
 /// What a client is about to do.
 pub(crate) struct Intent {
     class: Class,
@@ -101,7 +108,8 @@
         let mut connection: Option<Connection> = None;
         while !self.stopped.get() {
             sleep(Duration::from_secs_f64(pause_ms * (0.5 + rng.f64()) / 1e3)).await;
-            let open = match connection.take().filter(|open| open.life == self.record.life(open.router)) {
+            let usable = |open: &Connection| open.life == self.record.life(open.router) && !open.closed();
+            let open = match connection.take().filter(usable) {
                 Some(open) => Some(open),
                 None => self.connect(&mut rng).await,
             };
--- a/crates/soak/src/late.rs
+++ b/crates/soak/src/late.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::sleep;
 
-use crate::client::{Clients, Connection};
+use crate::client::Clients;
 use crate::record::RouterId;
 
 /// What a late client does first on its connection.
@@ -22,13 +22,6 @@
 /// Between an answer and the next request, in ms, at most.
 const PAUSE_MS: f64 = 200.0;
 
-impl Connection {
-    /// Whether the router has closed it: a client that sees that does not use it.
-    fn closed(&self) -> bool {
-        matches!(self.stream.try_read(&mut [0]), Ok(0))
-    }
-}
-
 impl Clients {
     /// One late client; its first request, or the rest of it, is sent after `first_ms`.
     pub async fn stay(self: Rc<Self>, router: RouterId, first: First, first_ms: f64, seed: u64) {
