--- a/review/rig/src/bin/foreign_answer.rs
+++ b/review/rig/src/bin/foreign_answer.rs
@@ -96,7 +96,9 @@
                     let text = String::from_utf8_lossy(&answer.body).into_owned();
                     let for_ids: Vec<&str> =
                         text.split("for-").skip(1).map(|rest| rest.split('"').next().unwrap_or("")).collect();
-                    let foreign = answer.status == 200 && for_ids.iter().any(|other| *other != id);
+                    // A stream that is cut has failed and is not lost: only whole answers count.
+                    let foreign =
+                        answer.status == 200 && answer.whole && for_ids.iter().any(|other| *other != id);
                     record.line(&format!(
                         "client {id}: {} whole {} with the answer for {for_ids:?}{}",
                         answer.status,
@@ -122,6 +124,10 @@
     let runs = router.runs();
     drop(router);
     let figures = figures.lock().unwrap().clone();
+    let whole = figures.get("200 whole").copied().unwrap_or(0);
+    if !runs || whole < REQUESTS as u64 / 2 {
+        could_not_run(&format!("router ran {runs}, {whole} answers came whole"));
+    }
     let foreign = figures.get("200 with another request's answer").copied().unwrap_or(0);
     let text = format!(
         "{foreign} of {REQUESTS} clients got another request's answer; {figures:?}; router ran {runs}"
--- a/review/rig/src/bin/pipeline.rs
+++ b/review/rig/src/bin/pipeline.rs
@@ -82,6 +82,9 @@
     let runs = router.runs();
     drop(router);
 
+    if !runs || seen.len() < REQUESTS {
+        could_not_run(&format!("router ran {runs}, {} requests were sent", seen.len()));
+    }
     let deadline_ms = DEADLINE_S * 1e3;
     let since = |from: Instant, to: Instant| to.saturating_duration_since(from).as_secs_f64() * 1e3;
     let (mut lost, mut too_long) = (0, 0);
--- a/review/rig/src/bin/stale_list.rs
+++ b/review/rig/src/bin/stale_list.rs
@@ -128,6 +128,9 @@
     let arrivals = arrivals.lock().unwrap();
     let late: Vec<_> = arrivals.iter().filter(|(at, name)| name == "s-0" && *at > too_late).collect();
     let all = arrivals.iter().filter(|(at, _)| *at > too_late).count();
+    if !runs || all == 0 {
+        could_not_run(&format!("router ran {runs}, {all} requests reached servers after the drain"));
+    }
     let text = format!(
         "{} of {all} requests in the last {WATCHED_MS} ms went to s-0, over {} ms after it began to drain; \
          answered {} and otherwise {}; router ran {runs}",
--- a/review/rig/src/lib.rs
+++ b/review/rig/src/lib.rs
@@ -427,8 +427,9 @@
         list_json(state.0, true, &hosts)
     }
 
-    /// The answer to a call: the whole list, or after a wait the changes since a version. A version that this
-    /// discovery has not reached is none of its own: it gets the whole list.
+    /// The answer to a call: the whole list, or a watch. A watch waits until something newer than its version
+    /// exists or its time is over, then gets the changes. A version that this discovery has not reached is none
+    /// of its own: nothing newer exists, and after the wait the whole list is the answer.
     fn answer(&self, target: &str) -> String {
         let value = |name: &str| {
             let query = target.split_once('?')?.1;
@@ -436,9 +437,6 @@
         };
         let mut state = self.state.lock().unwrap();
         let Some(from) = value("from").map(|from| from as u64) else { return Discovery::whole(&state) };
-        if from > state.0 {
-            return Discovery::whole(&state);
-        }
         let until = Instant::now() + Duration::from_secs_f64(value("hold_ms").unwrap_or(0.0) / 1e3);
         *self.waiting.lock().unwrap() = Some(Instant::now());
         while state.0 <= from {
@@ -449,6 +447,9 @@
             state = self.changed.wait_timeout(state, left).unwrap().0;
         }
         *self.waiting.lock().unwrap() = None;
+        if from > state.0 {
+            return Discovery::whole(&state);
+        }
         let hosts: Vec<_> =
             state.1.iter().filter(|(changed, _)| *changed > from).map(|(_, host)| host.clone()).collect();
         list_json(state.0, false, &hosts)
