--- a/review/rig-2/src/cases/mod.rs
+++ b/review/rig-2/src/cases/mod.rs
@@ -1,18 +1,19 @@
-mod foreign;
-mod moved;
 mod restarted;
+mod slow;
 mod streams;
 
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
 
-use crate::platform::{list, Agent, Deployment, Host};
-use crate::rig::{free_address, Record, Router};
+use crate::client::{Client, Got, Prompt};
+use crate::platform::{list, Agent, Deployment, Host, Names};
+use crate::rig::{free_address, sleep_ms, Chance, Record, Router};
 use crate::{Setting, Verdict};
 
 pub fn run(case: &str, setting: &Setting, record: &Arc<Record>) -> Verdict {
     match case {
-        "foreign" => foreign::run(setting, record),
-        "moved" => moved::run(setting, record),
+        "slow" => slow::run(setting, record),
         "restarted" => restarted::run(setting, record),
         "spoilt" => streams::spoilt(setting, record),
         "preempted" => streams::preempted(setting, record),
@@ -61,3 +62,71 @@
     }
     hosts
 }
+
+/// Three clients a router that ask one short prompt after the other until they are told to end.
+pub struct Clients {
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+    all: Arc<Mutex<Vec<(String, Got)>>>,
+}
+
+impl Clients {
+    pub fn start(
+        setting: &Setting,
+        record: &Arc<Record>,
+        routers: &[Router],
+        names: &'static Names,
+    ) -> Clients {
+        let (stop, all) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
+        let count = 3 * routers.len() as u64;
+        let threads = (0..count).map(|number| {
+            let router = routers[number as usize % routers.len()].listen;
+            let (record, stop, all, seed) = (record.clone(), stop.clone(), all.clone(), setting.seed);
+            std::thread::spawn(move || {
+                let (mut client, mut chance) = (Client::new(router), Chance::new(seed * 1000 + number));
+                let mut row = 0;
+                while !stop.load(Ordering::SeqCst) {
+                    let id = format!("{:08x}{number:02x}{row:04x}", chance.next() as u32);
+                    let session = format!("{:016x}", chance.next());
+                    record.note(format!("client {number}: sends {id}"));
+                    let got = client.ask(&Prompt {
+                        names,
+                        id: &id,
+                        session: &session,
+                        deadline_s: 7.5,
+                        tokens: 1200,
+                    });
+                    record.note(format!(
+                        "client {number}: {id} got status {}, {} parts, whole {}, {:.0} ms",
+                        got.status,
+                        got.events.len(),
+                        got.whole,
+                        got.took_ms
+                    ));
+                    all.lock().unwrap().push((id, got));
+                    row += 1;
+                    sleep_ms(chance.between(50.0, 250.0) as u64);
+                }
+            })
+        });
+        Clients { stop: stop.clone(), threads: threads.collect(), all }
+    }
+
+    /// Ends the clients; returns what each request got.
+    pub fn end(self) -> Vec<(String, Got)> {
+        self.stop.store(true, Ordering::SeqCst);
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+        let all = self.all.lock().unwrap().clone();
+        all
+    }
+}
+
+/// A verdict if a router has ended.
+pub fn crashed(routers: &mut [Router]) -> Option<Verdict> {
+    routers.iter_mut().find_map(|router| {
+        let how = router.ended()?;
+        Some(Verdict::Broken(format!("router {} has ended: {how}", router.name)))
+    })
+}
--- a/review/rig-2/src/cases/restarted.rs
+++ b/review/rig-2/src/cases/restarted.rs
@@ -1,22 +1,19 @@
 //! Routers are killed and start again while discovery is slow. Servers that drain since long before must get
 //! nothing.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
-use crate::client::{Client, Prompt};
 use crate::platform::{list, Deployment, Fleet, Host, Manners, Pace, Worker};
-use crate::rig::{sleep_ms, Chance, Record, Router, SIGKILL};
+use crate::rig::{sleep_ms, Record, Router, SIGKILL};
 use crate::{Setting, Verdict};
 
-const CLIENTS: u64 = 9;
 /// How long discovery takes to answer.
 const SLOW_MS: u64 = 1500;
 const SLACK_MS: f64 = 50.0 + 150.0;
 
 pub fn run(setting: &Setting, record: &Arc<Record>) -> Verdict {
     let deployment = Deployment::default();
-    let names = deployment.names;
     let fleet = Fleet::new(record, deployment.names);
     let start =
         |name: &str, kind, zone| Worker::start(&fleet, name, kind, zone, Pace::default(), Manners::default());
@@ -65,41 +62,9 @@
             record.now_ms() - started_ms
         ));
     }
-    let stop = Arc::new(AtomicBool::new(false));
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|number| {
-            let router = routers[number as usize % routers.len()].listen;
-            let (record, stop, seed) = (record.clone(), stop.clone(), setting.seed);
-            std::thread::spawn(move || {
-                let (mut client, mut chance) = (Client::new(router), Chance::new(seed * 1000 + number));
-                for row in 0.. {
-                    if stop.load(Ordering::SeqCst) {
-                        return;
-                    }
-                    let id = format!("{:08x}{number:02x}{row:04x}", chance.next() as u32);
-                    let session = format!("{:016x}", chance.next());
-                    record.note(format!("client {number}: sends {id}"));
-                    let got = client.ask(&Prompt {
-                        names,
-                        id: &id,
-                        session: &session,
-                        deadline_s: 7.5,
-                        tokens: 1200,
-                    });
-                    record.note(format!(
-                        "client {number}: {id} got status {}, whole {}",
-                        got.status, got.whole
-                    ));
-                    sleep_ms(chance.between(50.0, 250.0) as u64);
-                }
-            })
-        })
-        .collect();
+    let clients = super::Clients::start(setting, record, &routers, deployment.names);
     sleep_ms(6000);
-    stop.store(true, Ordering::SeqCst);
-    for client in clients {
-        let _ = client.join();
-    }
+    clients.end();
     let latest_ms = started_ms + deployment.drain_grace_ms + SLACK_MS;
     let attempts = fleet.attempts.lock().unwrap().clone();
     let late: Vec<_> = attempts
--- a/review/rig-2/src/cases/streams.rs
+++ b/review/rig-2/src/cases/streams.rs
@@ -56,13 +56,6 @@
     all
 }
 
-fn crashed(routers: &mut [Router]) -> Option<Verdict> {
-    routers.iter_mut().find_map(|router| {
-        let how = router.ended()?;
-        Some(Verdict::Broken(format!("router {} has ended: {how}", router.name)))
-    })
-}
-
 /// One stream in so many comes spoilt.
 const SPOILT_ONE_IN: u64 = 10;
 
@@ -90,7 +83,7 @@
         Err(verdict) => return verdict,
     };
     let all = ask_all(setting, record, &routers, &deployment, 30, &|_| 1200, (50.0, 250.0));
-    if let Some(verdict) = crashed(&mut routers) {
+    if let Some(verdict) = super::crashed(&mut routers) {
         return verdict;
     }
     let cut = |got: &Got| {
@@ -156,7 +149,7 @@
     };
     let tokens = |chance: &mut Chance| if chance.next() % 4 == 0 { PROMPT_TOKENS.1 } else { PROMPT_TOKENS.0 };
     let all = ask_all(setting, record, &routers, &deployment, 45, &tokens, (200.0, 800.0));
-    if let Some(verdict) = crashed(&mut routers) {
+    if let Some(verdict) = super::crashed(&mut routers) {
         return verdict;
     }
     let paused = paused.lock().unwrap();
--- a/review/rig-2/src/platform.rs
+++ b/review/rig-2/src/platform.rs
@@ -1,8 +1,8 @@
 //! The platform's side: settings, discovery agents, model servers.
 
 use std::collections::BTreeMap;
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -180,8 +180,6 @@
     record: Arc<Record>,
     listed: Mutex<Listed>,
     news: Condvar,
-    alive: AtomicBool,
-    open: Mutex<Vec<TcpStream>>,
     /// How long it takes to answer, beyond the time for which a watch waits.
     pub slow_ms: AtomicU64,
 }
@@ -196,23 +194,13 @@
             record: record.clone(),
             listed: Mutex::new(listed),
             news: Condvar::new(),
-            alive: AtomicBool::new(true),
-            open: Mutex::default(),
             slow_ms: AtomicU64::new(0),
         });
-        let _ = socket.set_nonblocking(true);
         let accepting = agent.clone();
         std::thread::spawn(move || {
-            while accepting.alive.load(Ordering::SeqCst) {
-                match socket.accept() {
-                    Ok((stream, _)) => {
-                        let _ = stream.set_nonblocking(false);
-                        accepting.open.lock().unwrap().extend(stream.try_clone());
-                        let serving = accepting.clone();
-                        std::thread::spawn(move || serving.serve(stream));
-                    }
-                    Err(_) => sleep_ms(2),
-                }
+            for stream in socket.incoming().flatten() {
+                let serving = accepting.clone();
+                std::thread::spawn(move || serving.serve(stream));
             }
         });
         agent
@@ -250,9 +238,6 @@
             };
             drop(listed);
             sleep_ms(self.slow_ms.load(Ordering::SeqCst));
-            if !self.alive.load(Ordering::SeqCst) {
-                return;
-            }
             let seen: String = text.chars().take(34).collect();
             if conn.send(&plain("200 OK", "Content-Type: application/json\r\n", &text)).is_err() {
                 return;
@@ -274,17 +259,6 @@
         }
         self.news.notify_all();
     }
-
-    /// The process dies: its connections are closed and new ones are refused.
-    pub fn stop(&self) {
-        self.alive.store(false, Ordering::SeqCst);
-        sleep_ms(10);
-        for stream in self.open.lock().unwrap().drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-        self.news.notify_all();
-        self.record.note(format!("discovery {}: down", self.name));
-    }
 }
 
 /// One attempt as a model server received it.
@@ -293,7 +267,6 @@
     pub at_ms: f64,
     pub worker: String,
     pub id: String,
-    pub ran: bool,
 }
 
 /// What all model servers share: the record, the states that wait, what was received.
@@ -334,9 +307,6 @@
 /// What a server does besides serving. Each is asked with the request's id.
 #[derive(Clone, Default)]
 pub struct Manners {
-    /// When a good answer has been written to its last chunk: what is written to the same connection after
-    /// that many ms. Gets the answer too.
-    pub after: Option<Arc<dyn Fn(&str, &str) -> Option<(f64, String)> + Send + Sync>>,
     /// Before the event with this number: nothing for so many ms. Gets the prompt's tokens too.
     pub pause: Option<Arc<dyn Fn(&str, usize) -> Option<(usize, u64)> + Send + Sync>>,
     /// The event with this number comes as a chunk with this size line.
@@ -443,7 +413,7 @@
         let record = &self.fleet.record;
         let name = &self.host.name;
         record.note(format!("server {name}: request {id} arrived{}", if ran { " and runs" } else { "" }));
-        let attempt = Attempt { at_ms: record.now_ms(), worker: name.clone(), id: id.into(), ran };
+        let attempt = Attempt { at_ms: record.now_ms(), worker: name.clone(), id: id.into() };
         self.fleet.attempts.lock().unwrap().push(attempt);
     }
 
@@ -504,13 +474,6 @@
             while conn.fill().is_ok() {}
             return Ok(());
         }
-        if let Some((ms, text)) = self.manners.after.as_ref().and_then(|after| after(id, &all)) {
-            std::thread::sleep(Duration::from_micros((ms * 1e3) as u64));
-            self.fleet
-                .record
-                .note(format!("server {}: second answer of {id} written {ms:.1} ms late", self.host.name));
-            conn.send(&text)?;
-        }
         Ok(())
     }
 }
--- a/review/rig-2/src/rig.rs
+++ b/review/rig-2/src/rig.rs
@@ -4,10 +4,10 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::os::unix::process::CommandExt;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -17,9 +17,7 @@
 /// `prctl`: the signal that a process gets when the one that started it ends.
 const PR_SET_PDEATHSIG: i32 = 1;
 
-pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
 
 pub fn sleep_ms(ms: u64) {
     std::thread::sleep(Duration::from_millis(ms));
@@ -75,10 +73,6 @@
     }
 }
 
-pub fn wall_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
-}
-
 pub fn listener() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().unwrap();
@@ -94,9 +88,7 @@
 pub struct Router {
     pub name: String,
     pub listen: SocketAddr,
-    pub config: PathBuf,
     pub child: Child,
-    pub log: PathBuf,
 }
 
 pub fn run_line(root: &Path) -> String {
@@ -144,7 +136,7 @@
             .process_group(0)
             .spawn()
             .expect("the router");
-        Router { name: name.to_owned(), listen, config: path, child, log }
+        Router { name: name.to_owned(), listen, child }
     }
 
     pub fn signal(&self, signal: i32) {
@@ -152,13 +144,6 @@
         unsafe { kill(self.child.id() as i32, signal) };
     }
 
-    /// Replaces the configuration file as a whole.
-    pub fn replace_config(&self, config: &str) {
-        let next = self.config.with_extension("next");
-        std::fs::write(&next, config).expect("the configuration");
-        std::fs::rename(&next, &self.config).expect("the configuration");
-    }
-
     /// Waits until `GET /_health` returns 200.
     pub fn wait_ready(&self, within_ms: u64) -> bool {
         let until = Instant::now() + Duration::from_millis(within_ms);
@@ -181,12 +166,6 @@
     pub fn ended(&mut self) -> Option<String> {
         self.child.try_wait().ok().flatten().map(|status| status.to_string())
     }
-
-    pub fn memory_kb(&self, what: &str) -> u64 {
-        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
-        let line = text.lines().find(|line| line.starts_with(what));
-        line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok()).unwrap_or(0)
-    }
 }
 
 impl Drop for Router {
