--- a/review/rig-2/src/cases/mod.rs
+++ b/review/rig-2/src/cases/mod.rs
@@ -1,3 +1,5 @@
+mod endless;
+mod flood;
 mod restarted;
 mod slow;
 mod streams;
@@ -13,10 +15,11 @@
 
 pub fn run(case: &str, setting: &Setting, record: &Arc<Record>) -> Verdict {
     match case {
+        "endless" => endless::run(setting, record),
+        "flood" => flood::run(setting, record),
         "slow" => slow::run(setting, record),
         "restarted" => restarted::run(setting, record),
         "spoilt" => streams::spoilt(setting, record),
-        "preempted" => streams::preempted(setting, record),
         _ => Verdict::CouldNotRun(format!("no case {case}")),
     }
 }
--- a/review/rig-2/src/client.rs
+++ b/review/rig-2/src/client.rs
@@ -23,6 +23,8 @@
     pub events: Vec<String>,
     /// The answer came to its last byte.
     pub whole: bool,
+    /// From the last byte of the request to the head of the answer, or to the connection's end.
+    pub head_ms: f64,
     pub took_ms: f64,
 }
 
@@ -46,7 +48,10 @@
 }
 
 fn answer(conn: &mut Conn, got: &mut Got) -> Result<()> {
-    let head = conn.head()?;
+    let sent = Instant::now();
+    let head = conn.head();
+    got.head_ms = sent.elapsed().as_secs_f64() * 1e3;
+    let head = head?;
     got.status = head.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0);
     if crate::http::field(&head, "transfer-encoding").is_some() {
         loop {
--- a/review/rig-2/src/platform.rs
+++ b/review/rig-2/src/platform.rs
@@ -27,14 +27,6 @@
     report: r#"{"how":"answers","names":["cpu_share","pending","x0"]}"#,
 };
 
-pub const AFOROS: Names = Names {
-    zones: ["bilbao", "santander", "oviedo"],
-    kinds: ["lectura", "redaccion", "mixto"],
-    class: "resumen-registro",
-    tenant: None,
-    report: r#"{"how":"probe","names":["busy_reqs","pending","x0","x1"]}"#,
-};
-
 /// The deployment of a case: three routers before ten or eleven servers.
 #[derive(Clone)]
 pub struct Deployment {
@@ -70,23 +62,6 @@
 }
 
 impl Deployment {
-    /// The customer `aforos-norte`: a stream that breaks is lost there.
-    pub fn aforos() -> Deployment {
-        Deployment {
-            names: &AFOROS,
-            deadline_s: 8.0,
-            target_s: 2.0,
-            target_us_per_1000: 120000.0,
-            drain_grace_ms: 250.0,
-            pin_limit_s: 1.0,
-            idle_s: 15.0,
-            fall: (4.0, 1.5),
-            resume: false,
-            self_prefill: false,
-            ..Deployment::default()
-        }
-    }
-
     fn settings(&self, number: usize) -> String {
         let Deployment {
             names,
@@ -307,8 +282,8 @@
 /// What a server does besides serving. Each is asked with the request's id.
 #[derive(Clone, Default)]
 pub struct Manners {
-    /// Before the event with this number: nothing for so many ms. Gets the prompt's tokens too.
-    pub pause: Option<Arc<dyn Fn(&str, usize) -> Option<(usize, u64)> + Send + Sync>>,
+    /// Whether the answer is spoilt: comment lines without end in place of its first event.
+    pub endless: Option<Arc<dyn Fn(&str) -> bool + Send + Sync>>,
     /// The event with this number comes as a chunk with this size line.
     pub spoil: Option<Arc<dyn Fn(&str) -> Option<(usize, String)> + Send + Sync>>,
 }
@@ -417,6 +392,23 @@
         self.fleet.attempts.lock().unwrap().push(attempt);
     }
 
+    /// Writes comment lines at full speed until the router closes the connection.
+    fn comment_on(&self, conn: &mut Conn, id: &str) -> std::io::Result<()> {
+        let (record, name) = (&self.fleet.record, &self.host.name);
+        record.note(format!("server {name}: the answer of {id} is comment lines without end"));
+        let part = chunk(":\n").repeat(8192);
+        let (mut written, started) = (0u64, std::time::Instant::now());
+        let ended = loop {
+            match conn.send(&part) {
+                Ok(()) => written += part.len() as u64,
+                Err(cause) => break cause,
+            }
+        };
+        let (took_s, mb) = (started.elapsed().as_secs_f64(), written / 1_000_000);
+        record.note(format!("server {name}: {id} ended after {took_s:.1} s and {mb} MB: {ended}"));
+        Err(ended)
+    }
+
     fn complete(&self, conn: &mut Conn, id: &str, prompt: usize) -> std::io::Result<()> {
         let read_ms = (prompt as f64 / self.pace.read_per_s * 1e3) as u64 + 5;
         if self.host.kind == "prefill" {
@@ -437,17 +429,11 @@
         self.arrived(id, true);
         sleep_ms(if state.is_some() { 5 } else { read_ms });
         conn.send(HEAD)?;
-        let mut all = HEAD.to_owned();
-        let pause = self.manners.pause.as_ref().and_then(|pause| pause(id, prompt));
+        if self.manners.endless.as_ref().is_some_and(|endless| endless(id)) {
+            return self.comment_on(conn, id);
+        }
         let spoilt = self.manners.spoil.as_ref().and_then(|spoil| spoil(id));
         for row in 0..self.pace.events {
-            if let Some((_, ms)) = pause.filter(|(at, _)| *at == row) {
-                self.fleet.record.note(format!(
-                    "server {}: {id} back in the queue and read anew for {ms} ms",
-                    self.host.name
-                ));
-                sleep_ms(ms);
-            }
             let mut part = chunk(&event(id, row, row + 1 == self.pace.events));
             if let Some((_, size)) = spoilt.as_ref().filter(|(at, _)| *at == row) {
                 self.fleet
@@ -455,7 +441,6 @@
                     .note(format!("server {}: a chunk of {id} has the size '{size}'", self.host.name));
                 part = format!("{size}{}", part.trim_start_matches(|digit: char| digit.is_ascii_hexdigit()));
             }
-            all.push_str(&part);
             let sent = conn.send(&part);
             if let Err(cause) = sent {
                 self.fleet
@@ -466,7 +451,6 @@
             sleep_ms(self.pace.token_ms);
         }
         let end = format!("{}0\r\n\r\n", chunk(&ending(prompt, self.pace.events, self.report())));
-        all.push_str(&end);
         conn.send(&end)?;
         self.fleet.record.note(format!("server {}: answer of {id} written to its end", self.host.name));
         if spoilt.is_some() {
--- a/review/rig-2/src/rig.rs
+++ b/review/rig-2/src/rig.rs
@@ -168,6 +168,16 @@
     }
 }
 
+impl Router {
+    /// CPU time that the process has used, in s.
+    pub fn cpu_s(&self) -> f64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
+        let fields: Vec<_> = text.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+        let ticks = |row: usize| fields.get(row).and_then(|field| field.parse::<f64>().ok()).unwrap_or(0.0);
+        (ticks(11) + ticks(12)) / 100.0
+    }
+}
+
 impl Drop for Router {
     fn drop(&mut self) {
         let _ = self.child.kill();
