Stand-ins: a test that fails by itself ends with 2

Cause: a panic of the test ended it with 101, which the issue doesn't know. Change: review/rig-2/src/main.rs catches it.

--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -7,6 +7,7 @@
 mod platform;
 mod rig;
 
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::PathBuf;
 use std::process::exit;
 
@@ -38,7 +39,8 @@
     let setting = Setting { root: PathBuf::from(root), dir: dir.clone(), trouble, seed };
     let record = rig::Record::new();
     record.note(format!("case {case}, trouble {trouble}, seed {seed}"));
-    let verdict = cases::run(case, &setting, &record);
+    let run = AssertUnwindSafe(|| cases::run(case, &setting, &record));
+    let verdict = catch_unwind(run).unwrap_or(Verdict::CouldNotRun("the test itself failed".into()));
     let (code, text) = match verdict {
         Verdict::Held => (0, "the rule held".to_owned()),
         Verdict::Broken(why) => (1, format!("the rule was broken: {why}")),
