Stand-ins: whatever fails in the test itself ends with 2

Cause: a record or a temporary folder that can't be written ended a case with 101. Change: review/rig-2/src/main.rs catches it; an outdated comment. Result: without arguments, with no such case and with no folder it ends with 2.

--- a/review/rig-2/src/cases/streams.rs
+++ b/review/rig-2/src/cases/streams.rs
@@ -1,4 +1,4 @@
-//! Streams that come spoilt, and streams that pause.
+//! Streams that come spoilt.
 
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -27,10 +27,15 @@
 }
 
 fn main() {
+    // Whatever fails in the test itself, its code is 2.
+    exit(catch_unwind(play).unwrap_or(2));
+}
+
+fn play() -> i32 {
     let args: Vec<_> = std::env::args().collect();
     let [_, case, root, folder] = args.as_slice() else {
         eprintln!("review-rig-2 CASE ROOT FOLDER");
-        exit(2);
+        return 2;
     };
     let dir = std::env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
     std::fs::create_dir_all(&dir).expect("a temporary folder");
@@ -52,5 +57,5 @@
     if std::env::var("KEEP").is_err() {
         let _ = std::fs::remove_dir_all(&dir);
     }
-    exit(code);
+    code
 }
