--- a/review/rig-2/src/cases/flood.rs
+++ b/review/rig-2/src/cases/flood.rs
@@ -113,6 +113,11 @@
         sleep_ms(100);
     }
     let (cpu_s, took_s) = (routers[0].cpu_s() - began_s, started.elapsed().as_secs_f64());
+    record.note(format!(
+        "{} bad requests were sent, {} got an error",
+        sent.load(Ordering::SeqCst),
+        refused.load(Ordering::SeqCst)
+    ));
     record.note(format!("the router used {cpu_s:.1} s of CPU in {took_s:.1} s"));
     stop.store(true, Ordering::SeqCst);
     for thread in threads {
