Reads on a socket that never runs empty let other tasks and timers run

Cause: Stream::read_some waits with `readable` and reads with `try_read_buf`. Neither takes anything from the runtime's budget for one poll, so a task whose socket has bytes at each read never returns to the runtime; a deadline that stands behind the read in a select is not looked at either.

Evidence: of a router that answered nobody, 5,870 to 6,355 system calls in a second, all recvfrom on one socket and no epoll; no voluntary context switch for seconds; three of three stacks in Attempt::run, in Chunks::take or read_some. A full channel (an idle process) and timers that starve beside other tasks (epoll in between) are ruled out by that.

Change: after READS_PER_TURN (4) reads without waiting, read_some yields. It yields with budget left, because the runtime's timers report nothing in a task without budget: giving the reads to the budget alone would let other tasks run, but no deadline behind such a read would fire. The count is reset before the yield, so that a caller that drops the read goes on reading. This covers every loop over read_some: answers, probes and releases, discovery, clients' requests, the linger after a close.

--- a/crates/router/src/dispatch_tests.rs
+++ b/crates/router/src/dispatch_tests.rs
@@ -1,9 +1,11 @@
 //! A test for each row of the outcome table: how a socket ends, and the outcome that the decision core
 //! receives.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use paddleproxy::interface::{CompletionId, Outcome, Seq, WorkerId};
 use paddleproxy_engine::{Refusal, StateReference};
@@ -228,7 +230,7 @@
         let mut pending_connects = Vec::new();
         for _ in 0..4 {
             let connect = TcpStream::connect(address);
-            pending_connects.push(tokio::time::timeout(std::time::Duration::from_millis(50), connect).await);
+            pending_connects.push(tokio::time::timeout(Duration::from_millis(50), connect).await);
         }
         let timed_out = run_dispatch(&engines(), Some(address), Stage::Whole, true, false).await.end;
         assert_eq!(timed_out, SocketEnd::ConnectTimedOut);
@@ -376,3 +378,53 @@
         assert_eq!((plain.end, plain.answer.unwrap().text.as_str()), (SocketEnd::AnswerDone, "ww"));
     });
 }
+
+/// A server that answers its first request with a stream of comment lines without end, at full speed; the
+/// handle returns for how long.
+fn commenting_server() -> (SocketAddr, std::thread::JoinHandle<Duration>) {
+    use std::io::{Read, Write};
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let flooding = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        assert!(stream.read(&mut [0; 4096]).unwrap() > 0);
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+        stream.write_all(head.as_bytes()).unwrap();
+        let (started, block) = (std::time::Instant::now(), "2\r\n:\n\r\n".repeat(8192));
+        while started.elapsed() < Duration::from_secs(20) && stream.write_all(block.as_bytes()).is_ok() {}
+        started.elapsed()
+    });
+    (address, flooding)
+}
+
+/// Guards against an answer without events that keeps its router from serving anybody else, or that is read
+/// past its time.
+#[test]
+fn comments_without_end_are_given_up_at_the_deadline_and_hold_nobody_up() {
+    const TIME_MS: f64 = 400.0;
+    /// How late a final answer may be.
+    const LATE_MS: f64 = 500.0;
+    run_local(async {
+        for streamed in [true, false] {
+            let (address, flooding) = commenting_server();
+            let longest_ms = Rc::new(Cell::new(0.0_f64));
+            let measured = longest_ms.clone();
+            let waits = tokio::task::spawn_local(async move {
+                loop {
+                    let slept = Instant::now();
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                    measured.set(measured.get().max(slept.elapsed().as_secs_f64() * 1e3));
+                }
+            });
+            let started = Instant::now();
+            let end = run_dispatch(&engines(), Some(address), Stage::Whole, streamed, false).await.end;
+            let took_ms = started.elapsed().as_secs_f64() * 1e3;
+            waits.abort();
+            assert!(longest_ms.get() <= LATE_MS, "another task waited for {:.0} ms", longest_ms.get());
+            assert_eq!(end, SocketEnd::TimedOut);
+            assert!(took_ms <= TIME_MS + LATE_MS, "given up after {took_ms:.0} ms");
+            let lasted = tokio::task::spawn_blocking(|| flooding.join().unwrap()).await.unwrap();
+            assert!(lasted < Duration::from_secs(20), "the connection stayed open");
+        }
+    });
+}
--- a/crates/sockets/src/stream.rs
+++ b/crates/sockets/src/stream.rs
@@ -4,7 +4,12 @@
 //! full socket and wait for the next edge-triggered event. The system gives no such guarantee: a call may
 //! return a short count for any reason, and then the event never occurs. Here a task waits only after EAGAIN,
 //! and a call that failed with EINTR is repeated.
+//!
+//! Waiting only after EAGAIN must not let a fast peer keep a task busy for ever. [`Stream::read_some`]
+//! therefore yields after [`READS_PER_TURN`] reads without waiting, and the trait implementations use the
+//! runtime's budget for one poll.
 
+use std::cell::Cell;
 use std::io::{ErrorKind, IoSlice, Result};
 use std::mem::MaybeUninit;
 use std::ops::Deref;
@@ -15,17 +20,26 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 
 /// Size of the buffer space that is reserved for one read.
 pub const READ_BYTES: usize = 8 * 1024;
 
+/// Number of reads that find bytes at once before [`Stream::read_some`] lets other tasks run. Far below the
+/// runtime's budget for one poll: timers don't fire in a task that has used up its budget.
+pub const READS_PER_TURN: usize = 4;
+
 /// A connected TCP socket; the module describes how it differs from the runtime's stream.
 #[derive(Debug)]
-pub struct Stream(TcpStream);
+pub struct Stream {
+    tcp: TcpStream,
+    /// Reads since the last one that had to wait or yielded.
+    reads_in_turn: Cell<usize>,
+}
 
 impl From<TcpStream> for Stream {
-    fn from(stream: TcpStream) -> Stream {
-        Stream(stream)
+    fn from(tcp: TcpStream) -> Stream {
+        Stream { tcp, reads_in_turn: Cell::new(0) }
     }
 }
 
@@ -35,7 +49,7 @@
     type Target = TcpStream;
 
     fn deref(&self) -> &TcpStream {
-        &self.0
+        &self.tcp
     }
 }
 
@@ -51,16 +65,25 @@
 
 impl Stream {
     /// Reads some bytes; 0 at the end of the connection. Reserves buffer space only once the socket is
-    /// readable, so that idle connections need none.
+    /// readable, so that idle connections need none. Yields after [`READS_PER_TURN`] reads that did not have
+    /// to wait, before it reads more: a read that is dropped while it waits or yields has taken nothing.
     ///
     /// # Errors
     /// The connection failed.
     pub async fn read_some(&self, bytes: &mut BytesMut) -> Result<usize> {
+        if self.reads_in_turn.get() >= READS_PER_TURN {
+            // Set first: a caller that drops this read while it yields is not made to yield again.
+            self.reads_in_turn.set(0);
+            yield_now().await;
+        }
         loop {
-            self.0.readable().await?;
+            self.tcp.readable().await?;
             bytes.reserve(READ_BYTES);
-            let read = self.0.try_read_buf(bytes);
-            if !would_block(&read) && !interrupted(&read) {
+            let read = self.tcp.try_read_buf(bytes);
+            if would_block(&read) {
+                self.reads_in_turn.set(0);
+            } else if !interrupted(&read) {
+                self.reads_in_turn.set(self.reads_in_turn.get() + 1);
                 return read;
             }
         }
@@ -70,7 +93,7 @@
     /// for events.
     fn peek_now(&self) -> Result<usize> {
         loop {
-            let peeked = SockRef::from(&self.0).peek(&mut [MaybeUninit::uninit()]);
+            let peeked = SockRef::from(&self.tcp).peek(&mut [MaybeUninit::uninit()]);
             if !interrupted(&peeked) {
                 return peeked;
             }
@@ -94,8 +117,8 @@
         write: impl Fn(&TcpStream) -> Result<usize>,
     ) -> Poll<Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(context))?;
-            let written = write(&self.0);
+            ready!(self.tcp.poll_write_ready(context))?;
+            let written = write(&self.tcp);
             if !would_block(&written) && !interrupted(&written) {
                 return Poll::Ready(written);
             }
@@ -110,8 +133,8 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
         loop {
-            ready!(self.0.poll_read_ready(context))?;
-            let read = self.0.try_read_buf(buffer);
+            ready!(self.tcp.poll_read_ready(context))?;
+            let read = self.tcp.try_read_buf(buffer);
             if !would_block(&read) && !interrupted(&read) {
                 return Poll::Ready(read.map(|_| ()));
             }
@@ -141,6 +164,6 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(context)
+        Pin::new(&mut self.tcp).poll_shutdown(context)
     }
 }
