A stream that does not reach its first event within 128 KiB is given up

Cause: forward_answer drops complete comments before the first event and reads on, without a bound. At the deadline it looks whether bytes wait on the socket, since the router itself may have been stopped, and reads them first; with a server that writes on, bytes always wait, so the deadline is never enforced.

Change: MAX_OPENING_BYTES bounds what a server may send before its first event, the framing of the chunks included (comments, empty lines, events without data, chunk extensions). Beyond it the attempt ends like any unreadable answer and the request goes on elsewhere as its class allows. The bound also limits what is read after the deadline; behind the first event the limit of an event does. Connection::read tells how much it read.

Neighbours: exactly the limit, one byte less, the largest event in chunks of 64 KiB, 1,000 and 16 bytes, few comments up to the deadline, and an event behind comments that came while the router stood still past the deadline.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,7 +14,9 @@
 use tokio::sync::mpsc;
 use tokio::time::{sleep_until, timeout, Instant};
 
-use crate::limits::{REJECTION_BODY_TIMEOUT_MS, STREAM_IDLE_TIMEOUT_MS, STREAM_QUEUE_PARTS};
+use crate::limits::{
+    MAX_OPENING_BYTES, REJECTION_BODY_TIMEOUT_MS, STREAM_IDLE_TIMEOUT_MS, STREAM_QUEUE_PARTS,
+};
 use crate::messages::{AttemptCommand, AttemptEnd, ClientRequest, CoreEvent, CoreSender, StreamPart};
 use crate::pool::{Connection, Pool};
 use crate::servers::ServerDirectory;
@@ -158,6 +160,7 @@
         }
         let (mut chunks, mut events) = (Chunks::new(MAX_BODY_BYTES), Events::default());
         let mut stream: Option<(mpsc::Sender<StreamPart>, StallDetector)> = None;
+        let mut received_bytes = connection.bytes.len();
         loop {
             let done = chunks
                 .take(&mut connection.bytes, events.buffer())
@@ -172,6 +175,9 @@
                 let granted = self.request_grant(started).await?;
                 stream = Some((granted, StallDetector::new(self.clock.now_ms(), STREAM_IDLE_TIMEOUT_MS)));
             }
+            if stream.is_none() && received_bytes > MAX_OPENING_BYTES {
+                return Err(SocketEnd::Nonsense("the stream does not reach its first event".into()));
+            }
             if let Some((parts, stall_detector)) = stream.as_mut().filter(|_| !complete_events.is_empty()) {
                 // Time spent waiting for a slow client doesn't count as the server's silence.
                 let sent = tokio::select! {
@@ -203,7 +209,8 @@
                 read = connection.read() => read,
                 () = sleep_until(limit) => {
                     // The timer may fire because this process was stalled. If bytes wait on the socket, the
-                    // server wasn't silent: let the runtime poll the socket and read them.
+                    // server wasn't silent: let the runtime poll the socket and read them. The limits of an
+                    // event and of what comes before the first one bound how often this happens.
                     if connection.has_unread() {
                         tokio::task::yield_now().await;
                         continue;
@@ -211,9 +218,10 @@
                     return Err(if stream.is_some() { SocketEnd::Stalled } else { SocketEnd::TimedOut });
                 }
             };
-            if !matches!(read, Ok(true)) {
-                let granted = stream.is_some();
-                return Err(if granted { SocketEnd::BrokeAfterFirst } else { SocketEnd::BrokeWithinAnswer });
+            match read {
+                Ok(read) if read > 0 => received_bytes += read,
+                _ if stream.is_some() => return Err(SocketEnd::BrokeAfterFirst),
+                _ => return Err(SocketEnd::BrokeWithinAnswer),
             }
         }
     }
--- a/crates/gateway/src/attempt/tests.rs
+++ b/crates/gateway/src/attempt/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of events between the decision for an attempt and its write. Each test acts between two polls of the
 //! attempt: after the attempt has requested its connection and before it writes.
 
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::TcpListener;
 
 use paddleproxy::interface::*;
@@ -204,3 +204,134 @@
         );
     });
 }
+
+const STREAM_HEAD: &[u8] =
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+const COMMENT: &[u8] = b"2\r\n:\n\r\n";
+const EVENT: &[u8] = b"16\r\ndata: {\"choices\":[]}\n\n\r\n";
+
+/// Comment lines in chunks, of this many bytes together.
+fn comments(count: usize) -> Vec<u8> {
+    let last = 7 + count % 7;
+    let mut bytes = COMMENT.repeat(count / 7 - 1);
+    // One comment is longer by what is left over.
+    bytes.extend_from_slice(format!("{:x}\r\n:{}\n\r\n", last - 5, "x".repeat(last - 7)).as_bytes());
+    assert_eq!(bytes.len(), count);
+    bytes
+}
+
+impl Fixture {
+    /// The server's end of the attempt's connection, once the request has arrived on it.
+    async fn server(&self) -> std::net::TcpStream {
+        let (mut server, _) = self.listener.accept().unwrap();
+        server.set_nonblocking(true).unwrap();
+        while server.read(&mut [0; 4096]).is_err() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        server.set_nonblocking(false).unwrap();
+        server
+    }
+
+    async fn next_event(&mut self) -> CoreEvent {
+        tokio::time::timeout(Duration::from_secs(20), self.events.recv()).await.unwrap().unwrap()
+    }
+}
+
+/// Writes on a thread of its own, so that the attempt can read meanwhile.
+async fn write_all(server: &std::net::TcpStream, bytes: Vec<u8>) {
+    let mut server = server.try_clone().unwrap();
+    tokio::task::spawn_blocking(move || server.write_all(&bytes)).await.unwrap().unwrap();
+}
+
+/// Guards against a limit that is off by what one read brings: what comes before the first event may have
+/// exactly [`MAX_OPENING_BYTES`], the head not counted.
+#[test]
+fn a_stream_may_begin_with_comments_up_to_the_limit() {
+    local(async {
+        for count in [1000, 40_000, MAX_OPENING_BYTES - 1, MAX_OPENING_BYTES] {
+            let mut fixture = Fixture::start(|_| {}).await;
+            let server = fixture.server().await;
+            write_all(&server, [STREAM_HEAD, &comments(count)].concat()).await;
+            let early = tokio::time::timeout(Duration::from_millis(100), fixture.events.recv()).await;
+            assert!(early.is_err(), "{count} bytes of comments: ended or began without an event");
+            write_all(&server, EVENT.to_vec()).await;
+            assert!(matches!(fixture.next_event().await, CoreEvent::Began { .. }), "{count}");
+        }
+    });
+}
+
+#[test]
+fn a_stream_that_exceeds_the_limit_before_its_first_event_is_given_up() {
+    local(async {
+        for count in [MAX_OPENING_BYTES + 1, MAX_OPENING_BYTES + 8192] {
+            let mut fixture = Fixture::start(|_| {}).await;
+            let server = fixture.server().await;
+            write_all(&server, [STREAM_HEAD, &comments(count)].concat()).await;
+            let end = fixture.end().await;
+            assert!(matches!(end, SocketEnd::Nonsense(_)), "{count}: {end:?}");
+        }
+    });
+}
+
+/// An event of the largest size fits, in large chunks and in small ones.
+#[test]
+fn the_largest_first_event_is_within_the_limit() {
+    const LARGEST_BYTES: usize = 64 * 1024;
+    local(async {
+        let empty = "data: {\"a\":\"\"}\n\n".len();
+        let event = format!("data: {{\"a\":\"{}\"}}\n\n", "x".repeat(LARGEST_BYTES - empty));
+        for chunk_bytes in [LARGEST_BYTES, 1000, 16] {
+            let mut answer = STREAM_HEAD.to_vec();
+            for part in event.as_bytes().chunks(chunk_bytes) {
+                answer.extend_from_slice(format!("{:x}\r\n", part.len()).as_bytes());
+                answer.extend_from_slice(part);
+                answer.extend_from_slice(b"\r\n");
+            }
+            let mut fixture = Fixture::start(|_| {}).await;
+            let server = fixture.server().await;
+            write_all(&server, answer).await;
+            assert!(matches!(fixture.next_event().await, CoreEvent::Began { .. }), "{chunk_bytes}");
+        }
+    });
+}
+
+/// Guards against a deadline that comments keep away.
+#[test]
+fn a_stream_of_few_comments_is_given_up_at_its_deadline() {
+    const TIME_MS: f64 = 300.0;
+    /// How late a final answer may be.
+    const LATE_MS: f64 = 500.0;
+    local(async {
+        let mut fixture = Fixture::start(|sending| sending.until_ms += TIME_MS - 20_000.0).await;
+        let server = fixture.server().await;
+        write_all(&server, STREAM_HEAD.to_vec()).await;
+        let commenting = tokio::task::spawn_local(async move {
+            loop {
+                write_all(&server, COMMENT.to_vec()).await;
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        });
+        assert_eq!(fixture.end().await, SocketEnd::TimedOut);
+        assert!(fixture.clock.now_ms() <= TIME_MS + LATE_MS, "given up after {}", fixture.clock.now_ms());
+        commenting.abort();
+    });
+}
+
+/// An event that had arrived by the deadline counts, although the router was stopped meanwhile and many reads
+/// are needed to reach it.
+#[test]
+fn an_event_behind_comments_that_arrived_during_a_pause_is_read_after_the_deadline() {
+    const TIME_MS: f64 = 300.0;
+    local(async {
+        for count in [1000, 36_000, 48_000] {
+            let mut fixture = Fixture::start(|sending| sending.until_ms += TIME_MS - 20_000.0).await;
+            let mut server = fixture.server().await;
+            let answer = [STREAM_HEAD, &comments(count), EVENT].concat();
+            let writing = std::thread::spawn(move || server.write_all(&answer).map(|()| server));
+            // Blocks the thread, so the attempt makes no progress.
+            std::thread::sleep(Duration::from_millis(TIME_MS as u64 + 100));
+            assert!(matches!(fixture.next_event().await, CoreEvent::Began { .. }), "{count}");
+            drop(writing.join().unwrap());
+        }
+    });
+}
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -40,6 +40,9 @@
 /// A stream whose server has sent nothing for this time, in ms, is aborted. The platform allows 5 s; what the
 /// router forwards in the meantime is not lost.
 pub const STREAM_IDLE_TIMEOUT_MS: f64 = 4000.0;
+/// Limit of what a server may send of a stream up to its first event, in bytes: comments, empty lines and the
+/// framing of the chunks. An event of the largest size fits.
+pub const MAX_OPENING_BYTES: usize = 128 * 1024;
 /// Capacity of the queue from a server's stream to its client, in parts.
 pub const STREAM_QUEUE_PARTS: usize = 8;
 /// Idle timeout of connections to servers, as a fraction of the servers' own idle timeout.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -80,12 +80,12 @@
         self.stream.has_unread_bytes()
     }
 
-    /// Reads more into `bytes`; false once the server has closed the connection.
+    /// Reads more into `bytes` and returns how many arrived; 0 once the server has closed the connection.
     ///
     /// # Errors
     /// The connection failed.
-    pub async fn read(&mut self) -> Result<bool, ()> {
-        self.stream.read_some(&mut self.bytes).await.map(|read| read > 0).map_err(|_| ())
+    pub async fn read(&mut self) -> std::io::Result<usize> {
+        self.stream.read_some(&mut self.bytes).await
     }
 
     async fn head(&mut self) -> Result<ResponseHead, SocketEnd> {
--- a/crates/gateway/tests/floods.rs
+++ b/crates/gateway/tests/floods.rs
@@ -200,6 +200,23 @@
     }
 }
 
+/// Guards against an answer without events that is read past the end of its request's time, or that leaves no
+/// time for another server.
+#[test]
+fn an_answer_that_never_reaches_its_first_event_is_given_up() {
+    for (name, part) in forms_without_an_event() {
+        run_local(async move {
+            let (platform, servers) = flooded_platform(HEAD, &part).await;
+            let (router, request) = (platform.clients, completion("a1", "Connection: close\r\n", "{}"));
+            let (answer, took) = join(spawn(move || ask(router, &request))).await;
+            assert!(body(&answer).1 && answer.starts_with("HTTP/1.1 200 "), "{name}: {answer}");
+            assert!(took <= DEADLINE + LATE, "{name}: {took:?}");
+            let lasted = servers.flood_time().await;
+            assert!(lasted <= DEADLINE + LATE, "{name}: read for {lasted:?}");
+        });
+    }
+}
+
 /// A stream that does not end is passed on at its client's pace until the client leaves.
 #[test]
 fn a_stream_that_goes_on_without_end_holds_nobody_up() {
