A stream is whole only if its end marker was received

Cause: Chunks::take reads size 0 as the end of the body, as HTTP has it, takes the event's lines for trailers and its empty line for their end. Events::complete then asked only whether the body ended between two events, though it knew whether `[DONE]` had come.

Told apart: were the end of a broken stream passed on (forward_stream), the other spoilt sizes would end whole as well, and they break off; were events of an earlier answer mixed in (a kept connection), the parts would not be the request's own, and they are.

Tests, failing before: a_stream_whose_body_ends_before_its_end_marker_breaks_off (each place of a stream, five ways to write 0, both line ends), a_stream_is_complete_only_once_its_end_was_received (every length of a stream), two new rows of a_failure_before_the_first_event_is_retried_elsewhere. a_stream_with_sizes_that_fit_is_whole and serve's a_body_that_ends_before_the_answer_does_breaks_the_answer_off passed before too: serve has always read to `[DONE]`.

--- a/crates/gateway/tests/workers.rs
+++ b/crates/gateway/tests/workers.rs
@@ -102,6 +102,8 @@
         ("3 GB chunk", vec![Step::Send(format!("{HEAD}b2d05e00\r\n")), Step::Flood(vec![b'a'; 65536])]),
         ("chunk longer than its size", vec![Step::Send(format!("{HEAD}5\r\n{FIRST}\r\n")), Step::Hang]),
         ("no event", reply(format!("{HEAD}0\r\n\r\n"))),
+        ("no end marker", reply(format!("{HEAD}{}0\r\n\r\n", chunk(FIRST)))),
+        ("a first chunk of size 0", vec![Step::Send(format!("{HEAD}0\r\n{FIRST}\r\n")), Step::Hang]),
         ("not chunked", reply(plain("200 OK", "Content-Type: text/event-stream\r\n", FIRST))),
         (
             "Content-Length and chunked",
@@ -196,6 +198,72 @@
     }
 }
 
+/// Guards against a stream that passes for whole because one of its chunks has the size 0: what follows is read
+/// as trailers, and the body ends between two events.
+#[test]
+fn a_stream_whose_body_ends_before_its_end_marker_breaks_off() {
+    let events: Vec<_> = LAST.split_inclusive("\n\n").collect();
+    for spoilt in 0..events.len() {
+        for size in ["0", "00", "0000000000000000", "0;x=1", "0 "] {
+            for line_end in ["\n", "\r\n"] {
+                let chunks = events.iter().enumerate().map(|(number, event)| {
+                    let event = event.replace('\n', line_end);
+                    let fitting = format!("{:x}", event.len());
+                    format!("{}\r\n{event}\r\n", if number == spoilt { size } else { &fitting })
+                });
+                let rest: String = chunks.collect();
+                run_local(async move {
+                    let steps = vec![
+                        Step::Send(format!("{HEAD}{}", chunk(FIRST))),
+                        Step::Wait(20),
+                        Step::Send(format!("{rest}0\r\n\r\n")),
+                        Step::Hang,
+                    ];
+                    let worker = Worker::start("w-1", "combined", move |_, _| steps.clone()).await;
+                    let platform = Platform::start(&[&worker]).await;
+                    let began = Instant::now();
+                    let answer = platform.complete("a1").await;
+                    let (text, whole) = body(&answer);
+                    assert!(!whole, "event {spoilt} under {size:?}, {line_end:?}: {answer}");
+                    assert!(text.starts_with(FIRST) && !text.contains("[DONE]"), "{text}");
+                    // The platform allows 5 s.
+                    assert!(began.elapsed() < ms(4900), "it took {:?}", began.elapsed());
+                    assert_eq!(worker.completion_requests().len(), 1, "a started stream is not retried");
+                });
+            }
+        }
+    }
+}
+
+/// The neighbours of the case before: sizes that fit, however they are written, and what may follow the end.
+#[test]
+fn a_stream_with_sizes_that_fit_is_whole() {
+    let size = format!("{:x}", LAST.len());
+    let fitting = |size: String| format!("{size}\r\n{LAST}\r\n0\r\n\r\n");
+    let cases = [
+        ("a leading zero", fitting(format!("0{size}"))),
+        ("zeros up to the longest size", fitting(format!("{size:0>16}"))),
+        ("an extension", fitting(format!("{size};x=0"))),
+        ("upper case", fitting(size.to_uppercase())),
+        ("a last chunk with zeros", format!("{}000\r\n\r\n", chunk(LAST))),
+        ("a trailer", format!("{}0\r\nx-checked: 0\r\n\r\n", chunk(LAST))),
+        (
+            "a report behind the end",
+            format!("{}{}0\r\n\r\n", chunk(LAST), chunk(": Srv-Load: TEXT queue=1\n\n")),
+        ),
+    ];
+    for (name, rest) in cases {
+        run_local(async move {
+            let steps =
+                vec![Step::Send(format!("{HEAD}{}", chunk(FIRST))), Step::Wait(20), Step::Send(rest.clone())];
+            let worker = Worker::start("w-1", "combined", move |_, _| steps.clone()).await;
+            let platform = Platform::start(&[&worker]).await;
+            let (text, whole) = body(&platform.complete("a1").await);
+            assert!(whole && text.starts_with(&format!("{FIRST}{LAST}")), "{name}: {text}");
+        });
+    }
+}
+
 #[test]
 fn a_second_answer_on_a_connection_is_discarded() {
     run_local(async {
--- a/crates/platform/src/events.rs
+++ b/crates/platform/src/events.rs
@@ -53,6 +53,7 @@
     complete_bytes: usize,
     /// The event being scanned has data.
     has_data: bool,
+    /// `[DONE]` was received, which ends a stream.
     done: bool,
     /// Number of complete events.
     pub events: usize,
@@ -113,9 +114,10 @@
         Ok(taken)
     }
 
-    /// Whether the body may end here: only white space is left after the last event.
+    /// Whether the body may end here: `[DONE]` was received, and only white space is left after the last
+    /// event. The end of the body alone proves nothing, because a chunk whose size is wrongly 0 ends a body too.
     pub fn complete(&self) -> bool {
-        self.events > 0 && self.bytes.chunk().trim_ascii().is_empty() && !self.has_data
+        self.done && self.bytes.chunk().trim_ascii().is_empty() && !self.has_data
     }
 }
 
--- a/crates/platform/src/events/tests.rs
+++ b/crates/platform/src/events/tests.rs
@@ -25,6 +25,34 @@
     }
 }
 
+/// Guards against a stream that passes for whole because its body ended between two events.
+#[test]
+fn a_stream_is_complete_only_once_its_end_was_received() {
+    for crlf in [false, true] {
+        for end in 0..=STREAM.len() {
+            let whole_lines =
+                if crlf { STREAM[..end].replace('\n', "\r\n") } else { STREAM[..end].to_owned() };
+            let mut events = Events::default();
+            events.buffer().extend_from_slice(whole_lines.as_bytes());
+            events.take().unwrap();
+            assert_eq!(events.complete(), end == STREAM.len(), "{end} of {}", STREAM.len());
+        }
+    }
+    // A load report may follow the end, and more white space.
+    for rest in ["", "\n", ": Srv-Load: TEXT queue=3\n", ": Srv-Load: TEXT queue=3\n\n"] {
+        let mut events = Events::default();
+        events.buffer().extend_from_slice(format!("{STREAM}{rest}").as_bytes());
+        events.take().unwrap();
+        assert!(events.complete(), "{rest:?}");
+    }
+    for cut in [": Srv-Load: TEXT queue=3", "da"] {
+        let mut events = Events::default();
+        events.buffer().extend_from_slice(format!("{STREAM}{cut}").as_bytes());
+        events.take().unwrap();
+        assert!(!events.complete(), "{cut:?}");
+    }
+}
+
 #[test]
 fn invalid_streams_are_rejected() {
     for invalid in [
--- a/crates/router/src/dispatch_tests.rs
+++ b/crates/router/src/dispatch_tests.rs
@@ -428,3 +428,28 @@
         }
     });
 }
+
+/// Guards against an answer that passes for whole because one of its chunks has the size 0, which ends the
+/// body before the end of the answer.
+#[test]
+fn a_body_that_ends_before_the_answer_does_breaks_the_answer_off() {
+    let (end_event, done) = END_EVENTS.split_at(END_EVENTS.find("data: [DONE]").unwrap());
+    let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+    let before =
+        |events: &str| format!("{head}{}", if events.is_empty() { String::new() } else { chunk(events) });
+    let spoilt = |events: &str, rest: &str| format!("{}0\r\n{rest}\r\n0\r\n\r\n", before(events));
+    let text_and_end = format!("{TEXT_EVENT}{end_event}");
+    run_local(async {
+        for (answer, expected) in [
+            (spoilt("", &format!("{TEXT_EVENT}{END_EVENTS}")), SocketEnd::BrokeWithinAnswer),
+            (spoilt(TEXT_EVENT, END_EVENTS), SocketEnd::BrokeAfterFirst),
+            (spoilt(&text_and_end, done), SocketEnd::BrokeAfterFirst),
+            (format!("{}0\r\n\r\n", before(&text_and_end)), SocketEnd::BrokeAfterFirst),
+            (format!("{}{}0\r\n\r\n", before(&text_and_end), chunk(done)), SocketEnd::AnswerDone),
+        ] {
+            let end = socket_end(vec![Read, Write(answer.clone()), Hang], Stage::Whole).await;
+            assert_eq!(end, expected, "{answer}");
+        }
+    });
+}
