Data behind a chunk of size 0 is not skipped as trailers

What callers saw: a client whose chunked body came with a size 0 in its middle was served on the part before it; a read whose 202 came so counted as done with nothing known of its cache, and its state was not released early.

Cause: for Chunks::take any line behind the last chunk was a trailer, whatever it held and however it ended, and the first empty line ended the body. Found by asking where else a body counts as whole once its framing says so: the same decoder reads clients' bodies, the answers of reads and probes, and lists (these two are parsed as a whole afterwards).

Change: trailers must be header fields (by httparse, at most MAX_HEAD_FIELDS of them and 4,096 bytes as before), each line ended by CRLF. A bare LF is an error as soon as it is there, since the lines of an event end so.

Tests, failing before: data_behind_a_chunk_of_size_0_is_an_error, two new rows of invalid_requests_are_rejected_and_reach_no_worker (200 in place of 400), a_read_whose_body_ends_before_its_data_counts_as_unreadable (no release). Neighbours: trailers_end_with_an_empty_line (sizes and counts at their limits, bytes behind), a_chunked_body_with_trailers_is_served.

--- a/crates/gateway/tests/clients.rs
+++ b/crates/gateway/tests/clients.rs
@@ -53,6 +53,8 @@
         ("unreadable chunk sizes", chunked("what\r\n{}"), 400),
         ("a chunk longer than its size", chunked("1\r\n{}\r\n0\r\n\r\n"), 400),
         ("chunks beyond the limit", chunked(&huge), 400),
+        ("data behind a chunk of size 0", chunked("2\r\n{}\r\n0\r\n{\"a\":1}\r\n0\r\n\r\n"), 400),
+        ("lines behind a chunk of size 0", chunked("2\r\n{}\r\n0\r\na: 1\n\n\r\n0\r\n\r\n"), 400),
         ("another path", change("/v1/chat/completions", "/v2"), 404),
         ("another method", "PUT /v1/chat/completions HTTP/1.1\r\nConnection: close\r\n\r\n".into(), 405),
         ("binary data", "\u{3}\u{1}nothing of the kind\r\n\r\n".into(), 400),
@@ -119,6 +121,18 @@
     });
 }
 
+#[test]
+fn a_chunked_body_with_trailers_is_served() {
+    run_local(async {
+        let worker = worker().await;
+        let platform = Platform::start(&[&worker]).await;
+        let chunks = "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n1\r\n{\r\n1;x=0\r\n}\r\n0\r\nx-sum: 0\r\n\r\n";
+        let request = completion("a1", "", "{}").replace("Content-Length: 2\r\n\r\n{}", chunks);
+        assert!(body(&raw(platform.clients, request.as_bytes()).await).1);
+        assert_eq!(worker.completion_requests()[0].body, b"{}");
+    });
+}
+
 #[test]
 fn a_duplicate_of_an_open_id_is_rejected_and_the_first_request_is_served() {
     run_local(async {
--- a/crates/gateway/tests/workers.rs
+++ b/crates/gateway/tests/workers.rs
@@ -326,6 +326,30 @@
     });
 }
 
+/// Guards against a read's answer that passes for whole because its data came under the chunk size 0: it counts
+/// as unreadable, and the state that it may have left is released.
+#[test]
+fn a_read_whose_body_ends_before_its_data_counts_as_unreadable() {
+    let head = "HTTP/1.1 202 Read\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let data = "{\"cached_tokens\":4096}";
+    for (answer, readable) in [
+        (format!("{head}{}0\r\n\r\n", chunk(data)), true),
+        (format!("{head}0\r\n{data}\r\n0\r\n\r\n"), false),
+    ] {
+        run_local(async move {
+            let reader = Worker::start("r-1", "prefill", move |_, _| reply(answer.clone())).await;
+            let home = Worker::start("w-1", "combined", |_, _| reply(full_answer())).await;
+            let platform = Platform::start(&[&reader, &home]).await;
+            let long = prompt("a1", 9000, "Connection: close\r\n", "{}");
+            let answer = raw(platform.clients, long.as_bytes()).await;
+            assert!(body(&answer).1, "{answer}");
+            sleep(ms(100)).await;
+            let releases = reader.calls("DELETE").len() + home.calls("DELETE").len();
+            assert_eq!(releases == 0, readable, "{releases} releases");
+        });
+    }
+}
+
 #[test]
 fn a_client_disconnect_is_detected_at_once() {
     run_local(async {
--- a/crates/platform/src/chunks.rs
+++ b/crates/platform/src/chunks.rs
@@ -3,6 +3,8 @@
 
 use bytes::{Buf, BytesMut};
 
+use crate::MAX_HEAD_FIELDS;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     Size,
@@ -26,7 +28,7 @@
     TooLarge,
     #[error("no CRLF after the data of a chunk")]
     End,
-    #[error("the trailers are too long")]
+    #[error("what follows the last chunk is not a list of header fields, or is too long")]
     Trailers,
 }
 
@@ -35,13 +37,12 @@
 pub struct Chunks {
     state: State,
     max_chunk_bytes: usize,
-    trailer_bytes: usize,
 }
 
 impl Chunks {
     /// A chunk of more than `max_chunk_bytes` is an error.
     pub fn new(max_chunk_bytes: usize) -> Self {
-        Chunks { state: State::Size, max_chunk_bytes, trailer_bytes: 0 }
+        Chunks { state: State::Size, max_chunk_bytes }
     }
 
     pub fn done(&self) -> bool {
@@ -93,24 +94,32 @@
                     self.state = State::Size;
                 }
                 State::Trailers => {
-                    let Some(line) = input.iter().position(|byte| *byte == b'\n') else {
-                        let long = self.trailer_bytes + input.len() > MAX_TRAILER_BYTES;
-                        return if long { Err(ChunkError::Trailers) } else { Ok(false) };
-                    };
-                    self.trailer_bytes += line + 1;
-                    if self.trailer_bytes > MAX_TRAILER_BYTES {
-                        return Err(ChunkError::Trailers);
-                    }
-                    let empty = matches!(&input[..line], b"" | b"\r");
-                    input.advance(line + 1);
-                    if empty {
-                        self.state = State::Done;
-                    }
+                    let Some(section) = trailer_section_bytes(input)? else { return Ok(false) };
+                    input.advance(section);
+                    self.state = State::Done;
                 }
             }
         }
     }
 }
 
+/// Length of the trailers at the front of `input`, with the empty line that ends them; None while they are
+/// incomplete. A line that ends in a bare LF is an error: such lines are data whose chunk was given the size 0.
+fn trailer_section_bytes(input: &[u8]) -> Result<Option<usize>, ChunkError> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_HEAD_FIELDS];
+    let available = &input[..input.len().min(MAX_TRAILER_BYTES)];
+    let (section, parsed) = match httparse::parse_headers(available, &mut fields) {
+        Ok(httparse::Status::Complete((length, _))) => (&available[..length], Some(length)),
+        Ok(httparse::Status::Partial) if input.len() <= MAX_TRAILER_BYTES => (available, None),
+        _ => return Err(ChunkError::Trailers),
+    };
+    let lines = section.split_inclusive(|byte| *byte == b'\n');
+    let bare_line_feed = lines.filter(|line| line.ends_with(b"\n")).any(|line| !line.ends_with(b"\r\n"));
+    if bare_line_feed {
+        return Err(ChunkError::Trailers);
+    }
+    Ok(parsed)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/platform/src/chunks/tests.rs
+++ b/crates/platform/src/chunks/tests.rs
@@ -42,6 +42,53 @@
     assert_eq!(decode(&endless, 100).unwrap_err(), ChunkError::Trailers);
 }
 
+/// Guards against data that is skipped as trailers because its chunk was given the size 0.
+#[test]
+fn data_behind_a_chunk_of_size_0_is_an_error() {
+    for data in [
+        "data: {\"choices\":[]}\n\n",
+        "data: {\"choices\":[]}\n",
+        "\n",
+        "{\"cached_tokens\":4096}\r\n0\r\n\r\n",
+        "{}\r\n\r\n",
+        "two words: 1\r\n\r\n",
+        ": Srv-Load: TEXT queue=3\r\n\r\n",
+        "5\r\nabcde\r\n0\r\n\r\n",
+        "a: b\r\nc: d\n\r\n",
+        "a: b\r\n c\r\n\r\n",
+    ] {
+        for size in ["0", "00", "0;x"] {
+            let text = format!("3\r\nabc\r\n{size}\r\n{data}");
+            for step in [1, 2, 7, text.len()] {
+                let decoded = decode(text.as_bytes(), step);
+                assert_eq!(decoded.unwrap_err(), ChunkError::Trailers, "{text:?} in steps of {step}");
+            }
+        }
+    }
+}
+
+/// Trailers up to the limits are skipped, and nothing of what follows them is taken.
+#[test]
+fn trailers_end_with_an_empty_line() {
+    let long = |count: usize| format!("a: {}\r\n\r\n", "x".repeat(count - "a: \r\n\r\n".len()));
+    let many = |count: usize| "a: b\r\n".repeat(count) + "\r\n";
+    for trailers in ["\r\n".to_owned(), many(1), many(MAX_HEAD_FIELDS), long(100), long(MAX_TRAILER_BYTES)] {
+        for rest in ["", "HTTP/1.1 200 OK\r\n", "\n"] {
+            let text = format!("3\r\nabc\r\n0\r\n{trailers}{rest}");
+            for step in [1, 3, text.len()] {
+                let decoded = decode(text.as_bytes(), step).unwrap();
+                assert_eq!(decoded, (true, b"abc".to_vec(), rest.len()), "{text:?} in steps of {step}");
+            }
+        }
+    }
+    for trailers in [many(MAX_HEAD_FIELDS + 1), long(MAX_TRAILER_BYTES + 1)] {
+        for step in [1, 5000] {
+            let text = format!("0\r\n{trailers}");
+            assert_eq!(decode(text.as_bytes(), step).unwrap_err(), ChunkError::Trailers, "{text:?}");
+        }
+    }
+}
+
 proptest! {
     #[test]
     fn no_input_panics_or_expands(
