The decoding of a server's stream stands in a module of its own

forward_answer had grown to 80 lines that decode, ask for the grant, forward, read and judge the end. IncomingAnswer (incoming_answer.rs) holds the connection, the decoders, the count of received bytes and the grant, and decides whether the stream is valid and whole; the attempt keeps what involves the core: forward_events, receive_more. No change of behaviour; the package's tests pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,18 +5,17 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use bytes::Bytes;
 use paddleproxy::interface::LoadReport;
 use paddleproxy_platform::head::{Framing, ResponseHead};
 use paddleproxy_platform::request::refusal;
-use paddleproxy_platform::{Chunks, Events, MAX_BODY_BYTES};
 use paddleproxy_router::clock::{duration, Clock};
 use paddleproxy_routing::{OutgoingDispatch, SocketEnd, Stage, StallDetector, Withdrawal, WriteCheck};
 use tokio::sync::mpsc;
 use tokio::time::{sleep_until, timeout, Instant};
 
-use crate::limits::{
-    MAX_OPENING_BYTES, REJECTION_BODY_TIMEOUT_MS, STREAM_IDLE_TIMEOUT_MS, STREAM_QUEUE_PARTS,
-};
+use crate::incoming_answer::{GrantedStream, IncomingAnswer};
+use crate::limits::{REJECTION_BODY_TIMEOUT_MS, STREAM_IDLE_TIMEOUT_MS, STREAM_QUEUE_PARTS};
 use crate::messages::{AttemptCommand, AttemptEnd, ClientRequest, CoreEvent, CoreSender, StreamPart};
 use crate::pool::{Connection, Pool};
 use crate::servers::ServerDirectory;
@@ -150,7 +149,7 @@
     /// Forwards the event stream of an answer to the client once the core has granted it.
     async fn forward_answer(
         &mut self,
-        mut connection: Connection,
+        connection: Connection,
         head: ResponseHead,
         deadline: Instant,
         started: Instant,
@@ -158,71 +157,90 @@
         if head.framing != Framing::Chunked {
             return Err(SocketEnd::Nonsense("the stream is not chunked".into()));
         }
-        let (mut chunks, mut events) = (Chunks::new(MAX_BODY_BYTES), Events::default());
-        let mut stream: Option<(mpsc::Sender<StreamPart>, StallDetector)> = None;
-        let mut received_bytes = connection.bytes.len();
+        let mut answer = IncomingAnswer::new(connection);
         loop {
-            let done = chunks
-                .take(&mut connection.bytes, events.buffer())
-                .map_err(|why| SocketEnd::Nonsense(why.to_string()))?;
-            let complete_events = events.take().map_err(|why| SocketEnd::Nonsense(why.0.into()))?;
-            (self.cached_tokens, self.load) = (events.cached_tokens, events.load.or(self.load));
-            if done && !events.complete() {
-                return Err(SocketEnd::Nonsense("the stream ends in the middle of an event".into()));
-            }
-            let first = stream.is_none();
-            if first && events.events > 0 {
-                let granted = self.request_grant(started).await?;
-                stream = Some((granted, StallDetector::new(self.clock.now_ms(), STREAM_IDLE_TIMEOUT_MS)));
-            }
-            if stream.is_none() && received_bytes > MAX_OPENING_BYTES {
-                return Err(SocketEnd::Nonsense("the stream does not reach its first event".into()));
-            }
-            if let Some((parts, stall_detector)) = stream.as_mut().filter(|_| !complete_events.is_empty()) {
-                // Time spent waiting for a slow client doesn't count as the server's silence.
-                let sent = tokio::select! {
-                    biased;
-                    _ = self.commands.recv() => return Err(SocketEnd::Stopped),
-                    sent = parts.send(StreamPart::Events(complete_events)) => sent,
-                };
-                sent.map_err(|_| SocketEnd::Stopped)?;
-                // The stall detector started with the first event, so that event ends no gap.
-                if !first {
-                    stall_detector.record_event(self.clock.now_ms());
-                }
-            }
-            if done {
-                if let Some((parts, _)) = stream {
-                    let _ = parts.send(StreamPart::End).await;
-                }
-                if head.connection_reusable() {
-                    self.pool.put_back(connection);
-                }
-                return Ok((SocketEnd::AnswerDone, None));
+            let decoded = answer.decode();
+            // Reported with the end of the attempt even if the stream turns out to be invalid.
+            (self.cached_tokens, self.load) = (answer.events.cached_tokens, answer.events.load.or(self.load));
+            let decoded = decoded?;
+            self.forward_events(&mut answer, decoded.events, started).await?;
+            if decoded.done {
+                break;
             }
-            let limit = stream
-                .as_ref()
-                .map_or(deadline, |(_, stall_detector)| self.clock.at(stall_detector.deadline_ms()));
+            self.receive_more(&mut answer, deadline).await?;
+        }
+        if let Some(GrantedStream { parts, .. }) = answer.granted {
+            let _ = parts.send(StreamPart::End).await;
+        }
+        if head.connection_reusable() {
+            self.pool.put_back(answer.connection);
+        }
+        Ok((SocketEnd::AnswerDone, None))
+    }
+
+    /// Forwards complete events, and requests the grant before the first one. What precedes the first event is
+    /// discarded.
+    async fn forward_events(
+        &mut self,
+        answer: &mut IncomingAnswer,
+        complete_events: Bytes,
+        started: Instant,
+    ) -> Result<(), SocketEnd> {
+        if answer.events.events == 0 || complete_events.is_empty() {
+            return Ok(());
+        }
+        let first = answer.granted.is_none();
+        if first {
+            let parts = self.request_grant(started).await?;
+            let stall_detector = StallDetector::new(self.clock.now_ms(), STREAM_IDLE_TIMEOUT_MS);
+            answer.granted = Some(GrantedStream { parts, stall_detector });
+        }
+        let Some(GrantedStream { parts, stall_detector }) = answer.granted.as_mut() else { return Ok(()) };
+        // Time spent waiting for a slow client doesn't count as the server's silence.
+        let sent = tokio::select! {
+            biased;
+            _ = self.commands.recv() => return Err(SocketEnd::Stopped),
+            sent = parts.send(StreamPart::Events(complete_events)) => sent,
+        };
+        sent.map_err(|_| SocketEnd::Stopped)?;
+        // The stall detector started with the first event, so that event ends no gap.
+        if !first {
+            stall_detector.record_event(self.clock.now_ms());
+        }
+        Ok(())
+    }
+
+    /// Reads more of an answer, until `deadline` before its first event and until the server stalls after it.
+    async fn receive_more(
+        &mut self,
+        answer: &mut IncomingAnswer,
+        deadline: Instant,
+    ) -> Result<(), SocketEnd> {
+        let limit = answer
+            .granted
+            .as_ref()
+            .map_or(deadline, |granted| self.clock.at(granted.stall_detector.deadline_ms()));
+        loop {
             let read = tokio::select! {
                 biased;
                 _ = self.commands.recv() => return Err(SocketEnd::Stopped),
-                read = connection.read() => read,
+                read = answer.read() => read,
                 () = sleep_until(limit) => {
                     // The timer may fire because this process was stalled. If bytes wait on the socket, the
                     // server wasn't silent: let the runtime poll the socket and read them. The limits of an
-                    // event and of what comes before the first one bound how often this happens.
-                    if connection.has_unread() {
+                    // event and of what precedes the first one bound how often this happens.
+                    if answer.connection.has_unread() {
                         tokio::task::yield_now().await;
                         continue;
                     }
-                    return Err(if stream.is_some() { SocketEnd::Stalled } else { SocketEnd::TimedOut });
+                    return Err(answer.end(SocketEnd::TimedOut, SocketEnd::Stalled));
                 }
             };
-            match read {
-                Ok(read) if read > 0 => received_bytes += read,
-                _ if stream.is_some() => return Err(SocketEnd::BrokeAfterFirst),
-                _ => return Err(SocketEnd::BrokeWithinAnswer),
-            }
+            return if matches!(read, Ok(read) if read > 0) {
+                Ok(())
+            } else {
+                Err(answer.end(SocketEnd::BrokeWithinAnswer, SocketEnd::BrokeAfterFirst))
+            };
         }
     }
 
--- a/crates/gateway/src/attempt/tests.rs
+++ b/crates/gateway/src/attempt/tests.rs
@@ -10,6 +10,7 @@
 use tokio::time::Duration;
 
 use super::*;
+use crate::limits::MAX_OPENING_BYTES;
 use crate::messages::{BodyBytes, ClientPresence};
 
 const WORKER: &str = "s-1";
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod endings;
 mod frontend;
 mod inbound;
+mod incoming_answer;
 mod limits;
 mod messages;
 mod pool;
