Reading a request and writing an answer have modules of their own

ReceivedRequest::read (received_request.rs) returns one typed failure; outbound.rs holds writes with their time limit, complete answers and Retry-After.

--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -3,11 +3,11 @@
 
 use std::rc::Rc;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::BytesMut;
 use paddleproxy::interface::CompletionId;
 use paddleproxy::shutdown::retry_after_ms;
-use paddleproxy_platform::head::{self, Framing, RequestError, RequestHead};
-use paddleproxy_platform::{request, Chunks, MAX_BODY_BYTES};
+use paddleproxy_platform::head::{RequestError, RequestHead};
+use paddleproxy_platform::request;
 use paddleproxy_router::clock::duration;
 use paddleproxy_router::pending_answer::PendingAnswer;
 use paddleproxy_sockets::Stream;
@@ -19,10 +19,11 @@
 use crate::frontend::{stage_reached, Activity, ConnectionSlot, Lifecycle};
 use crate::inbound::Inbound;
 use crate::limits::{
-    CLIENT_IDLE_FACTOR, CLIENT_WRITE_TIMEOUT_MS, EVICTED_LINGER_MS, LINGER_MS, MAX_READ_AHEAD_BYTES,
-    REQUEST_READ_TIMEOUT_MS,
+    CLIENT_IDLE_FACTOR, EVICTED_LINGER_MS, LINGER_MS, MAX_READ_AHEAD_BYTES, REQUEST_READ_TIMEOUT_MS,
 };
-use crate::messages::{BodyBytes, ClientPresence, ClientRequest, CoreEvent, Reply, StreamPart};
+use crate::messages::{ClientPresence, ClientRequest, CoreEvent, Reply, StreamPart};
+use crate::outbound::{error_body, retry_after_field, write, write_answer, Answer, ClientGone};
+use crate::received_request::{ReadFailure, ReceivedRequest};
 
 /// Why a connection is closed, and how.
 #[derive(Clone, Copy, Debug)]
@@ -34,6 +35,12 @@
     Immediate(ConnectionEnd),
 }
 
+impl From<ClientGone> for ConnectionClose {
+    fn from(_: ClientGone) -> ConnectionClose {
+        ConnectionClose::CLIENT_LEFT
+    }
+}
+
 impl ConnectionClose {
     const CLIENT_LEFT: ConnectionClose = ConnectionClose::Immediate(ConnectionEnd::ClientLeft);
 
@@ -51,23 +58,14 @@
     }
 }
 
-/// A request that was received completely.
-struct ReceivedRequest {
-    head: RequestHead,
-    body: Bytes,
-    body_quota: BodyBytes,
-    /// When its last byte arrived.
-    received_ms: f64,
-}
-
 /// Interval in ms at which a connection is checked for its close while unread bytes are pending on it.
 const CLOSE_POLL_MS: f64 = 50.0;
 
-const OVERLOADED: RequestError = RequestError::new(503, "more bytes are open than memory allows; come again");
-
 /// Sent for an incomplete request too: the rest of it may already be in transit and needs an answer.
 const EVICTED: RequestError = RequestError::new(503, "the connection is wanted elsewhere; come again");
 
+const TOO_SLOW: RequestError = RequestError::new(408, "the request did not come whole in time");
+
 const SHUTTING_DOWN: RequestError = RequestError::new(503, "the router stops");
 
 /// Serves one connection until it closes.
@@ -112,15 +110,16 @@
         let mut lifecycle = self.frontend.lifecycle.clone();
         let received = tokio::select! {
             biased;
-            received = self.read_request(stream, inbound) => received?,
+            received = ReceivedRequest::read(stream, inbound, &self.frontend) => received,
             // Completed later, it might still be unanswered when the process is killed.
-            () = stage_reached(&mut lifecycle, Lifecycle::Refusing) => Err(SHUTTING_DOWN),
-            () = sleep_until(deadline) => Err(RequestError::new(408, "the request did not come whole in time")),
-            () = self.eviction.notified() => Err(EVICTED),
+            () = stage_reached(&mut lifecycle, Lifecycle::Refusing) => Err(SHUTTING_DOWN.into()),
+            () = sleep_until(deadline) => Err(TOO_SLOW.into()),
+            () = self.eviction.notified() => Err(EVICTED.into()),
         };
         let received = match received {
             Ok(received) => received,
-            Err(error) => {
+            Err(ReadFailure::ClientGone) => return Err(ConnectionClose::CLIENT_LEFT),
+            Err(ReadFailure::Rejected(error)) => {
                 self.frontend.endings.rejected_unread(error.status);
                 self.reject(stream, error, true).await?;
                 return Err(ConnectionClose::Graceful(ConnectionEnd::BadRequest));
@@ -157,7 +156,8 @@
                 Lifecycle::Starting => Err(RequestError::new(503, "not ready yet")),
                 _ => {
                     let close = close || self.closes(stream, inbound);
-                    self.answer(stream, 200, "OK", "", "{\"ready\":true}", close).await?;
+                    let (reason, body) = ("OK", "{\"ready\":true}");
+                    write_answer(stream, Answer { status: 200, reason, fields: "", body, close }).await?;
                     Ok(RequestEnd::Answered)
                 }
             },
@@ -235,70 +235,6 @@
         Err(ended)
     }
 
-    /// Reads one complete request.
-    async fn read_request(
-        &self,
-        stream: &mut Stream,
-        inbound: &mut Inbound,
-    ) -> Result<Result<ReceivedRequest, RequestError>, ConnectionClose> {
-        let head = loop {
-            match head::parse_request(inbound) {
-                Ok(Some(head)) => break head,
-                Ok(None) => {}
-                Err(error) => return Ok(Err(error)),
-            }
-            if !inbound.read(stream).await.is_ok_and(|read| read > 0) {
-                return Err(ConnectionClose::CLIENT_LEFT);
-            }
-        };
-        inbound.advance(head.bytes);
-        let reserved_bytes = match head.framing {
-            Framing::Length(length) => length,
-            _ => MAX_BODY_BYTES,
-        };
-        let Some(mut body_quota) =
-            BodyBytes::take(&self.frontend.body_bytes, reserved_bytes, self.frontend.shares.get().body_bytes)
-        else {
-            return Ok(Err(OVERLOADED));
-        };
-        if head.expects_continue {
-            self.write(stream, b"HTTP/1.1 100 Continue\r\n\r\n").await?;
-        }
-        let (mut body, mut chunks) = (BytesMut::new(), Chunks::new(MAX_BODY_BYTES));
-        loop {
-            match head.framing {
-                Framing::Length(length) if inbound.len() >= length => {
-                    // Copied to its exact size: the buffer may be much larger, and stays with the connection.
-                    let body = Bytes::copy_from_slice(&inbound[..length]);
-                    inbound.advance(length);
-                    return Ok(Ok(ReceivedRequest {
-                        head,
-                        body,
-                        body_quota,
-                        received_ms: inbound.consumed_arrival_ms(),
-                    }));
-                }
-                Framing::Length(_) => {}
-                _ => match chunks.take(inbound, &mut body) {
-                    Ok(_) if body.len() > MAX_BODY_BYTES => {
-                        return Ok(Err(RequestError::new(413, "the body is too long")))
-                    }
-                    Ok(true) => {
-                        body_quota.shrink(body.len());
-                        let (body, received_ms) =
-                            (Bytes::copy_from_slice(&body), inbound.consumed_arrival_ms());
-                        return Ok(Ok(ReceivedRequest { head, body, body_quota, received_ms }));
-                    }
-                    Ok(false) => {}
-                    Err(_) => return Ok(Err(RequestError::new(400, "the body's chunks can't be read"))),
-                },
-            }
-            if !inbound.read(stream).await.is_ok_and(|read| read > 0) {
-                return Err(ConnectionClose::CLIENT_LEFT);
-            }
-        }
-    }
-
     /// Passes a completion request to the core and forwards its reply.
     async fn answer_completion(
         &self,
@@ -360,23 +296,25 @@
         };
         match reply {
             Reply::RateLimited { retry_after_ms } => {
-                let retry_after = retry_after_header(retry_after_ms);
-                let body = error_body("no worker can take this now; trying again is harmless");
-                self.answer(
-                    stream,
-                    429,
-                    "Too Many Requests",
-                    &retry_after,
-                    &body,
-                    close || self.closes(stream, inbound),
-                )
-                .await?;
+                let answer = Answer {
+                    status: 429,
+                    reason: "Too Many Requests",
+                    fields: &retry_after_field(retry_after_ms),
+                    body: &error_body("no worker can take this now; trying again is harmless"),
+                    close: close || self.closes(stream, inbound),
+                };
+                write_answer(stream, answer).await?;
                 Ok(Ok(RequestEnd::RateLimited))
             }
             Reply::Aborted => {
-                let body = error_body("the answer was lost; it may have run");
-                self.answer(stream, 502, "Bad Gateway", "", &body, close || self.closes(stream, inbound))
-                    .await?;
+                let answer = Answer {
+                    status: 502,
+                    reason: "Bad Gateway",
+                    fields: "",
+                    body: &error_body("the answer was lost; it may have run"),
+                    close: close || self.closes(stream, inbound),
+                };
+                write_answer(stream, answer).await?;
                 Ok(Ok(RequestEnd::Aborted))
             }
             Reply::Stream(parts) => {
@@ -412,11 +350,11 @@
                     out.extend_from_slice(format!("{:x}\r\n", events.len()).as_bytes());
                     out.extend_from_slice(&events);
                     out.extend_from_slice(b"\r\n");
-                    self.write(stream, &out).await?;
+                    write(stream, &out).await?;
                     open.part_forwarded();
                     out.clear();
                 }
-                Some(StreamPart::End) => return self.write(stream, b"0\r\n\r\n").await,
+                Some(StreamPart::End) => return Ok(write(stream, b"0\r\n\r\n").await?),
                 // The stream broke: everything before was written, and the connection closes without the last
                 // chunk.
                 None => return Err(ConnectionClose::Graceful(ConnectionEnd::StreamBroke)),
@@ -430,43 +368,20 @@
         error: RequestError,
         close: bool,
     ) -> Result<(), ConnectionClose> {
-        let retry_after = if error == SHUTTING_DOWN { self.retry_after_field() } else { String::new() };
-        self.answer(stream, error.status, "Refused", &retry_after, &error_body(error.why), close).await
+        let retry_after = if error == SHUTTING_DOWN { self.shutdown_retry_after() } else { String::new() };
+        let (status, body) = (error.status, error_body(error.why));
+        let answer = Answer { status, reason: "Refused", fields: &retry_after, body: &body, close };
+        Ok(write_answer(stream, answer).await?)
     }
 
     /// The `Retry-After` field for a client that is rejected because the router shuts down.
-    fn retry_after_field(&self) -> String {
+    fn shutdown_retry_after(&self) -> String {
         let platform_settings = self.frontend.platform_settings.borrow();
-        retry_after_header(retry_after_ms(
+        retry_after_field(retry_after_ms(
             platform_settings.settings.retry_after,
             platform_settings.settings.max_retry_after_ms,
         ))
     }
-
-    async fn answer(
-        &self,
-        stream: &mut Stream,
-        status: u16,
-        reason: &str,
-        fields: &str,
-        body: &str,
-        close: bool,
-    ) -> Result<(), ConnectionClose> {
-        let close = if close { "Connection: close\r\n" } else { "" };
-        let length = body.len();
-        let answer = format!(
-            "HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\n\
-             Content-Length: {length}\r\n{fields}{close}\r\n{body}"
-        );
-        self.write(stream, answer.as_bytes()).await
-    }
-
-    async fn write(&self, stream: &mut Stream, bytes: &[u8]) -> Result<(), ConnectionClose> {
-        match timeout(duration(CLIENT_WRITE_TIMEOUT_MS), stream.write_all(bytes)).await {
-            Ok(Ok(())) => Ok(()),
-            _ => Err(ConnectionClose::CLIENT_LEFT),
-        }
-    }
 }
 
 /// Returns when the client has closed. Pipelined bytes are buffered up to [`MAX_READ_AHEAD_BYTES`] and not
@@ -486,16 +401,3 @@
 fn path(target: &str) -> &str {
     target.split('?').next().unwrap_or_default()
 }
-
-/// The `Retry-After` field for this delay; empty for 0.
-fn retry_after_header(ms: f64) -> String {
-    if ms > 0.0 {
-        format!("Retry-After: {:.3}\r\n", ms / 1e3)
-    } else {
-        String::new()
-    }
-}
-
-fn error_body(why: &str) -> String {
-    format!("{{\"error\":{{\"message\":\"{why}\"}}}}")
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,8 +14,10 @@
 mod incoming_answer;
 mod limits;
 mod messages;
+mod outbound;
 mod pool;
 mod progress;
+mod received_request;
 mod running;
 mod servers;
 
