Tests of turns on a socket: fewer bytes, and a wait that fails in place of hanging

They wait until all bytes are in the receive buffer. On a system with smaller buffers than this one that wait had no end; it now fails after 20 s and says why, and 72 KiB are enough for more than two turns.

--- a/crates/sockets/tests/turns.rs
+++ b/crates/sockets/tests/turns.rs
@@ -14,6 +14,8 @@
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
+/// Reads that take more than two turns.
+const MANY_READS: usize = 2 * READS_PER_TURN + 1;
 /// Operations that the runtime lets a task do in one poll.
 const RUNTIME_BUDGET: usize = 128;
 
@@ -42,9 +44,12 @@
     }
     // All of it is in the receive buffer before the first read.
     let mut arrived = vec![0; count];
-    while stream.peek(&mut arrived).await.unwrap() < count {
-        sleep(Duration::from_millis(1)).await;
-    }
+    let arriving = async {
+        while stream.peek(&mut arrived).await.unwrap() < count {
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(Duration::from_secs(20), arriving).await.expect("the bytes fit into the receive buffer");
     (stream, peer)
 }
 
@@ -76,7 +81,7 @@
 #[test]
 fn other_tasks_run_while_bytes_wait_on_a_socket() {
     local(async {
-        for reads in [1, READS_PER_TURN - 1, READS_PER_TURN, READS_PER_TURN + 1, 3 * READS_PER_TURN] {
+        for reads in [1, READS_PER_TURN - 1, READS_PER_TURN, READS_PER_TURN + 1, MANY_READS] {
             let most = most_reads_in_a_turn(reads * READ_BYTES).await;
             assert!(most <= READS_PER_TURN, "{most} of {reads} reads in one turn");
             assert!(most >= reads.min(READS_PER_TURN), "{most} of {reads} reads in one turn");
@@ -88,7 +93,7 @@
 /// future that reads on, and a loop that waits for one read at a time.
 #[test]
 fn a_deadline_behind_a_read_fires_while_bytes_wait_on_a_socket() {
-    const COUNT: usize = 4 * READS_PER_TURN * READ_BYTES;
+    const COUNT: usize = MANY_READS * READ_BYTES;
     local(async {
         let past = Instant::now();
         // The runtime's timers have a resolution of a millisecond.
@@ -126,7 +131,7 @@
 /// What was received before a read is cancelled at the end of a turn is still there for the next read.
 #[test]
 fn a_read_that_is_cancelled_at_the_end_of_a_turn_loses_nothing() {
-    const COUNT: usize = 2 * READS_PER_TURN * READ_BYTES;
+    const COUNT: usize = MANY_READS * READ_BYTES;
     local(async {
         let (stream, _peer) = stream_with_waiting(COUNT).await;
         let (mut received, mut cancelled) = (0, 0);
